Set down the shape: packages, core types, fold of the control stream

Cause: an empty repository. The folders, the typed records and the pure fold come first, so that every later part grows in the same shape: packages by concern with the inner protocol in wire, live state in shards, decisions apart from encoding.

Weighed: one stream for edits and another for groups. Two streams have no joint order, so a form could not be checked against the pool row it stands on; one control stream decides both.

--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/table"
+)
+
+func testPool(size int, vms ...string) table.Pool {
+	return table.Pool{
+		Name: "p", Kind: table.Engines, Model: "m", Version: "1",
+		GroupSize: size, VMs: vms, Limit: 8, ColdLimit: 1,
+	}
+}
+
+func editPool(id string, base uint64, p table.Pool) *Record {
+	return &Record{ID: id, Author: "op-" + id, Edit: &Edit{Changes: []Change{{Base: base, SetPool: &p}}}}
+}
+
+func members(vms ...string) []Member {
+	var out []Member
+	for _, vm := range vms {
+		out = append(out, Member{VM: vm, BootID: "b-" + vm, FailureDomain: "d", FabricDomain: "f"})
+	}
+	return out
+}
+
+func formRecord(id string, replaces []uint64, vms ...string) *Record {
+	return &Record{ID: id, Form: &Form{Pool: "p", Model: "m", Version: "1", Members: members(vms...), Replaces: replaces}}
+}
+
+type folder struct {
+	s    *State
+	next uint64
+}
+
+func (f *folder) apply(r *Record) Verdict {
+	v := f.s.Apply(Position{Epoch: 1, Offset: f.next}, r)
+	f.next++
+	return v
+}
+
+func TestEditRevisions(t *testing.T) {
+	f := &folder{s: New()}
+	must.True(t, f.apply(editPool("1", 0, testPool(1, "a"))).Accepted)
+	must.True(t, f.apply(editPool("2", 1, testPool(1, "a", "b"))).Accepted)
+
+	late := f.apply(editPool("3", 1, testPool(1)))
+	must.False(t, late.Accepted)
+	must.Eq(t, 2, late.Winner.Revision)
+	must.Eq(t, "op-2", late.Winner.Author)
+	must.Eq(t, []string{"a", "b"}, f.s.Pools["p"].Pool.VMs)
+}
+
+func TestDuplicateAppendKeepsItsVerdict(t *testing.T) {
+	f := &folder{s: New()}
+	first := f.apply(editPool("1", 0, testPool(1, "a")))
+	again := f.apply(editPool("1", 0, testPool(1, "a")))
+	must.True(t, again.Duplicate)
+	must.Eq(t, first.Pos, again.Pos)
+	must.Eq(t, 1, f.s.Pools["p"].Stamp.Revision)
+}
+
+func TestPositionsNeverGoBack(t *testing.T) {
+	s := New()
+	s.Apply(Position{Epoch: 2, Offset: 5}, editPool("1", 0, testPool(1, "a")))
+	for _, pos := range []Position{{2, 5}, {2, 4}, {1, 9}} {
+		must.False(t, s.Apply(pos, editPool("x"+pos.String(), 1, testPool(1))).Accepted)
+	}
+	must.Eq(t, Position{2, 5}, s.Pos)
+	must.Eq(t, 1, s.Pools["p"].Stamp.Revision)
+}
+
+func TestFormTakesOnlyFreeVMs(t *testing.T) {
+	f := &folder{s: New()}
+	must.True(t, f.apply(editPool("1", 0, testPool(2, "a", "b", "c", "d"))).Accepted)
+	first := f.apply(formRecord("2", nil, "a", "b"))
+	must.True(t, first.Accepted)
+	must.False(t, f.apply(formRecord("3", nil, "b", "c")).Accepted)
+
+	g := first.Pos.Fence()
+	must.True(t, f.apply(formRecord("4", []uint64{g}, "b", "c")).Accepted)
+	must.True(t, f.s.VMs["a"].Ended)
+	must.False(t, f.apply(formRecord("5", nil, "a", "d")).Accepted)
+	must.True(t, f.apply(&Record{ID: "6", Release: &Release{VM: "a", Fence: g}}).Accepted)
+	must.True(t, f.apply(formRecord("7", nil, "a", "d")).Accepted)
+	must.MapLen(t, 2, f.s.Groups)
+}
--- /dev/null
+++ b/internal/wire/record.go
@@ -0,0 +1,32 @@
+package wire
+
+import (
+	"github.com/ragwortquay/ragwortquay/internal/state"
+)
+
+// MaxRecordBytes bounds one record of the platform's log.
+const MaxRecordBytes = 1 << 20
+
+// EncodeRecord encodes a control record for the log.
+func EncodeRecord(r *state.Record) ([]byte, error) { return Marshal(r) }
+
+// DecodeRecord decodes a control record.
+func DecodeRecord(b []byte) (*state.Record, error) {
+	var r state.Record
+	if err := Unmarshal(b, &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+// EncodeState encodes a snapshot of the control state.
+func EncodeState(s *state.State) ([]byte, error) { return Marshal(s) }
+
+// DecodeState decodes a snapshot of the control state.
+func DecodeState(b []byte) (*state.State, error) {
+	s := state.New()
+	if err := Unmarshal(b, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
