--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+)
+
+func joinErrors(errs ...error) error { return errors.Join(errs...) }
+
+// Bounds of settings.
+const (
+	maxPort       = 65535
+	maxShards     = 1024
+	maxBytes      = 1 << 30
+	maxConns      = 1_000_000
+	minInterval   = 10 * time.Millisecond
+	maxInterval   = time.Hour
+	maxRetention  = 365 * 24 * time.Hour
+	minRetention  = 10 * time.Second
+	keyAgeDivisor = 2 // a key must be forgotten well before its record is dropped
+)
+
+// Check returns every mistake in the settings, joined, or nil.
+func (s Settings) Check() error {
+	return errors.Join(
+		checkSet("daemon.id", s.Daemon.ID),
+		checkSet("daemon.failure_domain", s.Daemon.FailureDomain),
+		checkAddr("listen.callers", s.Listen.Callers),
+		checkAddr("listen.operators", s.Listen.Operators),
+		checkAddr("listen.peers", s.Listen.Peers),
+		s.checkDistinct(),
+		checkSet("secrets.cluster_key_file", s.Secrets.Cluster),
+		checkSet("secrets.tokens_file", s.Secrets.Tokens),
+		s.Platform.check(),
+		s.Members.check(),
+		s.Targets.check(),
+		checkDuration("groups.wait_before_replace", s.Groups.Wait, 0, maxInterval),
+		s.checkOnce(),
+		s.Limits.check(),
+		checkDuration("shutdown.unready", s.Shutdown.Unready, 0, maxInterval),
+		checkDuration("shutdown.drain", s.Shutdown.Drain, 0, maxInterval),
+		checkRange("log.verbosity", s.Log.Verbosity, 0, 10),
+	)
+}
+
+func (s Settings) checkDistinct() error {
+	l := s.Listen
+	if l.Callers != "" && (l.Callers == l.Operators || l.Callers == l.Peers) || l.Operators != "" && l.Operators == l.Peers {
+		if !ephemeral(l.Callers) {
+			return fault.Invalid("listen", "give each server an address of its own", "two servers share one address")
+		}
+	}
+	return nil
+}
+
+func ephemeral(addr string) bool {
+	_, port, err := net.SplitHostPort(addr)
+	return err == nil && port == "0"
+}
+
+func (p Platform) check() error {
+	return errors.Join(
+		checkURL("platform.log", p.Log),
+		checkURL("platform.vms", p.VMs),
+		checkURL("platform.weights", p.Weights),
+		checkDuration("platform.timeout", p.Timeout, minInterval, time.Minute),
+		checkDuration("platform.log_retention", p.Retention, minRetention, maxRetention),
+		checkRange("platform.snapshot_records", p.SnapshotRecords, 10, 1_000_000),
+	)
+}
+
+func (m Members) check() error {
+	errs := []error{
+		checkDuration("members.probe_interval", m.Interval, minInterval, time.Minute),
+		checkDuration("members.leave_after", m.LeaveAfter, time.Second, maxInterval),
+		checkDuration("members.isolated_after", m.IsolatedAfter, 100*time.Millisecond, time.Minute),
+	}
+	for i, a := range m.Seeds {
+		errs = append(errs, checkAddr(fmt.Sprintf("members.seeds[%d]", i), a))
+	}
+	return errors.Join(errs...)
+}
+
+func (t Targets) check() error {
+	return errors.Join(
+		checkDuration("targets.dial_timeout", t.DialTimeout, minInterval, time.Minute),
+		checkDuration("targets.silence_timeout", t.Silence, 100*time.Millisecond, maxInterval),
+		checkDuration("targets.report_interval", t.ReportInterval, minInterval, time.Minute),
+		checkRange("targets.max_answer_bytes", t.MaxAnswerBytes, 1, maxBytes),
+	)
+}
+
+func (s Settings) checkOnce() error {
+	errs := []error{
+		checkRange("once.shards", s.Once.Shards, 1, maxShards),
+		checkDuration("once.max_key_age", s.Once.MaxKeyAge, time.Second, maxRetention),
+	}
+	if limit := time.Duration(s.Platform.Retention) / keyAgeDivisor; time.Duration(s.Once.MaxKeyAge) > limit {
+		errs = append(errs, fault.Invalid("once.max_key_age", fmt.Sprintf("use at most %s, half of platform.log_retention", limit), "%s is too long", time.Duration(s.Once.MaxKeyAge)))
+	}
+	return errors.Join(errs...)
+}
+
+func (l Limits) check() error {
+	return errors.Join(
+		checkRange("limits.max_body_bytes", l.MaxBodyBytes, 1, maxBytes),
+		checkRange("limits.max_header_bytes", l.MaxHeaderBytes, 1024, 1<<20),
+		checkRange("limits.max_connections", l.MaxConnections, 1, maxConns),
+		checkDuration("limits.idle_timeout", l.IdleTimeout, minInterval, maxInterval),
+		checkDuration("limits.read_timeout", l.ReadTimeout, minInterval, maxInterval),
+	)
+}
+
+func checkSet(field, v string) error {
+	if v == "" {
+		return fault.Invalid(field, "set it", "value is missing")
+	}
+	return nil
+}
+
+func checkAddr(field, addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fault.Invalid(field, "use IP:PORT, such as 127.0.0.1:8080", "%q is not an address", addr)
+	}
+	if net.ParseIP(host) == nil {
+		return fault.Invalid(field, "use an IP number", "%q is not an IP number", host)
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil || n < 0 || n > maxPort {
+		return fault.Invalid(field, fmt.Sprintf("use a port from 0 to %d", maxPort), "port %q is out of range", port)
+	}
+	return nil
+}
+
+func checkURL(field, raw string) error {
+	u, err := url.Parse(raw)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return fault.Invalid(field, "use http://HOST:PORT", "%q is not a service URL", raw)
+	}
+	return nil
+}
+
+func checkRange(field string, v, low, high int) error {
+	if v < low || v > high {
+		return fault.Invalid(field, fmt.Sprintf("use a number from %d to %d", low, high), "%d is out of range", v)
+	}
+	return nil
+}
+
+func checkDuration(field string, d tomlfile.Duration, low, high time.Duration) error {
+	v := time.Duration(d)
+	if v < low || v > high {
+		return fault.Invalid(field, fmt.Sprintf("use a duration from %s to %s", low, high), "%s is out of range", v)
+	}
+	return nil
+}
+
+// CheckTogether returns the mistakes that show only when the settings of
+// several daemons are compared: identities and addresses used twice, or
+// at-most-once streams that differ.
+func CheckTogether(all []Settings) error {
+	var errs []error
+	ids := make(map[string]int, len(all))
+	addrs := make(map[string]int, len(all))
+	for i, s := range all {
+		if first, dup := ids[s.Daemon.ID]; dup {
+			errs = append(errs, fault.Invalid("daemon.id", "give each daemon an id of its own", "%q is used by files %d and %d", s.Daemon.ID, first+1, i+1))
+		}
+		ids[s.Daemon.ID] = i
+		if first, dup := addrs[s.Listen.Peers]; dup && !ephemeral(s.Listen.Peers) {
+			errs = append(errs, fault.Invalid("listen.peers", "give each daemon an address of its own", "%q is used by files %d and %d", s.Listen.Peers, first+1, i+1))
+		}
+		addrs[s.Listen.Peers] = i
+		if s.Once.Shards != all[0].Once.Shards {
+			errs = append(errs, fault.Invalid("once.shards", "use the same number on all daemons", "%d in file %d, %d in file 1", s.Once.Shards, i+1, all[0].Once.Shards))
+		}
+	}
+	return errors.Join(errs...)
+}
