--- /dev/null
+++ b/internal/platform/lists.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+)
+
+type vmLister struct{ *caller }
+
+// NewVMLister returns a client of the VM list.
+func NewVMLister(o Options) (VMLister, error) {
+	c, err := newCaller(o)
+	if err != nil {
+		return nil, err
+	}
+	return &vmLister{caller: c}, nil
+}
+
+// List implements VMLister.
+func (l *vmLister) List(ctx context.Context) ([]VM, error) {
+	var out VMListAnswer
+	if err := l.get(ctx, "/v1/vms", &out); err != nil {
+		return nil, err
+	}
+	return out.VMs, nil
+}
+
+type weightStore struct{ *caller }
+
+// NewWeightStore returns a client of the weight store.
+func NewWeightStore(o Options) (WeightStore, error) {
+	c, err := newCaller(o)
+	if err != nil {
+		return nil, err
+	}
+	return &weightStore{caller: c}, nil
+}
+
+// Loads implements WeightStore.
+func (w *weightStore) Loads(ctx context.Context) (LoadsAnswer, error) {
+	var out LoadsAnswer
+	err := w.get(ctx, "/v1/loads", &out)
+	return out, err
+}
+
+func (c *caller) get(ctx context.Context, path string, out any) error {
+	a, err := c.call(ctx, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	return c.decode(a, out)
+}
