--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -12,8 +12,6 @@
 	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
 )
 
-func joinErrors(errs ...error) error { return errors.Join(errs...) }
-
 // Bounds of settings.
 const (
 	maxPort       = 65535
@@ -51,11 +49,15 @@
 }
 
 func (s Settings) checkDistinct() error {
-	l := s.Listen
-	if l.Callers != "" && (l.Callers == l.Operators || l.Callers == l.Peers) || l.Operators != "" && l.Operators == l.Peers {
-		if !ephemeral(l.Callers) {
-			return fault.Invalid("listen", "give each server an address of its own", "two servers share one address")
+	seen := make(map[string]struct{})
+	for _, addr := range []string{s.Listen.Callers, s.Listen.Operators, s.Listen.Peers} {
+		if addr == "" || ephemeral(addr) {
+			continue
+		}
+		if _, dup := seen[addr]; dup {
+			return fault.Invalid("listen", "give each server an address of its own", "two servers share %s", addr)
 		}
+		seen[addr] = struct{}{}
 	}
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"time"
 
@@ -166,7 +167,7 @@
 func Parse(name string, data []byte) (Settings, error) {
 	s := Default()
 	if err := tomlfile.Decode(name, data, &s); err != nil {
-		return s, joinErrors(err, s.Check())
+		return s, errors.Join(err, s.Check())
 	}
 	return s, s.Check()
 }
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,60 @@
+package shard
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestMapBasics(t *testing.T) {
+	m := NewMap[int]()
+	_, ok := m.Get("a")
+	must.False(t, ok)
+	m.Set("a", 1)
+	m.Update("a", func(v int, ok bool) (int, bool) { return v + 1, ok })
+	v, ok := m.Get("a")
+	must.True(t, ok)
+	must.Eq(t, 2, v)
+	m.Update("a", func(int, bool) (int, bool) { return 0, false })
+	must.Eq(t, 0, m.Len())
+	must.False(t, m.Delete("a"))
+}
+
+func TestUpdatesAreAtomicPerKey(t *testing.T) {
+	m := NewMap[int]()
+	const workers, rounds = 8, 500
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := range rounds {
+				m.Update("shared", func(v int, _ bool) (int, bool) { return v + 1, true })
+				m.Set(strconv.Itoa(w*rounds+i), i)
+			}
+		})
+	}
+	wg.Wait()
+	v, _ := m.Get("shared")
+	must.Eq(t, workers*rounds, v)
+	must.Eq(t, workers*rounds+1, m.Len())
+}
+
+func TestChangedWakesWaiters(t *testing.T) {
+	m := NewMap[int]()
+	changed := m.Changed("k")
+	go m.Set("k", 7)
+	<-changed
+	v, _ := m.Get("k")
+	must.Eq(t, 7, v)
+}
+
+func TestRangeStops(t *testing.T) {
+	m := NewMap[int]()
+	for i := range 100 {
+		m.Set(strconv.Itoa(i), i)
+	}
+	n := 0
+	m.Range(func(string, int) bool { n++; return n < 3 })
+	must.Eq(t, 3, n)
+}
