--- /dev/null
+++ b/internal/group/plan.go
@@ -0,0 +1,175 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/replica"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+)
+
+// planner collects the actions of one plan.
+type planner struct {
+	view
+	actions []Action
+	// taken are the VMs and ended the groups that an action of this plan uses.
+	taken map[string]bool
+	ended map[uint64]bool
+}
+
+// Plan returns what to do now about one pool of engines. The order of the
+// actions is the order in which they are to be carried out.
+func Plan(s Snapshot, p Policy) []Action {
+	if s.Exists && s.Pool.Kind != table.Engines && len(s.Groups) == 0 {
+		return nil
+	}
+	pl := &planner{
+		view:  view{Snapshot: s, policy: p},
+		taken: make(map[string]bool),
+		ended: make(map[uint64]bool),
+	}
+	pl.release()
+	pl.repair()
+	pl.form()
+	pl.orders()
+	return pl.actions
+}
+
+func (pl *planner) do(a Action) { pl.actions = append(pl.actions, a) }
+
+func (pl *planner) wait(subject, reason string, until time.Time) {
+	pl.do(Wait{Subject: subject, Reason: reason, Until: until})
+}
+
+// serves reports whether the pool's row asks for groups of engines.
+func (pl *planner) serves() bool { return pl.Exists && pl.Pool.Kind == table.Engines }
+
+// free returns the unreserved VMs that may join a group now, best first, by
+// fabric domain.
+func (pl *planner) free() map[string][]string {
+	out := make(map[string][]string)
+	for _, vm := range pl.Pool.VMs {
+		if _, held := pl.Reservations[vm]; held || pl.taken[vm] {
+			continue
+		}
+		ok, from := pl.usable(vm)
+		if !from.IsZero() {
+			pl.wait("VM "+vm, "it went down repeatedly", from)
+		}
+		if !ok || pl.Observations[vm].Report.State != Free {
+			continue
+		}
+		domain := pl.VMs[vm].FabricDomain
+		out[domain] = append(out[domain], vm)
+	}
+	for _, vms := range out {
+		pl.rank(vms)
+	}
+	return out
+}
+
+// rank sorts candidates: quick ones before stragglers, those that hold the
+// weights before those that must fetch them, steady ones before flapping ones.
+func (pl *planner) rank(vms []string) {
+	weights := Weights(pl.Pool.Model, pl.Pool.Version)
+	cost := func(vm string) int {
+		o := pl.Observations[vm]
+		n := min(len(o.Flaps), 9)
+		if !o.cached(weights) {
+			n += 10
+		}
+		if !o.SlowSince.IsZero() {
+			n += 100
+		}
+		return n
+	}
+	slices.SortFunc(vms, func(a, b string) int {
+		if d := cost(a) - cost(b); d != 0 {
+			return d
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+}
+
+// form makes new groups of free VMs. It holds back the spares that groups
+// under repair still lack.
+func (pl *planner) form() {
+	if !pl.serves() {
+		return
+	}
+	lacking := pl.lacking()
+	free := pl.free()
+	for _, domain := range sortedKeys(free) {
+		vms := free[domain]
+		for len(vms)-lacking[domain] >= pl.Pool.GroupSize {
+			pl.propose(vms[:pl.Pool.GroupSize], nil, "free VMs make a group")
+			vms = vms[pl.Pool.GroupSize:]
+		}
+	}
+}
+
+// lacking counts by fabric domain the members that groups in force miss.
+func (pl *planner) lacking() map[string]int {
+	out := make(map[string]int)
+	for _, g := range pl.Groups {
+		if pl.ended[g.ID] || pl.policy.Repair == OwnMember {
+			continue
+		}
+		for i, m := range g.Members {
+			if c := pl.member(g, i); c == lost || c == gone {
+				out[m.FabricDomain]++
+			}
+		}
+	}
+	return out
+}
+
+// propose asks for a group of vms in this rank order.
+func (pl *planner) propose(vms []string, replaces []uint64, reason string) {
+	f := state.Form{
+		Pool: pl.Pool.Name, Model: pl.Pool.Model, Version: pl.Pool.Version,
+		Replaces: replaces, Reason: reason,
+	}
+	for _, vm := range vms {
+		entry := pl.VMs[vm]
+		f.Members = append(f.Members, state.Member{
+			VM: vm, BootID: pl.Observations[vm].Report.BootID,
+			FailureDomain: entry.FailureDomain, FabricDomain: entry.FabricDomain,
+		})
+		pl.taken[vm] = true
+	}
+	for _, id := range replaces {
+		pl.ended[id] = true
+	}
+	pl.do(ProposeForm{Form: f})
+}
+
+func (pl *planner) retire(g state.Group, reason string) {
+	pl.ended[g.ID] = true
+	pl.do(ProposeRetire{Retire: state.Retire{Group: g.ID, Reason: reason}})
+}
+
+// drained reports whether the group's requests have ended or had their time; a
+// group that cannot serve holds none. The time is when to look again.
+func (pl *planner) drained(g state.Group) (bool, time.Time) {
+	if status, _ := pl.health(g); status != replica.Serving {
+		return true, time.Time{}
+	}
+	since, draining := pl.DrainingSince[g.ID]
+	if !draining {
+		return false, time.Time{}
+	}
+	if end := since.Add(pl.policy.DrainTimeout); !pl.Now.Before(end) {
+		return true, time.Time{}
+	}
+	quiet := since.Add(pl.policy.DrainQuiet)
+	r := pl.Observations[g.Members[0].VM].Report
+	if r.Inflight+r.Queued > 0 {
+		return false, since.Add(pl.policy.DrainTimeout)
+	}
+	return !pl.Now.Before(quiet), quiet
+}
--- /dev/null
+++ b/internal/group/policy.go
@@ -0,0 +1,93 @@
+package group
+
+import "time"
+
+// Repair names a way to mend a broken group.
+type Repair uint8
+
+// The ways to mend a broken group.
+const (
+	// Scored weighs waiting, spares and merging by expected downtime.
+	Scored Repair = iota
+	// OwnMember waits for the lost member, however long that takes.
+	OwnMember
+	// SpareAtOnce takes a spare as soon as a member is missing, never merges.
+	SpareAtOnce
+)
+
+// String returns the repair's name.
+func (r Repair) String() string {
+	switch r {
+	case OwnMember:
+		return "own-member"
+	case SpareAtOnce:
+		return "spare-at-once"
+	default:
+		return "scored"
+	}
+}
+
+// MaxOrderAge is longer than an order can be under way: a sender gives up
+// well before. A VM is released no sooner than this after its group ended.
+const MaxOrderAge = 3 * time.Second
+
+// Policy holds the knobs of Judge and Plan.
+type Policy struct {
+	Repair Repair
+	// FreshFor is how long a report counts.
+	FreshFor time.Duration
+	// ObserveWindow is how long a VM that was never heard of gets to report
+	// before it counts as lost.
+	ObserveWindow time.Duration
+	// RefusedGrace is the wait before a member whose port refuses connections
+	// is replaced: its process has ended, and its weights with it.
+	RefusedGrace time.Duration
+	// SilentGrace is the wait before a member that does not answer is
+	// replaced: it may only be paused, and then needs no load.
+	SilentGrace time.Duration
+	// MergeGrace is the wait before one group is made of two broken ones.
+	MergeGrace time.Duration
+	// OrderResend is the wait before an order without effect is sent again.
+	OrderResend time.Duration
+	// DrainQuiet is how long a group is drained at least: reports lag.
+	DrainQuiet time.Duration
+	// DrainTimeout is how long requests in flight may hold up a replacement.
+	DrainTimeout time.Duration
+	// GoneAfter is how long a VM must be off the list to count as gone.
+	GoneAfter time.Duration
+	// FlapWindow is how long an outage of a VM is remembered.
+	FlapWindow time.Duration
+	// FlapBackoff is the wait after a VM's second outage within the window; it
+	// doubles with each further one, up to FlapBackoffMax.
+	FlapBackoff    time.Duration
+	FlapBackoffMax time.Duration
+	// SlowFactor over the median step of the group's other members, for
+	// SlowAfter, makes a member a straggler.
+	SlowFactor float64
+	SlowAfter  time.Duration
+	// RollingShare is the share of a pool's groups that may be out of service
+	// at once for a new model or version; at least one group always may.
+	RollingShare float64
+}
+
+// DefaultPolicy returns the policy that daemons use.
+func DefaultPolicy() Policy {
+	return Policy{
+		Repair:         Scored,
+		FreshFor:       2 * time.Second,
+		ObserveWindow:  3 * time.Second,
+		RefusedGrace:   200 * time.Millisecond,
+		SilentGrace:    time.Second,
+		MergeGrace:     2 * time.Second,
+		OrderResend:    time.Second,
+		DrainQuiet:     2 * time.Second,
+		DrainTimeout:   30 * time.Second,
+		GoneAfter:      10 * time.Second,
+		FlapWindow:     10 * time.Minute,
+		FlapBackoff:    10 * time.Second,
+		FlapBackoffMax: 5 * time.Minute,
+		SlowFactor:     2,
+		SlowAfter:      20 * time.Second,
+		RollingShare:   0.25,
+	}
+}
