Add the request path: front door, dispatcher, serve and check commands

Cause: a request must go from acceptance to its whole answer in code that another front end can use; package dispatch knows no HTTP. A token stream that its replica cuts goes on from the last delivered token on another replica; a stream that cannot be finished ends without HTTP's final chunk, so a cut can't be taken for the end.

Weighed: fasthttp's stream writer callback. It ends the chunked body properly whatever happened; a body reader whose read fails closes the connection.

--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/ragwortquay/ragwortquay/internal/auth"
+	"github.com/ragwortquay/ragwortquay/internal/config"
+)
+
+type checkCommand struct {
+	Config []string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings file (TOML); repeat it to check daemons against each other"`
+	env    env
+}
+
+func checkEntry(e env) entry {
+	return entry{
+		name:  "check",
+		short: "Check settings files",
+		long: "Checks settings files and the secrets that they name, and prints all mistakes at once. " +
+			"With several files it also finds identities and addresses that are used twice.",
+		cmd: &checkCommand{env: e},
+	}
+}
+
+// Execute checks the files and returns all mistakes, joined.
+func (c *checkCommand) Execute([]string) error {
+	var errs []error
+	var all []config.Settings
+	for _, path := range c.Config {
+		s, err := config.Read(path)
+		errs = append(errs, err, checkSecrets(s))
+		all = append(all, s)
+	}
+	errs = append(errs, config.CheckTogether(all))
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(c.env.out, "%d settings files are good\n", len(all))
+	return err
+}
+
+// checkSecrets opens the secret files; a missing setting is reported by the
+// settings' own check.
+func checkSecrets(s config.Settings) error {
+	var errs []error
+	if s.Secrets.Tokens != "" {
+		_, err := auth.OpenTokens(s.Secrets.Tokens)
+		errs = append(errs, err)
+	}
+	if s.Secrets.Cluster != "" {
+		_, err := auth.OpenClusterKeys(s.Secrets.Cluster)
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/ragwortquay/ragwortquay/internal/config"
+	"github.com/ragwortquay/ragwortquay/internal/daemon"
+	"github.com/ragwortquay/ragwortquay/internal/logging"
+)
+
+type serveCommand struct {
+	Config string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings file (TOML)"`
+	env    env
+}
+
+func serveEntry(e env) entry {
+	return entry{
+		name:  "serve",
+		short: "Run a daemon",
+		long: "Runs one daemon with the given settings. SIGTERM or SIGINT drains it: it tells the balancer, " +
+			"finishes the requests in flight, hands over and exits.",
+		cmd: &serveCommand{env: e},
+	}
+}
+
+// Execute runs the daemon until it was told to stop and has drained.
+func (c *serveCommand) Execute([]string) error {
+	settings, err := config.Read(c.Config)
+	if err != nil {
+		return err
+	}
+	if err := logging.Setup(c.env.err, settings.Log.Verbosity); err != nil {
+		return err
+	}
+	d, err := daemon.New(settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+const (
+	// GeneratePath is the path of token requests to engines.
+	GeneratePath = "/v1/generate"
+	// maxTokens bounds one token request.
+	maxTokens = 1 << 20
+	// prefixBytes is the length of the prompt's beginning that places requests
+	// with a common prefix on one replica.
+	prefixBytes = 256
+)
+
+// Tables is the configuration in force.
+type Tables interface {
+	Route(workspace, kind string) (state.RouteRow, bool)
+	Pool(name string) (state.PoolRow, bool)
+}
+
+// Grants hands out permissions to send.
+type Grants interface {
+	Acquire(ctx context.Context, r limit.Request) (limit.Grant, error)
+	Release(g limit.Grant, r limit.Result)
+}
+
+// Targets sends one attempt.
+type Targets interface {
+	Do(ctx context.Context, r *target.Request) (*target.Response, error)
+}
+
+// Standing tells whether this daemon may serve at all.
+type Standing interface {
+	// MayServe returns nil, or the refusal to give to callers.
+	MayServe() error
+}
+
+// Options are the parts and settings of a Dispatcher.
+type Options struct {
+	Tables   Tables
+	Grants   Grants
+	Targets  Targets
+	Keys     Keys
+	Standing Standing
+}
+
+// Dispatcher serves requests.
+type Dispatcher struct{ opts Options }
+
+// New returns a dispatcher.
+func New(opts Options) *Dispatcher { return &Dispatcher{opts: opts} }
+
+// job is a request with what its route says of it.
+type job struct {
+	req      *Request
+	route    table.Route
+	deadline time.Time
+	prefix   uint64
+	// generate is the parsed body of a request to an engine pool.
+	generate *target.GenerateRequest
+	// exclude are the replicas that failed this request.
+	exclude []string
+	retries int
+	// doubt is set once an attempt may have run.
+	doubt bool
+}
+
+// Serve answers one request. An error's outcome is NotRun only if no attempt
+// can have run.
+func (d *Dispatcher) Serve(ctx context.Context, r *Request) (*Answer, error) {
+	if err := d.opts.Standing.MayServe(); err != nil {
+		return nil, err
+	}
+	j, err := d.plan(r)
+	if err != nil {
+		return nil, err
+	}
+	if j.route.Idempotent {
+		return d.repeatable(ctx, j)
+	}
+	return d.once(ctx, j)
+}
+
+func (d *Dispatcher) plan(r *Request) (*job, error) {
+	row, ok := d.opts.Tables.Route(r.Workspace, r.Kind)
+	if !ok {
+		return nil, fault.Refuse(fault.NotFound, "ask an operator for a route, or correct the kind", "no route for kind %q of workspace %q", r.Kind, r.Workspace)
+	}
+	j := &job{req: r, route: row.Route, deadline: r.Received.Add(row.Route.Deadline)}
+	if r.Timeout > 0 && r.Timeout < row.Route.Deadline {
+		j.deadline = r.Received.Add(r.Timeout)
+	}
+	return j, d.inspect(j)
+}
+
+// inspect checks the body of a request that goes to engines, before any of
+// the system's work is spent on it.
+func (d *Dispatcher) inspect(j *job) error {
+	row, ok := d.opts.Tables.Pool(j.route.Pools[0])
+	if !ok {
+		return fault.Refuse(fault.Unavailable, "try again", "pool %q is gone", j.route.Pools[0])
+	}
+	if row.Pool.Kind != table.Engines {
+		return nil
+	}
+	if j.req.Path != GeneratePath || j.req.Method != "POST" {
+		return fault.Invalid("path", "POST to "+GeneratePath, "engines serve no %s %s", j.req.Method, j.req.Path)
+	}
+	var g target.GenerateRequest
+	if err := json.Unmarshal(j.req.Body, &g); err != nil {
+		return fault.Invalid("body", `send JSON such as {"prompt":"...","max_tokens":64}`, "%v", err)
+	}
+	if g.MaxTokens < 1 || g.MaxTokens > maxTokens {
+		return fault.Invalid("max_tokens", "use a number from 1 to 1048576", "%d is out of range", g.MaxTokens)
+	}
+	if g.ResumeFrom != 0 {
+		return fault.Invalid("resume_from", "leave it out", "streams are resumed by the system")
+	}
+	j.generate = &g
+	j.prefix = shard.Hash(g.Prompt[:min(len(g.Prompt), prefixBytes)])
+	return nil
+}
+
+// repeatable serves a request that may run more than once.
+func (d *Dispatcher) repeatable(ctx context.Context, j *job) (*Answer, error) {
+	for {
+		a, err := d.first(ctx, j)
+		if err == nil {
+			return a, nil
+		}
+		if !d.again(j, err) {
+			return nil, j.verdict(err)
+		}
+	}
+}
+
+// again decides whether a failed attempt is followed by another.
+func (d *Dispatcher) again(j *job, err error) bool {
+	e := fault.As(err)
+	switch e.Kind {
+	case fault.Interrupted, fault.Timeout, fault.Unavailable, fault.Overload:
+	default:
+		return false
+	}
+	if j.retries >= j.route.Retries || !time.Now().Before(j.deadline) {
+		return false
+	}
+	j.retries++
+	return true
+}
+
+// verdict gives the error the outcome of all attempts together.
+func (j *job) verdict(err error) error {
+	e := fault.As(err)
+	if j.doubt && e.Outcome == fault.NotRun {
+		return e.WithOutcome(fault.Unknown)
+	}
+	return e
+}
+
+// first makes an attempt up to the beginning of its answer, so that a failure
+// before the first token can still be retried or told as an error.
+func (d *Dispatcher) first(ctx context.Context, j *job) (*Answer, error) {
+	t, err := d.attempt(ctx, j, 0)
+	if err != nil {
+		return nil, err
+	}
+	if j.generate != nil && t.resp.Status == statusOK {
+		return d.stream(ctx, j, t)
+	}
+	return d.buffer(j, t)
+}
+
+// buffer reads a whole answer.
+func (d *Dispatcher) buffer(j *job, t *try) (*Answer, error) {
+	body, err := t.resp.ReadAll()
+	if err != nil {
+		t.fail(err)
+		return nil, err
+	}
+	t.succeed()
+	return &Answer{
+		RequestID: j.req.ID, Outcome: fault.Ran, Replica: t.grant.Replica,
+		Status: t.resp.Status, ContentType: t.resp.ContentType, Body: body,
+	}, nil
+}
