--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -235,11 +235,20 @@
 // stream has no proper end.
 func (r *run) stop(tokens int) {
 	r.session.gauge.Leave(time.Now(), false)
-	select {
-	case <-r.session.over:
+	if r.ended() || r.conn.WasCut() {
 		r.add(journal.Cut, tokens, "the VM or its group ended")
-	default:
+	} else {
 		r.add(journal.Cancel, tokens, "the caller went away")
 	}
 	r.conn.Cut()
 }
+
+// ended reports whether the session is over.
+func (r *run) ended() bool {
+	select {
+	case <-r.session.over:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/standin/host/conn.go
+++ b/internal/standin/host/conn.go
@@ -17,6 +17,7 @@
 	isSilent bool
 	watcher  *watcher
 	closed   bool
+	cut      bool
 }
 
 // watcher is one read that runs while a request is served: it sees the peer
@@ -124,12 +125,22 @@
 
 // Cut closes the connection with a reset, so that no answer on it looks whole.
 func (c *Conn) Cut() {
+	c.mu.Lock()
+	c.cut = c.cut || !c.closed
+	c.mu.Unlock()
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
 }
 
+// WasCut reports whether this end broke the connection.
+func (c *Conn) WasCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut
+}
+
 // Close closes the connection and forgets it.
 func (c *Conn) Close() error {
 	c.mu.Lock()
