Grant work at soft homes

A pool's home (rendezvous owner of its key) decides who may send work to which replica: exact admission under cold and warm limits, priority and fair queues, prefix affinity, expiry, and take-over by a new home that asks every daemon what it holds. limit is the pure decision, grant runs it.

Weighed: leases with clocks alone (a late answer from an old home could be used beside the new home's grants) against terms that the holders check; terms were taken, expiry is the second line.

--- /dev/null
+++ b/internal/grant/tenure.go
@@ -0,0 +1,139 @@
+package grant
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// tenure is this daemon's time as the home of one pool or slice. Its lock is
+// the only one around the pool's state.
+type tenure struct {
+	id limit.Identity
+
+	mu      sync.Mutex
+	pool    *limit.Pool
+	waiters map[string]chan *wire.Acquired
+	timer   *time.Timer
+	// successor is the home that took over; "" while this one serves.
+	successor string
+	// endedAt is the home's count of membership changes when it ended.
+	endedAt uint64
+}
+
+func newTenure(id limit.Identity, cfg limit.Config) *tenure {
+	return &tenure{id: id, pool: limit.New(id, cfg), waiters: make(map[string]chan *wire.Acquired)}
+}
+
+// do runs fn on the pool and delivers what it decided. It does nothing once
+// another home has taken over.
+func (t *tenure) do(fn func(now time.Time, p *limit.Pool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.successor != "" {
+		return
+	}
+	now := time.Now()
+	fn(now, t.pool)
+	t.deliver()
+	t.arm(now)
+}
+
+// acquire asks for a grant; the answer arrives on the channel.
+func (t *tenure) acquire(req limit.Request) <-chan *wire.Acquired {
+	reply := make(chan *wire.Acquired, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.successor != "" {
+		reply <- &wire.Acquired{Moved: true, Home: t.successor}
+		return reply
+	}
+	now := time.Now()
+	g, err := t.pool.Acquire(now, req)
+	switch {
+	case err != nil:
+		reply <- &wire.Acquired{Refused: wire.FromFault(err)}
+	case g != nil:
+		reply <- &wire.Acquired{Grant: g}
+	default:
+		t.waiters[waiterKey(req.Holder, req.ID)] = reply
+	}
+	t.deliver()
+	t.arm(now)
+	return reply
+}
+
+func waiterKey(holder, request string) string { return holder + "/" + request }
+
+// deliver hands decisions to those who wait for them. The channels have room
+// for their one answer, so this never blocks.
+func (t *tenure) deliver() {
+	for _, a := range t.pool.Answers() {
+		key := waiterKey(a.Request.Holder, a.Request.ID)
+		reply, ok := t.waiters[key]
+		if !ok {
+			continue
+		}
+		delete(t.waiters, key)
+		if a.Err != nil {
+			reply <- &wire.Acquired{Refused: wire.FromFault(a.Err)}
+			continue
+		}
+		reply <- &wire.Acquired{Grant: a.Grant}
+	}
+}
+
+// cancel withdraws a request.
+func (t *tenure) cancel(holder, request string) {
+	t.do(func(now time.Time, p *limit.Pool) {
+		delete(t.waiters, waiterKey(holder, request))
+		p.Cancel(now, holder, request)
+	})
+}
+
+// arm sets the timer for the pool's next deadline.
+func (t *tenure) arm(now time.Time) {
+	next := t.pool.Next(now)
+	if next.IsZero() {
+		return
+	}
+	wait := max(0, next.Sub(now))
+	if t.timer == nil {
+		t.timer = time.AfterFunc(wait, t.tick)
+		return
+	}
+	t.timer.Reset(wait)
+}
+
+func (t *tenure) tick() {
+	t.do(func(now time.Time, p *limit.Pool) { p.Tick(now) })
+}
+
+// yield ends the tenure in favour of another home, sends those who wait there,
+// and returns the pool's state; nil if it had ended before.
+func (t *tenure) yield(successor string, moves uint64) *limit.Table {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.successor != "" {
+		return nil
+	}
+	t.successor, t.endedAt = successor, moves
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	for key, reply := range t.waiters {
+		delete(t.waiters, key)
+		reply <- &wire.Acquired{Moved: true, Home: successor}
+	}
+	table := t.pool.Export(time.Now())
+	return &table
+}
+
+// ended returns the home that took over, if any.
+func (t *tenure) ended() (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.successor, t.successor != ""
+}
--- /dev/null
+++ b/internal/wire/grant.go
@@ -0,0 +1,125 @@
+package wire
+
+import "github.com/ragwortquay/ragwortquay/internal/limit"
+
+// Grant message types.
+const (
+	TypeAcquire Type = baseGrant + iota
+	TypeAcquired
+	TypeCancel
+	TypeRelease
+	TypeRenew
+	TypeRenewed
+	TypeTakeover
+	TypeHoldings
+	TypeHandover
+	TypeDone
+	TypeQuarantine
+)
+
+// Acquire asks a pool's home for a grant. The answer, Acquired, comes when the
+// home has decided.
+type Acquire struct {
+	Slice   int           `msgpack:"s,omitempty"`
+	Request limit.Request `msgpack:"r"`
+}
+
+// WireType returns TypeAcquire.
+func (*Acquire) WireType() Type { return TypeAcquire }
+
+// Acquired answers Acquire with one of a grant, a refusal, or another home.
+type Acquired struct {
+	Grant   *limit.Grant `msgpack:"g,omitempty"`
+	Refused *Error       `msgpack:"e,omitempty"`
+	// Moved means that this daemon is not the home; Home, if set, is.
+	Moved bool   `msgpack:"m,omitempty"`
+	Home  string `msgpack:"h,omitempty"`
+	// Slices is the number of slices of the pool, Waiting the length of this
+	// one's queue.
+	Slices  int `msgpack:"n,omitempty"`
+	Waiting int `msgpack:"w,omitempty"`
+}
+
+// WireType returns TypeAcquired.
+func (*Acquired) WireType() Type { return TypeAcquired }
+
+// Cancel withdraws a request whose answer is no longer wanted.
+type Cancel struct {
+	Pool    string `msgpack:"p"`
+	Slice   int    `msgpack:"s,omitempty"`
+	Request string `msgpack:"r"`
+}
+
+// WireType returns TypeCancel.
+func (*Cancel) WireType() Type { return TypeCancel }
+
+// Release gives grants of one pool back.
+type Release struct {
+	Pool     string          `msgpack:"p"`
+	Slice    int             `msgpack:"s,omitempty"`
+	Releases []limit.Release `msgpack:"l"`
+}
+
+// WireType returns TypeRelease.
+func (*Release) WireType() Type { return TypeRelease }
+
+// Renew extends all grants that a holder has from one home.
+type Renew struct {
+	Renewals []limit.Renewal `msgpack:"r"`
+}
+
+// WireType returns TypeRenew.
+func (*Renew) WireType() Type { return TypeRenew }
+
+// Renewed answers Renew: for each renewal that names grants which the home
+// does not have, the pool and slice.
+type Renewed struct {
+	Unknown []PoolSlice `msgpack:"u,omitempty"`
+}
+
+// WireType returns TypeRenewed.
+func (*Renewed) WireType() Type { return TypeRenewed }
+
+// PoolSlice names one slice of a pool.
+type PoolSlice struct {
+	Pool  string `msgpack:"p"`
+	Slice int    `msgpack:"s,omitempty"`
+}
+
+// Takeover announces a pool's new home to a daemon and asks what it holds. The
+// answer is Holdings.
+type Takeover struct {
+	Pool  string `msgpack:"p"`
+	Slice int    `msgpack:"s,omitempty"`
+	Home  string `msgpack:"h"`
+	Term  string `msgpack:"t"`
+}
+
+// WireType returns TypeTakeover.
+func (*Takeover) WireType() Type { return TypeTakeover }
+
+// Holdings is what a daemon holds of a pool; Table is set by the home before.
+type Holdings struct {
+	Pool  string         `msgpack:"p"`
+	Slice int            `msgpack:"s,omitempty"`
+	Held  limit.Holdings `msgpack:"h"`
+	Table *limit.Table   `msgpack:"t,omitempty"`
+}
+
+// WireType returns TypeHoldings.
+func (*Holdings) WireType() Type { return TypeHoldings }
+
+// Handover asks a daemon to take over a pool from the sender.
+type Handover struct {
+	Pool  string `msgpack:"p"`
+	Slice int    `msgpack:"s,omitempty"`
+}
+
+// WireType returns TypeHandover.
+func (*Handover) WireType() Type { return TypeHandover }
+
+// Done answers a grant message that has no result.
+type Done struct{}
+
+// WireType returns TypeDone.
+func (*Done) WireType() Type { return TypeDone }
