Add a fault-injecting TCP and UDP proxy

Withheld TCP bytes are kept, as by a real network's retransmission, so a partition that heals does not corrupt a stream.

--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -18,7 +18,7 @@
 		long:  "Runs test doubles of the platform's services and of targets, with faults that are switched over HTTP.",
 		children: []entry{
 			standinLogEntry(e), standinVMsEntry(e), standinWeightsEntry(e),
-			standinEnginesEntry(e), standinServiceEntry(e),
+			standinEnginesEntry(e), standinServiceEntry(e), standinProxyEntry(e),
 		},
 	}
 }
--- /dev/null
+++ b/internal/faultproxy/proxy.go
@@ -0,0 +1,191 @@
+package faultproxy
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/standin/host"
+)
+
+// Proxy is a set of links with a control server:
+//
+//	GET  /v1/links  -> []LinkStatus
+//	POST /v1/links  LinkOptions -> LinkStatus
+//	POST /v1/faults Request -> []LinkStatus
+type Proxy struct {
+	control *host.Host
+	links   *shard.Map[*Link]
+}
+
+// Action is a fault that happens once.
+type Action string
+
+// The actions.
+const (
+	// CutNow resets the open connections.
+	CutNow Action = "cut"
+	// SilenceNow makes the open connections swallow everything for good.
+	SilenceNow Action = "silence"
+	// HealNow ends all faults.
+	HealNow Action = "heal"
+)
+
+// Request is the body of POST /v1/faults. It selects links by name: all, if
+// none is given.
+type Request struct {
+	Links []string `json:"links,omitempty"`
+	// Set replaces the faults in force.
+	Set    *Faults `json:"set,omitempty"`
+	Action Action  `json:"action,omitempty"`
+}
+
+// LinkStatus is one link as it is.
+type LinkStatus struct {
+	LinkOptions
+	Addr   string `json:"addr"`
+	Faults Faults `json:"faults"`
+}
+
+// New binds the control server on addr and starts to serve.
+func New(addr string) (*Proxy, error) {
+	control, err := host.New(addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{control: control, links: shard.NewMap[*Link]()}
+	control.Start(p.handle)
+	return p, nil
+}
+
+// Addr returns the control server's host:port.
+func (p *Proxy) Addr() string { return p.control.Addr() }
+
+// Run serves until ctx ends.
+func (p *Proxy) Run(ctx context.Context) error {
+	<-ctx.Done()
+	p.control.Stop()
+	p.links.Range(func(_ string, l *Link) bool {
+		l.Close()
+		return true
+	})
+	return nil
+}
+
+// Add starts a link; its name must be new.
+func (p *Proxy) Add(o LinkOptions) (*Link, error) {
+	l, err := NewLink(o)
+	if err != nil {
+		return nil, err
+	}
+	added := false
+	p.links.Update(o.Name, func(v *Link, ok bool) (*Link, bool) {
+		if ok {
+			return v, true
+		}
+		added = true
+		return l, true
+	})
+	if !added {
+		l.Close()
+		return nil, eris.Errorf("link %q exists already", o.Name)
+	}
+	return l, nil
+}
+
+// Link returns a link by its name.
+func (p *Proxy) Link(name string) (*Link, bool) { return p.links.Get(name) }
+
+// Status returns all links, by name.
+func (p *Proxy) Status() []LinkStatus {
+	out := []LinkStatus{}
+	p.links.Range(func(_ string, l *Link) bool {
+		out = append(out, l.status())
+		return true
+	})
+	slices.SortFunc(out, func(a, b LinkStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (l *Link) status() LinkStatus {
+	return LinkStatus{LinkOptions: l.opts, Addr: l.addr, Faults: l.Faults()}
+}
+
+// Apply carries out r.
+func (p *Proxy) Apply(r Request) error {
+	for _, s := range p.Status() {
+		if len(r.Links) > 0 && !slices.Contains(r.Links, s.Name) {
+			continue
+		}
+		l, ok := p.Link(s.Name)
+		if !ok {
+			continue
+		}
+		if err := l.apply(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Link) apply(r Request) error {
+	if r.Set != nil {
+		if err := l.Set(*r.Set); err != nil {
+			return err
+		}
+	}
+	switch r.Action {
+	case "":
+	case CutNow:
+		l.Cut()
+	case SilenceNow:
+		l.Silence()
+	case HealNow:
+		return l.Heal()
+	default:
+		return eris.Errorf("unknown action %q", r.Action)
+	}
+	return nil
+}
+
+func (p *Proxy) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); {
+	case path == "/v1/links" && ctx.IsPost():
+		p.handleAdd(ctx)
+	case path == "/v1/links":
+		host.Reply(ctx, fasthttp.StatusOK, p.Status())
+	case path == "/v1/faults" && ctx.IsPost():
+		p.handleFaults(ctx)
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Proxy) handleAdd(ctx *fasthttp.RequestCtx) {
+	var o LinkOptions
+	if !host.Parse(ctx, &o) {
+		return
+	}
+	l, err := p.Add(o)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	host.Reply(ctx, fasthttp.StatusOK, l.status())
+}
+
+func (p *Proxy) handleFaults(ctx *fasthttp.RequestCtx) {
+	var r Request
+	if !host.Parse(ctx, &r) {
+		return
+	}
+	if err := p.Apply(r); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	host.Reply(ctx, fasthttp.StatusOK, p.Status())
+}
--- /dev/null
+++ b/internal/faultproxy/udp_test.go
@@ -0,0 +1,120 @@
+package faultproxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// newUDPEcho answers each datagram with itself and hands it to the test.
+func newUDPEcho(t *testing.T) (string, chan string) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	got := make(chan string, 100)
+	go func() {
+		buf := make([]byte, maxDatagram)
+		for {
+			n, from, err := conn.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			got <- string(buf[:n])
+			_, _ = conn.WriteTo(buf[:n], from)
+		}
+	}()
+	return conn.LocalAddr().String(), got
+}
+
+func hearDatagram(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	buf := make([]byte, maxDatagram)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	n, err := c.Read(buf)
+	must.NoError(t, err)
+	must.Eq(t, want, string(buf[:n]))
+}
+
+func TestUDPFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  Faults
+		arrives bool // at the target
+	}{
+		{"refuse", Faults{Refuse: true}, false},
+		{"hold to target", Faults{HoldToTarget: true}, false},
+		{"hold to client", Faults{HoldToClient: true}, true},
+		{"black hole", Faults{BlackHole: true, BlackHoleAfter: 3}, false},
+		{"drop answer", Faults{DropAnswers: 1}, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			target, got := newUDPEcho(t)
+			l, err := NewLink(LinkOptions{Name: "u", Network: UDP, Listen: "127.0.0.1:0", Target: target})
+			must.NoError(t, err)
+			t.Cleanup(l.Close)
+			c, err := net.Dial("udp", l.Addr())
+			must.NoError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+
+			must.NoError(t, l.Set(tc.faults))
+			_, err = c.Write([]byte("lost"))
+			must.NoError(t, err)
+			if tc.arrives {
+				must.Eq(t, "lost", <-got)
+			}
+			buf := make([]byte, maxDatagram)
+			must.NoError(t, c.SetReadDeadline(time.Now().Add(silenceTime)))
+			_, err = c.Read(buf)
+			must.Error(t, err)
+			must.Eq(t, 0, len(got))
+
+			must.NoError(t, l.Set(Faults{DelayMs: 20}))
+			_, err = c.Write([]byte("kept"))
+			must.NoError(t, err)
+			hearDatagram(t, c, "kept")
+		})
+	}
+}
+
+func TestControlServer(t *testing.T) {
+	p, err := New("127.0.0.1:0")
+	must.NoError(t, err)
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = p.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+
+	e := newEcho(t)
+	post(t, p, "/v1/links", LinkOptions{Name: "a", Network: TCP, Listen: "127.0.0.1:0", Target: e.ln.Addr().String()}, 200)
+	post(t, p, "/v1/links", LinkOptions{Name: "a", Network: TCP, Listen: "127.0.0.1:0", Target: e.ln.Addr().String()}, 400)
+	l, ok := p.Link("a")
+	must.True(t, ok)
+	c := dial(t, l)
+	post(t, p, "/v1/faults", Request{Links: []string{"a"}, Set: &Faults{HoldToClient: true}}, 200)
+	must.True(t, l.Faults().HoldToClient)
+	c.say(t, "x")
+	c.hearNothing(t)
+	post(t, p, "/v1/faults", Request{Action: HealNow}, 200)
+	c.hear(t, "x")
+	post(t, p, "/v1/faults", Request{Action: CutNow}, 200)
+	c.hearReset(t)
+	post(t, p, "/v1/faults", Request{Action: "nonsense"}, 400)
+}
+
+func post(t *testing.T, p *Proxy, path string, body any, want int) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	must.NoError(t, err)
+	resp, err := http.Post("http://"+p.Addr()+path, "application/json", bytes.NewReader(data))
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	must.Eq(t, want, resp.StatusCode)
+}
