--- a/internal/standin/capacity/capacity.go
+++ b/internal/standin/capacity/capacity.go
@@ -92,8 +92,8 @@
 	return min(int(l), g.set.Warm)
 }
 
-// Enter admits a request. With Run its slot is taken; with Wait the ticket's
-// channel tells when it is. The reading counts the request.
+// Enter admits a request. With Run its slot is taken; with Wait, Await
+// waits for it. The reading counts the request.
 func (g *Gauge) Enter(now time.Time, priority int) (Verdict, *Ticket, Reading) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,11 +131,3 @@
 		g.waiting.pop().ready <- true
 	}
 }
-
-// Quit takes a waiting request out of the line; it returns false if the request
-// has its slot already.
-func (g *Gauge) Quit(t *Ticket) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.waiting.remove(t)
-}
--- a/internal/standin/capacity/ticket.go
+++ b/internal/standin/capacity/ticket.go
@@ -1,15 +1,51 @@
 package capacity
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Ticket is a place in the line for a slot.
 type Ticket struct {
 	priority int
-	ready    chan bool
+	ready    chan bool // true once the slot is taken, false if the gauge closed
 }
 
-// Ready gives true once the slot is taken, false if the gauge was closed.
-func (t *Ticket) Ready() <-chan bool { return t.ready }
+// Waited is how a wait for a slot ended.
+type Waited int
+
+// The ends of a wait.
+const (
+	// Taken means that the slot is taken.
+	Taken Waited = iota
+	// Closed means that the gauge was closed.
+	Closed
+	// Left means that the caller went away.
+	Left
+)
+
+// Await waits for the ticket's slot until gone is closed.
+func (g *Gauge) Await(t *Ticket, now func() time.Time, gone <-chan struct{}) Waited {
+	select {
+	case ok := <-t.ready:
+		if ok {
+			return Taken
+		}
+		return Closed
+	case <-gone:
+		if !g.quit(t) && <-t.ready {
+			g.Leave(now(), false)
+		}
+		return Left
+	}
+}
+
+// quit takes a waiting request out of the line; false if it was answered.
+func (g *Gauge) quit(t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting.remove(t)
+}
 
 // waiters is a line ordered by priority, then by arrival.
 type waiters struct{ line []*Ticket }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -123,20 +123,15 @@
 
 // wait waits in the engine's queue.
 func (r *run) wait(ctx *fasthttp.RequestCtx, t *capacity.Ticket) bool {
-	select {
-	case ok := <-t.Ready():
-		if !ok {
-			r.vm.refuse(ctx, "the group ended")
-			return false
-		}
+	switch r.session.gauge.Await(t, time.Now, r.conn.Gone()) {
+	case capacity.Taken:
 		r.began(r.session.gauge.Read(time.Now()))
 		return true
-	case <-r.conn.Gone():
-		if !r.session.gauge.Quit(t) && <-t.Ready() {
-			r.session.gauge.Leave(time.Now(), false)
-		}
-		return false
+	case capacity.Closed:
+		r.vm.refuse(ctx, "the group ended")
+	case capacity.Left:
 	}
+	return false
 }
 
 // began journals the start of the run.
--- a/internal/standin/service/handle.go
+++ b/internal/standin/service/handle.go
@@ -104,20 +104,15 @@
 }
 
 func (r *run) wait(ctx *fasthttp.RequestCtx, t *capacity.Ticket) bool {
-	select {
-	case ok := <-t.Ready():
-		if !ok {
-			r.refuse(ctx, "the VM ended")
-			return false
-		}
+	switch r.boot.gauge.Await(t, time.Now, r.conn.Gone()) {
+	case capacity.Taken:
 		r.began(r.boot.gauge.Read(time.Now()))
 		return true
-	case <-r.conn.Gone():
-		if !r.boot.gauge.Quit(t) && <-t.Ready() {
-			r.boot.gauge.Leave(time.Now(), false)
-		}
-		return false
+	case capacity.Closed:
+		r.refuse(ctx, "the VM ended")
+	case capacity.Left:
 	}
+	return false
 }
 
 // began journals the execution: from here on the request ran.
