Add the open-loop load tool with two plans

Plan, requests and record are pure; sending is apart. Times count from the planned arrival, so a held-up sender hides nothing; how late the tool itself was is reported beside them. Each kind draws from its own random numbers: a change to one leaves the others as they were. Groups are measured from the stand-in engines' own state.

--- /dev/null
+++ b/internal/load/drive/drive_test.go
@@ -0,0 +1,170 @@
+package drive
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/standin/capacity"
+	"github.com/ragwortquay/ragwortquay/internal/standin/engine"
+	"github.com/ragwortquay/ragwortquay/internal/standin/service"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+const plan = `
+name = "p"
+duration = "1s"
+[groups]
+size = 1
+[[workspace]]
+name = "w"
+token = "t"
+weight = 1
+[[kind]]
+name = "k"
+form = "FORM"
+path = "/orders"
+rate = 200
+keyed = 1
+min_tokens = 1
+max_tokens = 5
+`
+
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func run(t *testing.T, r runner) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
+
+func drive(t *testing.T, form load.Form, events string, o Options) load.Result {
+	t.Helper()
+	text := bytes.ReplaceAll([]byte(plan), []byte("FORM"), []byte(form))
+	p, err := load.ParsePlan("p", append(text, events...))
+	must.NoError(t, err)
+	o.Plan = p
+	d, err := New(o)
+	must.NoError(t, err)
+	r, err := d.Run(context.Background())
+	must.NoError(t, err)
+	return r
+}
+
+func newServices(t *testing.T) *service.Fleet {
+	t.Helper()
+	f, err := service.New(service.Options{
+		Control: "127.0.0.1:0", VMs: []platform.VM{{ID: "s"}}, Capacity: capacity.Settings{Cold: 1000, Warm: 1000},
+	})
+	must.NoError(t, err)
+	run(t, f)
+	return f
+}
+
+func TestServiceFaultsAreSeenForWhatTheyAre(t *testing.T) {
+	tests := []struct {
+		name  string
+		set   service.Behaviour
+		class load.Class
+		all   bool
+	}{
+		{"healthy", service.Behaviour{}, load.Answered, true},
+		{"refuses", service.Behaviour{NotRunEvery: 2}, load.NotRun, false},
+		{"closes", service.Behaviour{CloseOnNth: 1, CloseAfterRun: true}, load.Unknown, true},
+		{"mixes up", service.Behaviour{MixupEvery: 2}, load.Wrong, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newServices(t)
+			_, err := f.Fault(service.FaultRequest{Set: &tc.set})
+			must.NoError(t, err)
+			k := drive(t, load.Call, "", Options{Daemons: []string{f.VMs()[0].Addr}}).Kinds[0]
+			must.Positive(t, k.Of(tc.class))
+			must.Eq(t, tc.all, k.Of(tc.class) == k.Offered)
+			must.Eq(t, k.Offered, k.Of(tc.class)+k.Of(load.Answered)*b2i(tc.class != load.Answered))
+		})
+	}
+}
+
+func b2i(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func TestADaemonThatIsDownIsPassedOver(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, ln.Close())
+	f := newServices(t)
+	k := drive(t, load.Call, "", Options{Daemons: []string{ln.Addr().String(), f.VMs()[0].Addr}}).Kinds[0]
+	must.Eq(t, k.Offered, k.Of(load.Answered))
+	k = drive(t, load.Call, "", Options{Daemons: []string{ln.Addr().String()}}).Kinds[0]
+	must.Eq(t, k.Offered, k.Of(load.Unreachable))
+}
+
+func TestStreamsEventsAndGroups(t *testing.T) {
+	f, err := engine.New(engine.Options{
+		Control: "127.0.0.1:0", VMs: []platform.VM{{ID: "e"}},
+		Timing:   engine.Timing{Step: time.Millisecond, Load: time.Millisecond},
+		Capacity: capacity.Settings{Cold: 1000, Warm: 1000},
+	})
+	must.NoError(t, err)
+	run(t, f)
+	addr := f.VMs()[0].Addr
+	order := target.Order{Kind: target.OrderLoad, Fence: 1, Model: "m", Version: "1", Members: []string{addr}}
+	control := target.NewControl()
+	t.Cleanup(control.Close)
+	must.NoError(t, control.SendOrder(context.Background(), addr, order))
+	for {
+		r, err := control.Report(context.Background(), addr)
+		must.NoError(t, err)
+		if r.State == target.EngineReady {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	events := `
+[[event]]
+at = "700ms"
+name = "kill"
+server = "engines"
+path = "/v1/faults"
+body = '{"action": "kill"}'
+`
+	r := drive(t, load.Generate, events, Options{
+		Daemons: []string{addr}, Engines: []string{f.URL()}, Servers: []Server{{Name: "engines", URL: f.URL()}},
+	})
+	k := r.Kinds[0]
+	must.Positive(t, k.Of(load.Answered))
+	must.Positive(t, k.Of(load.Unreachable))
+	must.Eq(t, 0, k.Of(load.Wrong))
+	must.Eq(t, k.Of(load.Answered), k.Answer.Count)
+	must.Positive(t, k.BetweenTokens.Count)
+	must.Len(t, 1, r.Events)
+	must.Eq(t, fasthttp.StatusOK, r.Events[0].Status)
+	must.Eq(t, 1, r.Groups.Expected)
+	must.Positive(t, r.Groups.DowntimeS)
+}
+
+func TestMissingServer(t *testing.T) {
+	p := load.Plan{Events: []load.Event{{Server: "engines"}}}
+	_, err := New(Options{Plan: p, Daemons: []string{"127.0.0.1:1"}})
+	must.True(t, fault.Is(err, fault.BadInput))
+}
--- /dev/null
+++ b/internal/load/drive/sender.go
@@ -0,0 +1,258 @@
+package drive
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/front"
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/standin/oracle"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+const (
+	// maxConns bounds the connections to one daemon.
+	maxConns = 20_000
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 8 << 20
+	// dialTimeout bounds one connection's set-up.
+	dialTimeout = 2 * time.Second
+)
+
+// errDial marks a failure to connect: nothing was sent.
+var errDial = errors.New("connect")
+
+// errOrder ends a stream whose tokens are not in order.
+var errOrder = errors.New("token out of order")
+
+// sender sends single requests as a caller.
+type sender struct {
+	start    time.Time
+	balancer *balancer
+}
+
+func callerClient(addr string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      addr,
+		MaxConns:                  maxConns,
+		StreamResponseBody:        true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
+		NoDefaultUserAgentHeader:  true,
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := net.DialTimeout("tcp", addr, dialTimeout)
+			if err != nil {
+				return nil, errors.Join(errDial, err)
+			}
+			return c, nil
+		},
+	}
+}
+
+func (s *sender) now() time.Duration { return time.Since(s.start) }
+
+// send carries out one request. A daemon that refuses the connection has seen
+// nothing, so the next one is tried, as a balancer does.
+func (s *sender) send(a load.Arrival) load.Observation {
+	o := load.Observation{Arrival: a, Class: load.Unreachable, Reason: "no daemon", Sent: s.now()}
+	for _, d := range s.balancer.next() {
+		if s.try(d, &o) {
+			break
+		}
+	}
+	o.Done = s.now()
+	return o
+}
+
+// try sends to one daemon; false if it could not be reached.
+func (s *sender) try(d *daemon, o *load.Observation) bool {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	s.fill(req, d.addr, o.Arrival)
+	resp := fasthttp.AcquireResponse()
+	deadline := s.start.Add(o.Arrival.At + time.Duration(o.Arrival.Kind.Timeout))
+	if err := d.http.DoDeadline(req, resp, deadline); err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return s.failed(o, err)
+	}
+	s.read(o, resp)
+	return true
+}
+
+func (s *sender) failed(o *load.Observation, err error) bool {
+	if errors.Is(err, errDial) {
+		return false
+	}
+	o.Class, o.Reason = load.Unknown, "connection"
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		o.Reason = fault.Timeout.String()
+	}
+	return true
+}
+
+func (s *sender) fill(req *fasthttp.Request, addr string, a load.Arrival) {
+	req.SetRequestURI("http://" + addr + a.Kind.Path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+a.Workspace.Token)
+	req.Header.Set(front.HeaderKind, a.Kind.Kind)
+	req.Header.Set(target.HeaderRequestID, a.ID)
+	if a.Key != "" {
+		req.Header.Set(target.HeaderIdempotencyKey, a.Key)
+		req.Header.Set(front.HeaderIssuedAt, strconv.FormatInt(s.start.Add(a.Issued).UnixMilli(), 10))
+	}
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body(a))
+}
+
+// body returns the request's body. A struct of strings and numbers always encodes.
+func body(a load.Arrival) []byte {
+	if a.Kind.Form == load.Call {
+		return []byte(a.Text)
+	}
+	b, _ := json.Marshal(target.GenerateRequest{Prompt: a.Text, MaxTokens: a.Tokens})
+	return b
+}
+
+// read reads the answer and judges it.
+func (s *sender) read(o *load.Observation, resp *fasthttp.Response) {
+	outcome := outcomeOf(resp)
+	replayed := len(resp.Header.Peek(front.HeaderReplayed)) > 0
+	id := string(resp.Header.Peek(target.HeaderRequestID))
+	r := target.NewResponse(resp, maxAnswerBytes)
+	defer func() { _ = r.Close() }()
+	o.Class, o.Reason = load.Answered, ""
+	if replayed {
+		o.Class = load.Replayed
+	}
+	switch {
+	case r.Status >= fasthttp.StatusBadRequest:
+		refused(o, r, outcome)
+	case id != o.Arrival.ID:
+		o.Class, o.Reason = load.Wrong, "another request's answer"
+	case strings.HasPrefix(r.ContentType, "text/event-stream"):
+		s.readStream(o, r)
+	default:
+		readWhole(o, r)
+	}
+}
+
+// outcomeOf returns what an error says of the request. A target that is asked
+// directly, for a baseline, has its own way to say that it did not run.
+func outcomeOf(resp *fasthttp.Response) string {
+	if len(resp.Header.Peek(target.HeaderNotRun)) > 0 {
+		return fault.NotRun.String()
+	}
+	return string(resp.Header.Peek(front.HeaderOutcome))
+}
+
+// refusal is the part of an error's body that counts.
+type refusal struct {
+	Kind string `json:"kind"`
+}
+
+func refused(o *load.Observation, r *target.Response, outcome string) {
+	switch outcome {
+	case fault.NotRun.String():
+		o.Class = load.NotRun
+	case fault.Ran.String():
+		o.Class = load.Failed
+	default:
+		o.Class = load.Unknown
+	}
+	var why refusal
+	if data, err := r.ReadAll(); err == nil {
+		_ = json.Unmarshal(data, &why) // without a kind the status has to do
+	}
+	o.Reason = why.Kind
+	if o.Reason == "" {
+		o.Reason = "status " + strconv.Itoa(r.Status)
+	}
+}
+
+// readStream reads tokens until the end event.
+func (s *sender) readStream(o *load.Observation, r *target.Response) {
+	var text strings.Builder
+	last := time.Duration(0)
+	for n := 1; ; n++ {
+		ev, err := r.Next()
+		if err != nil {
+			o.Class, o.Reason = load.Cut, fault.KindOf(err).String()
+			r.Abort(err)
+			return
+		}
+		if ev.End != nil {
+			judge(o, text.String(), n-1, ev.End)
+			return
+		}
+		now := s.now()
+		if n == 1 {
+			o.First = now
+		} else {
+			o.Gaps = append(o.Gaps, now-last)
+		}
+		last = now
+		if ev.Index != n {
+			o.Class, o.Reason = load.Wrong, "token out of order"
+			r.Abort(errOrder)
+			return
+		}
+		text.WriteString(ev.Token.Text)
+	}
+}
+
+// judge compares a whole stream with the answer that was due.
+func judge(o *load.Observation, text string, tokens int, end *target.End) {
+	a := o.Arrival
+	switch {
+	case a.Kind.Unchecked:
+	case !slices.Contains(names(a), end.RequestID):
+		o.Class, o.Reason = load.Wrong, "another request's answer"
+	case end.Tokens != a.Tokens || tokens != a.Tokens:
+		o.Class, o.Reason = load.Wrong, "not whole"
+	case text != oracle.Answer(a.Text, a.Tokens):
+		o.Class, o.Reason = load.Wrong, "other content"
+	}
+}
+
+// names are the request ids that an answer may carry: a recorded result bears
+// that of the request that ran.
+func names(a load.Arrival) []string {
+	if a.Key == "" {
+		return []string{a.ID}
+	}
+	if a.Original != "" {
+		return []string{a.ID, a.Original}
+	}
+	return []string{a.ID, a.ID + load.Again}
+}
+
+// readWhole reads a plain service's answer and compares it with the one due.
+func readWhole(o *load.Observation, r *target.Response) {
+	data, err := r.ReadAll()
+	if err != nil {
+		o.Class, o.Reason = load.Cut, fault.KindOf(err).String()
+		return
+	}
+	if o.Arrival.Kind.Unchecked {
+		return
+	}
+	var got oracle.ServiceAnswer
+	if err := json.Unmarshal(data, &got); err != nil {
+		o.Class, o.Reason = load.Wrong, "no answer of a service"
+		return
+	}
+	for _, id := range names(o.Arrival) {
+		if got == oracle.Service(id, fasthttp.MethodPost, o.Arrival.Kind.Path, body(o.Arrival)) {
+			return
+		}
+	}
+	o.Class, o.Reason = load.Wrong, "other content"
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,208 @@
+package load
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+)
+
+const samplePlan = `
+name = "p"
+seed = 7
+duration = "100s"
+warmup = "10s"
+
+[[workspace]]
+name = "big"
+token = "t1"
+weight = 9
+
+[[workspace]]
+name = "small"
+token = "t2"
+weight = 1
+
+[[kind]]
+name = "quote"
+rate = 20
+prefixes = 3
+prefix_bytes = 64
+body_bytes = 100
+min_tokens = 5
+max_tokens = 9
+in_time = "1s"
+first_token = "200ms"
+
+[[kind]]
+name = "order"
+form = "call"
+path = "/orders"
+workspaces = ["small"]
+rate = 5
+keyed = 1
+resend = 0.5
+resend_after = "30ms"
+from = "20s"
+until = "60s"
+`
+
+func parse(t *testing.T, text string) *Plan {
+	t.Helper()
+	p, err := ParsePlan("p.toml", []byte(text))
+	must.NoError(t, err)
+	return &p
+}
+
+func TestSamePlanAndSeedGiveTheSameRequests(t *testing.T) {
+	a := slices.Collect(parse(t, samplePlan).Arrivals())
+	b := slices.Collect(parse(t, samplePlan).Arrivals())
+	other := slices.Collect(parse(t, strings.Replace(samplePlan, "seed = 7", "seed = 8", 1)).Arrivals())
+	must.Eq(t, a, b)
+	must.NotEq(t, a[0].At, other[0].At)
+}
+
+func TestAChangedKindLeavesTheOthers(t *testing.T) {
+	quotes := func(text string) []Arrival {
+		all := slices.Collect(parse(t, text).Arrivals())
+		return slices.DeleteFunc(all, func(a Arrival) bool { return a.Kind.Name != "quote" })
+	}
+	must.Eq(t, quotes(samplePlan), quotes(strings.Replace(samplePlan, "rate = 5", "rate = 50", 1)))
+}
+
+func TestArrivalsFollowThePlan(t *testing.T) {
+	p := parse(t, samplePlan)
+	all := slices.Collect(p.Arrivals())
+	must.True(t, slices.IsSortedFunc(all, func(a, b Arrival) int { return int(a.At - b.At) }))
+	quotes, big, orders, repeated := 0, 0, 0, 0
+	originals := map[string]Arrival{}
+	for _, a := range all {
+		switch {
+		case a.Kind.Name == "quote":
+			quotes++
+			must.Between(t, 5, a.Tokens, 9)
+			must.Eq(t, 64+100, len(a.Text))
+			must.Eq(t, "", a.Key)
+			if a.Workspace.Name == "big" {
+				big++
+			}
+		case a.Original != "":
+			repeated++
+			first := originals[a.Original]
+			must.Eq(t, first.Key, a.Key)
+			must.Eq(t, first.At, a.Issued)
+			must.Eq(t, first.At+30*time.Millisecond, a.At)
+			must.Eq(t, first.Text, a.Text)
+		default:
+			orders++
+			originals[a.ID] = a
+			must.Eq(t, "small", a.Workspace.Name)
+			must.Between(t, 20*time.Second, a.At, 60*time.Second)
+			must.NotEq(t, "", a.Key)
+		}
+	}
+	// Seeded draws: the bounds are wide, the counts are the same in each run.
+	must.Between(t, 1800, quotes, 2200)
+	must.Between(t, quotes*85/100, big, quotes*95/100)
+	must.Between(t, 150, orders, 250)
+	must.Between(t, orders*35/100, repeated, orders*65/100)
+}
+
+func TestPlanMistakesAreAllNamed(t *testing.T) {
+	tests := []struct{ name, old, with, field string }{
+		{"unknown key", "warmup =", "warm =", "warm"},
+		{"wrong type", "rate = 20", `rate = "fast"`, "rate"},
+		{"no name", `name = "p"`, "", "name"},
+		{"share above one", "keyed = 1", "keyed = 1.5", "kind[1].keyed"},
+		{"unknown workspace", `["small"]`, `["tiny"]`, "kind[1].workspaces"},
+		{"tokens out of order", "max_tokens = 9", "max_tokens = 4", "kind[0].max_tokens"},
+		{"unknown form", `form = "call"`, `form = "shout"`, "kind[1].form"},
+		{"warm-up too long", `warmup = "10s"`, `warmup = "200s"`, "warmup"},
+		{"event without a server", "[[workspace]]", "[[event]]\nname='e'\npath='/x'\n[[workspace]]", "event[0].server"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			must.StrContains(t, samplePlan, tc.old)
+			_, err := ParsePlan("p.toml", []byte(strings.Replace(samplePlan, tc.old, tc.with, 1)))
+			var f *fault.Error
+			must.True(t, errors.As(err, &f))
+			must.Eq(t, fault.BadInput, f.Kind)
+			must.StrContains(t, err.Error(), tc.field)
+		})
+	}
+}
+
+func TestShippedPlansAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../plans/*.toml")
+	must.NoError(t, err)
+	must.Len(t, 2, files)
+	for _, f := range files {
+		p, err := ReadPlan(f)
+		must.NoError(t, err)
+		must.Positive(t, len(slices.Collect(p.Arrivals())))
+	}
+}
+
+func TestTimesCountFromThePlannedArrival(t *testing.T) {
+	p := parse(t, samplePlan)
+	r := NewRecorder(p)
+	a := Arrival{At: 20 * time.Second, Kind: &p.Kinds[0], Workspace: &p.Workspaces[0]}
+	// The sender was held up for 3 s; the answer itself took 100 ms.
+	r.Record(Observation{
+		Arrival: a, Class: Answered, Sent: 23 * time.Second,
+		First: 23*time.Second + 50*time.Millisecond, Done: 23*time.Second + 100*time.Millisecond,
+	})
+	got := r.Result()
+	must.Eq(t, 0, got.Kinds[0].InTime)
+	must.InDelta(t, 3100, got.Kinds[0].Answer.P50, 10)
+	must.InDelta(t, 3050, got.Kinds[0].FirstToken.P50, 10)
+	must.InDelta(t, 3000, got.SendLag.P50, 10)
+	must.Eq(t, 1, got.Timeline[20].Late)
+}
+
+func TestRecorderCounts(t *testing.T) {
+	p := parse(t, samplePlan)
+	r := NewRecorder(p)
+	for i, class := range []Class{Answered, Replayed, NotRun, Unknown, Failed, Cut, Unreachable, Wrong} {
+		for _, at := range []time.Duration{5 * time.Second, 30 * time.Second} { // the first is warm-up
+			a := Arrival{At: at, ID: fmt.Sprint(i), Kind: &p.Kinds[0], Workspace: &p.Workspaces[1]}
+			r.Record(Observation{
+				Arrival: a, Class: class, Reason: "why", Sent: at, First: at + time.Millisecond, Done: at + time.Second/2,
+				Gaps: []time.Duration{10 * time.Millisecond, 20 * time.Millisecond},
+			})
+		}
+	}
+	got := r.Result()
+	for _, part := range []Part{got.Kinds[0], got.Workspaces[1]} {
+		must.Eq(t, 8, part.Offered)
+		must.Eq(t, 2, part.InTime)
+		must.Eq(t, 0.25, part.InTimeRatio)
+		must.Eq(t, 8, part.FirstInTime)
+		must.Eq(t, 1, part.Of(Wrong))
+		must.Eq(t, []Count{{"why", 8}}, part.Reasons)
+		must.Eq(t, 4, part.BetweenTokens.Count)
+	}
+	must.Eq(t, Second{At: 5, Offered: 8, InTime: 2, NotRun: 1, Unknown: 1, Failures: 4}, got.Timeline[5])
+	var out bytes.Buffer
+	must.NoError(t, got.WriteSummary(&out))
+	must.StrContains(t, out.String(), "quote")
+}
+
+func TestGroupMeter(t *testing.T) {
+	whole := []VMSample{{"a", 5, true, true}, {"b", 5, true, true}}
+	broken := []VMSample{{"a", 5, true, true}, {"b", 5, true, false}}
+	loading := []VMSample{{"a", 6, true, true}, {"b", 6, false, true}}
+	m := NewGroupMeter(Groups{Size: 2})
+	for i, vms := range [][]VMSample{whole, whole, broken, loading, whole} {
+		m.Add(time.Duration(i)*time.Second, vms)
+	}
+	must.Eq(t, GroupResult{Samples: 5, Expected: 1, SpanS: 4, DowntimeS: 2, StrandedS: 3}, m.Result())
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,160 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+)
+
+// Quantiles are those of one histogram, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Count is the number of requests with one label.
+type Count struct {
+	Label string `json:"label"`
+	Count int64  `json:"count"`
+}
+
+// Part is the result of one kind or one workspace.
+type Part struct {
+	Name    string `json:"name"`
+	Offered int64  `json:"offered"`
+	InTime  int64  `json:"in_time"`
+	// InTimeRatio is the share of the offered requests answered in time.
+	InTimeRatio float64 `json:"in_time_ratio"`
+	// FirstInTime counts the first tokens within their bound.
+	FirstInTime   int64     `json:"first_token_in_time"`
+	Classes       []Count   `json:"classes"`
+	Reasons       []Count   `json:"reasons"`
+	Answer        Quantiles `json:"answer"`
+	FirstToken    Quantiles `json:"first_token"`
+	BetweenTokens Quantiles `json:"between_tokens"`
+}
+
+// EventResult is what became of an event.
+type EventResult struct {
+	Name   string  `json:"name"`
+	AtS    float64 `json:"at_s"`
+	Status int     `json:"status"`
+	Error  string  `json:"error,omitempty"`
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Plan       string  `json:"plan"`
+	Seed       uint64  `json:"seed"`
+	DurationS  float64 `json:"duration_s"`
+	WarmupS    float64 `json:"warmup_s"`
+	Kinds      []Part  `json:"kinds"`
+	Workspaces []Part  `json:"workspaces"`
+	// SendLag is how late the tool itself sent; it is part of all other times.
+	SendLag  Quantiles     `json:"send_lag"`
+	Events   []EventResult `json:"events"`
+	Groups   *GroupResult  `json:"groups,omitempty"`
+	Timeline []Second      `json:"timeline"`
+}
+
+// Result returns what was recorded so far.
+func (r *Recorder) Result() Result {
+	out := Result{
+		Plan: r.plan.Name, Seed: r.plan.Seed,
+		DurationS: seconds(r.plan.Duration), WarmupS: seconds(r.plan.Warmup),
+		SendLag: r.lag.part("").Answer, Timeline: r.seconds.snapshot(),
+	}
+	for _, k := range r.plan.Kinds {
+		out.Kinds = append(out.Kinds, r.kinds[k.Name].part(k.Name))
+	}
+	for _, w := range r.plan.Workspaces {
+		out.Workspaces = append(out.Workspaces, r.workspaces[w.Name].part(w.Name))
+	}
+	return out
+}
+
+func (s *series) part(name string) Part {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Part{
+		Name: name, Offered: s.offered, InTime: s.inTime, InTimeRatio: ratio(s.inTime, s.offered), FirstInTime: s.early,
+		Classes: counts(s.classes), Reasons: counts(s.reasons),
+		Answer: quantiles(s.whole), FirstToken: quantiles(s.first), BetweenTokens: quantiles(s.gaps),
+	}
+}
+
+func ratio(n, of int64) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+func counts[K ~string](m map[K]int64) []Count {
+	out := make([]Count, 0, len(m))
+	for k, n := range m {
+		out = append(out, Count{Label: string(k), Count: n})
+	}
+	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(a.Label, b.Label) })
+	return out
+}
+
+// Of returns the number of requests of the class.
+func (p Part) Of(c Class) int64 {
+	for _, n := range p.Classes {
+		if n.Label == string(c) {
+			return n.Count
+		}
+	}
+	return 0
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return millis(h.ValueAtQuantile(q)) }
+	return Quantiles{
+		Count: h.TotalCount(), P50: at(50), P90: at(90), P95: at(95), P99: at(99), P999: at(99.9), Max: millis(h.Max()),
+	}
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
+
+// WriteSummary writes the result for people.
+func (r Result) WriteSummary(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "plan %s, seed %d, %.0f s of arrivals, the first %.0f s not counted\n\n", r.Plan, r.Seed, r.DurationS, r.WarmupS)
+	writeParts(t, "kind", r.Kinds)
+	writeParts(t, "workspace", r.Workspaces)
+	fmt.Fprintf(t, "sent late by the tool (ms): p50 %.1f, p99 %.1f, max %.1f\n", r.SendLag.P50, r.SendLag.P99, r.SendLag.Max)
+	if g := r.Groups; g != nil {
+		fmt.Fprintf(t, "groups: %d expected, downtime %.1f group-seconds, stranded %.1f VM-seconds, in %.1f s\n", g.Expected, g.DowntimeS, g.StrandedS, g.SpanS)
+	}
+	for _, e := range r.Events {
+		fmt.Fprintf(t, "event at %.1f s: %s: status %d %s\n", e.AtS, e.Name, e.Status, e.Error)
+	}
+	return t.Flush()
+}
+
+func writeParts(w io.Writer, title string, parts []Part) {
+	fmt.Fprintf(w, "%s\toffered\tin time\t%%\treplayed\tnot run\tunknown\tfailed\tcut\tunreachable\twrong\tanswer p50\tp95\tp99\tfirst p50\tp95\tbetween p50\tp95\t\n", title)
+	for _, p := range parts {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", p.Name, p.Offered, p.InTime, 100*p.InTimeRatio,
+			p.Of(Replayed), p.Of(NotRun), p.Of(Unknown), p.Of(Failed), p.Of(Cut), p.Of(Unreachable), p.Of(Wrong))
+		fmt.Fprintf(w, "%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", p.Answer.P50, p.Answer.P95, p.Answer.P99,
+			p.FirstToken.P50, p.FirstToken.P95, p.BetweenTokens.P50, p.BetweenTokens.P95)
+	}
+	fmt.Fprintln(w)
+}
+
+func seconds(d tomlfile.Duration) float64 { return time.Duration(d).Seconds() }
--- a/internal/standin/engine/vm.go
+++ b/internal/standin/engine/vm.go
@@ -125,6 +125,10 @@
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
+	h := &ctx.Response.Header
+	if len(h.Peek(target.HeaderRequestID)) == 0 {
+		h.SetBytesV(target.HeaderRequestID, ctx.Request.Header.Peek(target.HeaderRequestID))
+	}
 }
 
 // lagged returns the report as it shows outside.
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -191,12 +191,7 @@
 
 // accept checks that the answer belongs to the request and that the target ran it.
 func (c *Client) accept(r *Request, resp *fasthttp.Response) (*Response, error) {
-	out := &Response{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		resp:        resp,
-		limit:       c.opts.MaxAnswerBytes,
-	}
+	out := NewResponse(resp, c.opts.MaxAnswerBytes)
 	if got := string(resp.Header.Peek(HeaderRequestID)); got != r.ID {
 		err := fault.New(fault.Interrupted, "report the target: its answers are mixed up", "target %s answered request %q instead of %q", r.Addr, got, r.ID)
 		out.Abort(err)
--- a/internal/target/response.go
+++ b/internal/target/response.go
@@ -29,6 +29,14 @@
 	done        bool
 }
 
+// NewResponse returns the answer in resp, which it takes over; limit bounds the
+// body when it is read whole.
+func NewResponse(resp *fasthttp.Response, limit int) *Response {
+	return &Response{
+		Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()), resp: resp, limit: limit,
+	}
+}
+
 // Close ends the exchange. A body that was not read to its end costs the connection.
 func (r *Response) Close() error {
 	if r.resp == nil {
