--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"k8s.io/klog/v2"
 
@@ -11,16 +12,17 @@
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
-// follow reads the log from the view's position to its tail.
+// follow reads the log from the view's position to its tail. It may run in
+// several goroutines at once: the view takes each position only once.
 func (m *Manager) follow(ctx context.Context) error {
 	cursor := m.opts.View.Next()
 	for {
 		start := m.opts.Now()
 		answer, err := m.opts.Log.Read(ctx, platform.StreamControl, cursor.Offset, platform.MaxBatch)
-		if err != nil {
-			return err
+		if err == nil {
+			m.kept.set(answer.Epoch, answer.Oldest)
 		}
-		next, err := m.check(cursor, answer)
+		next, err := m.check(ctx, cursor, answer, err)
 		if err != nil {
 			return err
 		}
@@ -39,20 +41,57 @@
 }
 
 // check refuses a log that went back and returns where to read on: at cursor,
-// or at the start of a newer epoch.
-func (m *Manager) check(cursor state.Position, answer platform.ReadAnswer) (state.Position, error) {
+// at the start of a newer epoch, or after a snapshot.
+func (m *Manager) check(ctx context.Context, cursor state.Position, answer platform.ReadAnswer, err error) (state.Position, error) {
+	var gap *platform.Trimmed
+	trimmed := errors.As(err, &gap)
+	if err != nil && !trimmed {
+		return cursor, err
+	}
+	if trimmed {
+		answer = platform.ReadAnswer{Epoch: gap.Epoch, Oldest: gap.Oldest, Next: gap.Next}
+	}
 	switch {
 	case answer.Epoch < cursor.Epoch:
 		return cursor, wentBack("log shows epoch %d, but this daemon is at %s", answer.Epoch, cursor)
 	case answer.Epoch > cursor.Epoch:
-		return state.Position{Epoch: answer.Epoch}, nil
+		return m.enterEpoch(ctx, answer.Epoch), nil
 	case answer.Next < cursor.Offset:
 		return cursor, wentBack("log ends at offset %d, but this daemon is at %s", answer.Next, cursor)
+	case trimmed:
+		if err := m.restore(ctx, gap); err != nil {
+			return cursor, err
+		}
+		return m.opts.View.Next(), nil
 	default:
 		return cursor, nil
 	}
 }
 
+// firstEpoch is the epoch of a log that was never set up anew.
+const firstEpoch = 1
+
+// enterEpoch returns where to read an epoch that the view has not seen. The
+// records of the epoch before it are gone from the log, so what peers and
+// snapshots still hold of them is taken first: once the view has moved on to
+// the new epoch they can no longer be folded.
+func (m *Manager) enterEpoch(ctx context.Context, epoch uint32) state.Position {
+	v := m.opts.View
+	if m.enter(epoch) && (v.Started() || epoch > firstEpoch) {
+		klog.InfoS("log was set up anew", "epoch", epoch, "position", v.Position().String())
+		if m.opts.Peers != nil {
+			m.pullFromBest(ctx, m.ask(ctx, m.opts.Peers.Peers()))
+		}
+		if err := m.loadSnapshot(ctx, anySnapshot); err != nil {
+			klog.ErrorS(err, "snapshots cannot be read", "epoch", epoch)
+		}
+	}
+	if next := v.Next(); v.Started() && next.Epoch >= epoch {
+		return next
+	}
+	return state.Position{Epoch: epoch}
+}
+
 // foldAll folds records that must follow one another from cursor on.
 func (m *Manager) foldAll(cursor state.Position, records []platform.Record) (state.Position, error) {
 	for _, r := range records {
@@ -70,13 +109,20 @@
 }
 
 func (m *Manager) fold(pos state.Position, r platform.Record) {
+	m.foldRaw(wire.RawRecord{Pos: pos, Data: r.Data})
+}
+
+func (m *Manager) foldRaw(r wire.RawRecord) {
 	rec, err := wire.DecodeRecord(r.Data)
 	if err != nil {
-		klog.ErrorS(err, "control record cannot be decoded", "position", pos.String(), "bytes", len(r.Data))
 		rec = nil
 	}
-	verdict := m.opts.View.Fold(pos, rec)
-	if verdict.RecordID != "" && !verdict.Accepted {
-		klog.InfoS("control record refused", "position", pos.String(), "record", rec.ID, "author", rec.Author, "reason", verdict.Reason)
+	verdict, folded := m.tail.fold(r, rec)
+	switch {
+	case !folded: // another goroutine or peer was first
+	case err != nil:
+		klog.ErrorS(err, "control record cannot be decoded", "position", r.Pos.String(), "bytes", len(r.Data))
+	case !verdict.Accepted:
+		klog.InfoS("control record refused", "position", r.Pos.String(), "record", rec.ID, "author", rec.Author, "reason", verdict.Reason)
 	}
 }
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -5,8 +5,10 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
@@ -19,9 +21,16 @@
 // Manager follows the control stream. Its methods are safe for concurrent use.
 type Manager struct {
 	opts   Options
+	tail   *tail
 	prompt chan struct{} // holds a token when the log must be read now
+	hints  chan string   // holds the address of a peer that is ahead
+	moved  chan struct{} // holds a token when peers must be told of a new tail
 	status status
+	kept   kept
+	stand  standing
 	reads  *rate.Limiter // bounds the reads that peers prompt
+	// leaving keeps a daemon that has left from joining again.
+	leaving atomic.Bool
 }
 
 // status is what the follower last learnt.
@@ -29,21 +38,60 @@
 	mu       sync.RWMutex
 	lastRead time.Time // zero until the log's tail was first reached
 	caught   bool
+	entered  uint32 // the last epoch that was prepared for
+}
+
+// kept is where the log's control stream begins.
+type kept struct {
+	mu    sync.Mutex
+	first state.Position
+}
+
+func (k *kept) set(epoch uint32, oldest uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.first = state.Position{Epoch: epoch, Offset: oldest}
+}
+
+func (k *kept) get() state.Position {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.first
 }
 
 // New returns a Manager; Run starts it.
 func New(opts Options) *Manager {
-	m := &Manager{opts: opts.withDefaults(), prompt: make(chan struct{}, 1)}
+	opts = opts.withDefaults()
 	const burst = 3
-	m.reads = rate.NewLimiter(rate.Every(m.opts.ReadInterval), burst)
-	return m
+	return &Manager{
+		opts:   opts,
+		tail:   &tail{view: opts.View},
+		prompt: make(chan struct{}, 1),
+		hints:  make(chan string, 1),
+		moved:  make(chan struct{}, 1),
+		reads:  rate.NewLimiter(rate.Every(opts.ReadInterval), burst),
+	}
 }
 
 // Run follows the stream until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.followLoop(ctx) })
+	g.Go(func() error { return m.announceLoop(ctx) })
+	g.Go(func() error { return m.standLoop(ctx) })
+	g.Go(func() error { return m.snapshotLoop(ctx) })
+	g.Go(func() error { return m.joinLoop(ctx) })
+	g.Go(func() error { return m.leaveLoop(ctx) })
+	return g.Wait()
+}
+
+func (m *Manager) followLoop(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
 		err := m.follow(ctx)
+		if err != nil {
+			m.catchUp(ctx)
+		}
 		m.report(err, &failing)
 		m.pause(ctx)
 	}
@@ -62,16 +110,32 @@
 }
 
 // pause waits for the next read: a prompt, or the interval with some jitter
-// that keeps daemons from reading in step.
+// that keeps daemons from reading in step. Meanwhile it catches up from peers
+// that are known to be ahead.
 func (m *Manager) pause(ctx context.Context) {
 	interval := m.opts.readInterval()
 	jitter := time.Duration(rand.Int64N(int64(interval)/4 + 1))
 	timer := time.NewTimer(interval - jitter)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-m.prompt:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-m.prompt:
+			return
+		case addr := <-m.hints:
+			m.followPeer(ctx, addr)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// followPeer catches up from one peer and reads the log if that fails.
+func (m *Manager) followPeer(ctx context.Context, addr string) {
+	if err := m.pull(ctx, addr); err != nil {
+		klog.V(1).InfoS("peer that announced a record did not give it", "addr", addr, "reason", err.Error())
+		m.readNow()
 	}
 }
 
@@ -83,14 +147,27 @@
 	}
 }
 
-// Nudge says that the stream has reached pos. The log is read at once if the
+// Nudge says that the stream has reached pos: the log is read at once if the
 // view is behind and the allowance for prompted reads permits it.
-func (m *Manager) Nudge(pos state.Position) {
+func (m *Manager) Nudge(pos state.Position) { m.nudgeFrom(pos, "") }
+
+// nudgeFrom prompts a read of the log, or, beyond the allowance, takes the
+// records from the peer that announced them: a burst of edits in a large fleet
+// must not become a burst of reads.
+func (m *Manager) nudgeFrom(pos state.Position, addr string) {
 	if !m.behind(pos) {
 		return
 	}
 	if m.reads.Allow() {
 		m.readNow()
+		return
+	}
+	if addr == "" || m.opts.Peers == nil {
+		return
+	}
+	select {
+	case m.hints <- addr:
+	default: // another peer is about to be asked
 	}
 }
 
@@ -122,3 +199,14 @@
 	defer m.status.mu.Unlock()
 	m.status.lastRead, m.status.caught = start, true
 }
+
+// enter notes an epoch and reports whether it is new to this daemon.
+func (m *Manager) enter(epoch uint32) bool {
+	m.status.mu.Lock()
+	defer m.status.mu.Unlock()
+	if epoch <= m.status.entered {
+		return false
+	}
+	m.status.entered = epoch
+	return true
+}
--- /dev/null
+++ b/internal/control/serve.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// Handler answers one question of a peer.
+type Handler = func(ctx context.Context, from string, body []byte) (wire.Message, error)
+
+// Handlers returns the answers to peers' questions, for the peer server.
+func (m *Manager) Handlers() map[wire.Type]Handler {
+	return map[wire.Type]Handler{
+		wire.TypeNudge:       m.onNudge,
+		wire.TypePositionAsk: m.onPositionAsk,
+		wire.TypeRecordsAsk:  m.onRecordsAsk,
+		wire.TypeStateAsk:    m.onStateAsk,
+	}
+}
+
+func (m *Manager) onNudge(_ context.Context, _ string, body []byte) (wire.Message, error) {
+	var n wire.Nudge
+	if err := wire.Unmarshal(body, &n); err != nil {
+		return nil, err
+	}
+	m.nudgeFrom(n.Pos, n.Addr)
+	return m.position(), nil
+}
+
+func (m *Manager) onPositionAsk(context.Context, string, []byte) (wire.Message, error) {
+	return m.position(), nil
+}
+
+func (m *Manager) position() *wire.PositionAnswer {
+	pos, digest := m.opts.View.Mark()
+	return &wire.PositionAnswer{
+		Daemon: m.opts.Self, Started: m.opts.View.Started(), Pos: pos, Digest: digest,
+		LogAge: m.LogAge(m.opts.Now()),
+	}
+}
+
+func (m *Manager) onRecordsAsk(_ context.Context, _ string, body []byte) (wire.Message, error) {
+	var ask wire.RecordsAsk
+	if err := wire.Unmarshal(body, &ask); err != nil {
+		return nil, err
+	}
+	records, whole := m.tail.after(ask.After, ask.Started)
+	return &wire.RecordsAnswer{Records: records, Gap: !whole}, nil
+}
+
+func (m *Manager) onStateAsk(context.Context, string, []byte) (wire.Message, error) {
+	s := m.opts.View.Snapshot()
+	data, err := wire.EncodeState(s)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.StateAnswer{State: data, Digest: s.Digest()}, nil
+}
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -69,7 +69,7 @@
 		if verdict, ok := m.opts.View.Verdict(id); ok {
 			return verdict, nil
 		}
-		if !wait(ctx, appendPause) {
+		if !waitFor(ctx, appendPause) {
 			return state.Verdict{}, appendFailed(err, unknown)
 		}
 	}
@@ -93,14 +93,8 @@
 	return e.WithOutcome(fault.NotRun)
 }
 
-func (m *Manager) announce(pos state.Position) {
-	if m.opts.Announcer != nil {
-		m.opts.Announcer.Announce(pos)
-	}
-}
-
-// wait waits for d and reports whether ctx is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
+// waitFor waits for d and reports whether ctx is still alive.
+func waitFor(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -11,7 +11,8 @@
 )
 
 // Digest returns a hash of the whole state. Two readers at the same position
-// must have the same digest.
+// must have the same digest. The recent verdicts count: they decide what is
+// taken for a duplicate.
 func (s *State) Digest() uint64 {
 	h := xxhash.New()
 	fmt.Fprintf(h, "%v %v\n", s.Pos, s.Started)
@@ -32,6 +33,9 @@
 	writeMap(h, "v", s.VMs)
 	writeMap(h, "d", s.Daemons)
 	writeMap(h, "n", s.Revisions)
+	for _, v := range s.Recent {
+		fmt.Fprintf(h, "t %s %t %v\n", v.RecordID, v.Accepted, v.Pos)
+	}
 	return h.Sum64()
 }
 
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"github.com/ragwortquay/ragwortquay/internal/table"
 )
@@ -74,7 +75,7 @@
 	if len(rec.Edit.Changes) == 0 {
 		return refuse("edit changes nothing")
 	}
-	trial := s.Clone()
+	trial := &State{Routes: maps.Clone(s.Routes), Pools: maps.Clone(s.Pools), Revisions: maps.Clone(s.Revisions)}
 	for _, c := range rec.Edit.Changes {
 		if v := trial.change(pos, rec, c); !v.Accepted {
 			return v
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// FillMaps makes the maps that a decoder left nil, so that the fold can write.
+func (s *State) FillMaps() {
+	empty := New()
+	s.Routes = orElse(s.Routes, empty.Routes)
+	s.Pools = orElse(s.Pools, empty.Pools)
+	s.Groups = orElse(s.Groups, empty.Groups)
+	s.VMs = orElse(s.VMs, empty.VMs)
+	s.Daemons = orElse(s.Daemons, empty.Daemons)
+	s.Revisions = orElse(s.Revisions, empty.Revisions)
+}
+
+func orElse[M ~map[K]V, K comparable, V any](m, other M) M {
+	if m == nil {
+		return other
+	}
+	return m
+}
+
 // Clone returns a copy that shares no maps with s. Rows are shared: they are
 // never changed in place.
 func (s *State) Clone() *State {
--- a/internal/wire/record.go
+++ b/internal/wire/record.go
@@ -28,5 +28,6 @@
 	if err := Unmarshal(b, s); err != nil {
 		return nil, err
 	}
+	s.FillMaps()
 	return s, nil
 }
