--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -69,14 +69,18 @@
 
 // ReadFrame reads one frame. A clean end of the connection is io.EOF; a frame
 // cut short is io.ErrUnexpectedEOF.
-func ReadFrame(r io.Reader) (Frame, error) {
+func ReadFrame(r io.Reader) (Frame, error) { return ReadFrameLimit(r, MaxFrameBytes) }
+
+// ReadFrameLimit is ReadFrame with a smaller bound on the body, for peers that
+// have not yet proved who they are.
+func ReadFrameLimit(r io.Reader, limit int) (Frame, error) {
 	var head [headerBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return Frame{}, err
 	}
 	size := binary.BigEndian.Uint32(head[0:])
-	if size > MaxFrameBytes {
-		return Frame{}, fault.New(fault.TooLarge, "check that the peer speaks this protocol", "frame of %d bytes exceeds %d", size, MaxFrameBytes)
+	if uint64(size) > uint64(limit) {
+		return Frame{}, fault.New(fault.TooLarge, "check that the peer speaks this protocol", "frame of %d bytes exceeds %d", size, limit)
 	}
 	if head[4] != Version {
 		return Frame{}, fault.New(fault.BadInput, "run the same release on all daemons", "protocol version %d, want %d", head[4], Version)
