--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -15,6 +15,9 @@
 // Snapshot is all that one plan for one pool looks at.
 type Snapshot struct {
 	Now time.Time
+	// Seen is the fencing number of the last folded record: what a VM reports
+	// of later groups is not yet known here, and is left alone.
+	Seen uint64
 	// Pool is the row in force; Exists is false once the row was dropped, and
 	// Pool then carries only the name.
 	Pool   table.Pool
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -27,7 +27,7 @@
 	SentAt time.Time
 	Acked  bool
 	// EndedSince is when this daemon first saw the VM's reservation ended, and
-	// EndedBoot the boot id with which the VM served it, if known.
+	// EndedBoot the boot id with which the VM served the group, if known.
 	EndedSince time.Time
 	EndedBoot  string
 }
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		r, held := pl.Reservations[vm]
-		if held && !r.Ended {
+		if held && !r.Ended || pl.ahead(o) {
 			continue
 		}
 		if held && pl.unloaded(vm, r) || !held && o.Report.State == Free {
@@ -33,6 +33,11 @@
 	}
 }
 
+// ahead reports whether the VM runs a group whose record is not folded here.
+func (pl *planner) ahead(o Observation) bool {
+	return o.Report.State != Free && o.Report.Group > pl.Seen
+}
+
 // unloaded reports whether the VM freshly reports itself free after the end of
 // its group, and refuses, as far as it does, the group's late orders.
 func (pl *planner) unloaded(vm string, r state.Reservation) bool {
@@ -47,6 +52,10 @@
 // send sends an order unless the same one is under way or was sent just now.
 func (pl *planner) send(vm string, order Order) {
 	o := pl.Observations[vm]
+	if pl.VMs[vm].Addr == "" {
+		pl.wait("VM "+vm, "its address is not known", time.Time{})
+		return
+	}
 	same := o.Sent.Fence == order.Fence && o.Sent.Load == order.Load
 	if again := o.SentAt.Add(pl.policy.OrderResend); same && pl.Now.Before(again) {
 		pl.wait("VM "+vm, "an order was sent just now", again)
@@ -109,6 +118,10 @@
 				fetching++
 			}
 		case strayed:
+			if pl.ahead(pl.Observations[m.VM]) {
+				missing++
+				continue
+			}
 			due = append(due, load{g: g, rank: i, fetch: fetch})
 			if fetch {
 				fetches++
