--- /dev/null
+++ b/internal/dispatch/fake_test.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+// fakeTables is one route to one pool.
+type fakeTables struct {
+	mu    sync.Mutex
+	route table.Route
+	pool  table.Pool
+}
+
+func (f *fakeTables) Route(ws, kind string) (state.RouteRow, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return state.RouteRow{Route: f.route}, f.route.Matches(ws, kind)
+}
+
+func (f *fakeTables) Pool(name string) (state.PoolRow, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return state.PoolRow{Pool: f.pool}, name == f.pool.Name
+}
+
+func (f *fakeTables) withdraw(domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool.Withdrawn = append(f.pool.Withdrawn, domain)
+}
+
+// fakeGrants hands out the replicas in order, leaving out excluded ones.
+type fakeGrants struct {
+	mu       sync.Mutex
+	addrs    []string
+	life     time.Duration
+	onGrant  func()
+	granted  int
+	outcomes []limit.Outcome
+}
+
+func (f *fakeGrants) Acquire(_ context.Context, r limit.Request) (limit.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, addr := range f.addrs {
+		id := fmt.Sprintf("replica-%d", i)
+		if slices.Contains(r.Exclude, id) {
+			continue
+		}
+		f.granted++
+		if f.onGrant != nil {
+			f.onGrant()
+		}
+		return limit.Grant{
+			ID: r.ID, Pool: r.Pool, Replica: id, Addr: addr, FailureDomain: "d1",
+			Expires: time.Now().Add(f.life), Deadline: r.Deadline,
+		}, nil
+	}
+	return limit.Grant{}, fault.Refuse(fault.Unavailable, "wait", "no replica left")
+}
+
+func (f *fakeGrants) Release(_ limit.Grant, r limit.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes = append(f.outcomes, r.Outcome)
+}
+
+type fakeStanding struct{ err error }
+
+func (f fakeStanding) MayServe() error { return f.err }
+
+// engine answers token requests; cutAfter tokens it breaks the stream off.
+type engine struct {
+	addr     string
+	cutAfter int // -1 never cuts
+	skip     bool
+	mu       sync.Mutex
+	resumes  []int
+}
+
+func startEngine(t *testing.T, cutAfter int) *engine {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	e := &engine{addr: l.Addr().String(), cutAfter: cutAfter}
+	s := &fasthttp.Server{Handler: e.handle, Logger: quiet{}}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return e
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+func (e *engine) seen() []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.resumes)
+}
+
+func (e *engine) handle(ctx *fasthttp.RequestCtx) {
+	var g target.GenerateRequest
+	if err := json.Unmarshal(ctx.PostBody(), &g); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.resumes = append(e.resumes, g.ResumeFrom)
+	e.mu.Unlock()
+	id := string(ctx.Request.Header.Peek(target.HeaderRequestID))
+	ctx.Response.Header.Set(target.HeaderRequestID, id)
+	ctx.SetBodyStream(&script{e: e, id: id, next: g.ResumeFrom + 1, last: g.MaxTokens}, -1)
+}
+
+// script is the body of one answer.
+type script struct {
+	e          *engine
+	id         string
+	next, last int
+	sent       int
+	buf        []byte
+	ended      bool
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	if len(s.buf) == 0 {
+		if err := s.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, s.buf)
+	s.buf = s.buf[n:]
+	return n, nil
+}
+
+func (s *script) fill() error {
+	if s.ended {
+		return io.EOF
+	}
+	if s.e.cutAfter >= 0 && s.sent >= s.e.cutAfter {
+		return io.ErrUnexpectedEOF
+	}
+	if s.next > s.last {
+		s.ended = true
+		s.buf = fmt.Appendf(nil, "event: end\ndata: {\"request_id\":%q,\"tokens\":%d}\n\n", s.id, s.last)
+		return nil
+	}
+	if s.e.skip && s.sent == 1 {
+		s.next++
+	}
+	s.buf = fmt.Appendf(nil, "id: %d\ndata: {\"text\":\"t%d \"}\n\n", s.next, s.next)
+	s.next++
+	s.sent++
+	return nil
+}
+
+// rig is a dispatcher over fakes.
+type rig struct {
+	d      *Dispatcher
+	tables *fakeTables
+	grants *fakeGrants
+}
+
+func newRig(addrs ...string) *rig {
+	r := &rig{
+		tables: &fakeTables{
+			route: table.Route{
+				Name: "r", Workspaces: []string{"ws"}, Kinds: []string{"quote"}, Pools: []string{"p"},
+				Deadline: 10 * time.Second, Idempotent: true, Retries: 2, RetryBudget: 1,
+			},
+			pool: table.Pool{Name: "p", Kind: table.Engines},
+		},
+		grants: &fakeGrants{addrs: addrs, life: time.Minute},
+	}
+	r.d = New(Options{Tables: r.tables, Grants: r.grants, Targets: target.New(target.Options{}), Standing: fakeStanding{}})
+	return r
+}
+
+func generate(tokens int) *Request {
+	return &Request{
+		ID: "req-1", Workspace: "ws", Kind: "quote", Method: "POST", Path: GeneratePath,
+		Body: fmt.Appendf(nil, `{"prompt":"p","max_tokens":%d}`, tokens), Received: time.Now(),
+	}
+}
+
+// collect reads a stream to its end and returns the tokens and the last error.
+func collect(s Stream) (string, error) {
+	text := ""
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			return text, err
+		}
+		if ev.End != nil {
+			return text, nil
+		}
+		text += ev.Token.Text
+	}
+}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -79,7 +79,7 @@
 	if a.Stream != nil {
 		h.SetContentType("text/event-stream")
 		h.Set(fasthttp.HeaderCacheControl, "no-store")
-		ctx.SetBodyStream(&eventBody{stream: a.Stream, end: s.end}, -1)
+		ctx.SetBodyStream(&eventBody{id: a.RequestID, stream: a.Stream, end: s.end}, -1)
 		return
 	}
 	ctx.SetStatusCode(a.Status)
@@ -152,7 +152,7 @@
 // protocolError answers what could not be read as a request: it did not run.
 func (s *Server) protocolError(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
-	status, e := fasthttp.StatusBadRequest, fault.Refuse(fault.BadInput, "send a well-formed HTTP/1.1 request", "%v", err)
+	status, e := fasthttp.StatusBadRequest, fault.Refuse(fault.BadInput, "send a well-formed HTTP/1.1 request", "request cannot be read as HTTP")
 	switch {
 	case errors.As(err, &small):
 		status, e = fasthttp.StatusRequestHeaderFieldsTooLarge, fault.Refuse(fault.TooLarge, "send smaller headers", "headers exceed %d bytes", s.opts.MaxHeaderBytes)
@@ -162,17 +162,21 @@
 	s.fail(ctx, "", e)
 	ctx.SetStatusCode(status)
 	ctx.Response.Header.SetConnectionClose()
+	if c, ok := ctx.Conn().(*stallConn); ok {
+		c.linger = true
+	}
 }
 
 // eventBody encodes a stream as server-sent events. fasthttp reads it, and a
 // read error makes fasthttp close the connection without the final chunk: a
 // cut answer cannot be taken for a whole one.
 type eventBody struct {
+	id     string
 	stream dispatch.Stream
 	end    func()
 	buf    []byte
 	last   bool
-	closed bool
+	failed bool
 }
 
 // Read returns the next event's bytes.
@@ -206,11 +210,11 @@
 
 // fail sends an error event once; the read after it reports the cut.
 func (b *eventBody) fail(err error) error {
-	if b.closed {
+	if b.failed {
 		return err
 	}
-	b.closed = true
-	b.buf = appendEvent(b.buf[:0], "event: error\n", bodyOf("", fault.As(err)))
+	b.failed = true
+	b.buf = appendEvent(b.buf[:0], "event: error\n", bodyOf(b.id, fault.As(err)))
 	return nil
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,13 @@
 	ReadTimeout    time.Duration
 }
 
-// writeStall bounds how long one caller may keep a write waiting.
-const writeStall = 30 * time.Second
+const (
+	// writeStall bounds how long one caller may keep a write waiting.
+	writeStall = 30 * time.Second
+	// lingerTime and lingerBytes bound what is read of a request that was refused unread.
+	lingerTime  = time.Second
+	lingerBytes = 4 << 20
+)
 
 // Server is the callers' HTTP server.
 type Server struct {
@@ -163,7 +169,11 @@
 	return &stallConn{Conn: c}, nil
 }
 
-type stallConn struct{ net.Conn }
+// stallConn is one caller's connection. One goroutine uses it at a time.
+type stallConn struct {
+	net.Conn
+	linger bool
+}
 
 // Write writes within writeStall.
 func (c *stallConn) Write(b []byte) (int, error) {
@@ -172,3 +182,15 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// Close closes the connection. After an answer to a request that was not read
+// to its end it first reads on for a while: closing with unread bytes resets
+// the connection, and the caller would lose the answer.
+func (c *stallConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger {
+		_ = tcp.CloseWrite()
+		_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, tcp, lingerBytes)
+	}
+	return c.Conn.Close()
+}
