--- /dev/null
+++ b/internal/control/history.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/audit"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// maxHistory bounds the records of one reading.
+const maxHistory = 200_000
+
+// History reads the control stream as far back as the log keeps it.
+func (m *Manager) History(ctx context.Context) (audit.Trail, error) {
+	var t audit.Trail
+	first, err := m.firstKept(ctx)
+	if err != nil {
+		return t, err
+	}
+	t.Begin = first
+	if t.Base, err = m.baseFor(ctx, first); err != nil {
+		return t, err
+	}
+	for at := first; len(t.Records) < maxHistory; {
+		answer, err := m.opts.Log.Read(ctx, platform.StreamControl, at.Offset, platform.MaxBatch)
+		if err != nil {
+			return t, err
+		}
+		if answer.Epoch != first.Epoch {
+			return t, fault.New(fault.LogDown, "ask again", "the log was set up anew during the reading")
+		}
+		if len(answer.Records) == 0 {
+			return t, nil
+		}
+		for _, r := range answer.Records {
+			t.Records = append(t.Records, entryOf(first.Epoch, r))
+			at.Offset = r.Offset + 1
+		}
+	}
+	return t, nil
+}
+
+func entryOf(epoch uint32, r platform.Record) audit.Record {
+	rec, err := wire.DecodeRecord(r.Data)
+	if err != nil {
+		rec = nil
+	}
+	return audit.Record{Pos: state.Position{Epoch: epoch, Offset: r.Offset}, At: time.UnixMilli(r.AtMs), Rec: rec}
+}
+
+func (m *Manager) firstKept(ctx context.Context) (state.Position, error) {
+	answer, err := m.opts.Log.Read(ctx, platform.StreamControl, 0, 1)
+	var gap *platform.Trimmed
+	if errors.As(err, &gap) {
+		return state.Position{Epoch: gap.Epoch, Offset: gap.Oldest}, nil
+	}
+	return state.Position{Epoch: answer.Epoch, Offset: answer.Oldest}, err
+}
+
+// baseFor returns the state from which the records from first on can be
+// judged: the oldest snapshot that reaches first, or the empty state at the
+// stream's start.
+func (m *Manager) baseFor(ctx context.Context, first state.Position) (*state.State, error) {
+	if first.Offset == 0 && first.Epoch <= firstEpoch {
+		return state.New(), nil
+	}
+	usable := func(s *state.State) bool {
+		next := s.Next()
+		return (next.Epoch < first.Epoch && first.Offset == 0) || (next.Epoch == first.Epoch && next.Offset >= first.Offset)
+	}
+	found, err := m.oldestSnapshot(ctx, usable)
+	if err != nil || found == nil {
+		return nil, err
+	}
+	return found.state, nil
+}
+
+func (m *Manager) oldestSnapshot(ctx context.Context, usable func(*state.State) bool) (*stored, error) {
+	oldest, next, err := m.snapshotBounds(ctx)
+	if err != nil {
+		return nil, err
+	}
+	byID := make(map[string][]*wire.SnapshotChunk)
+	for from := oldest; from < next; {
+		answer, err := m.opts.Log.Read(ctx, platform.StreamSnapshots, from, snapshotWindow)
+		if err != nil || len(answer.Records) == 0 {
+			return nil, err
+		}
+		for _, r := range answer.Records {
+			if s := addChunk(byID, r); s != nil && usable(s.state) {
+				return s, nil
+			}
+			from = r.Offset + 1
+		}
+	}
+	return nil, nil
+}
+
+// Spread is how far a position has got among the joined daemons.
+type Spread struct {
+	Joined  int      `json:"joined"`
+	InForce int      `json:"in_force"`
+	Missing []string `json:"missing,omitempty"`
+}
+
+// spreadPause is the time between two questions to the daemons that are behind.
+const spreadPause = 50 * time.Millisecond
+
+// Spread asks the joined daemons until all have folded pos, or ctx ends.
+func (m *Manager) Spread(ctx context.Context, pos state.Position) Spread {
+	reached := make(map[string]struct{})
+	if !m.behind(pos) {
+		reached[m.opts.Self] = struct{}{}
+	}
+	for {
+		missing := m.notIn(reached)
+		if len(missing) == 0 || m.opts.Peers == nil || ctx.Err() != nil {
+			return m.spread(reached)
+		}
+		for _, s := range m.ask(ctx, missing) {
+			if s.report.Started && !s.report.Pos.Before(pos) {
+				reached[s.report.Daemon] = struct{}{}
+			}
+		}
+		if len(m.notIn(reached)) == 0 || !waitFor(ctx, spreadPause) {
+			return m.spread(reached)
+		}
+	}
+}
+
+func (m *Manager) notIn(reached map[string]struct{}) []string {
+	var addrs []string
+	for _, d := range m.opts.View.Daemons() {
+		if _, ok := reached[d.ID]; !ok && d.ID != m.opts.Self {
+			addrs = append(addrs, d.Addr)
+		}
+	}
+	return addrs
+}
+
+func (m *Manager) spread(reached map[string]struct{}) Spread {
+	var s Spread
+	for _, d := range m.opts.View.Daemons() {
+		s.Joined++
+		if _, ok := reached[d.ID]; ok {
+			s.InForce++
+		} else {
+			s.Missing = append(s.Missing, d.ID)
+		}
+	}
+	slices.Sort(s.Missing)
+	return s
+}
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -67,6 +67,19 @@
 	DropPool  string
 }
 
+// Names returns the names of the route and of the pool that the change is
+// about; one of them is empty.
+func (c Change) Names() (route, pool string) {
+	switch {
+	case c.SetRoute != nil:
+		return c.SetRoute.Name, ""
+	case c.SetPool != nil:
+		return "", c.SetPool.Name
+	default:
+		return c.DropRoute, c.DropPool
+	}
+}
+
 // Form makes one replica group. Its position is the group's fencing number.
 type Form struct {
 	Pool    string
--- a/internal/view/fold.go
+++ b/internal/view/fold.go
@@ -155,16 +155,9 @@
 
 func (t touched) edit(e *state.Edit) {
 	for _, c := range e.Changes {
-		switch {
-		case c.SetRoute != nil:
-			t.routes[c.SetRoute.Name] = struct{}{}
-		case c.SetPool != nil:
-			t.pools[c.SetPool.Name] = struct{}{}
-		case c.DropRoute != "":
-			t.routes[c.DropRoute] = struct{}{}
-		case c.DropPool != "":
-			t.pools[c.DropPool] = struct{}{}
-		}
+		route, pool := c.Names()
+		t.routes[route] = struct{}{}
+		t.pools[pool] = struct{}{}
 	}
 }
 
