--- a/internal/load/drive/drive_test.go
+++ b/internal/load/drive/drive_test.go
@@ -21,7 +21,7 @@
 
 const plan = `
 name = "p"
-duration = "1s"
+duration = "400ms"
 [groups]
 size = 1
 [[workspace]]
@@ -142,7 +142,7 @@
 	}
 	events := `
 [[event]]
-at = "700ms"
+at = "200ms"
 name = "kill"
 server = "engines"
 path = "/v1/faults"
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -17,6 +17,7 @@
 // Bounds of a plan.
 const (
 	maxRate     = 100_000.0
+	minDuration = 100 * time.Millisecond
 	maxDuration = 24 * time.Hour
 	maxTokens   = 100_000
 	maxBytes    = 1 << 20
@@ -156,7 +157,7 @@
 func (p Plan) check() error {
 	errs := []error{
 		checkName("name", p.Name),
-		checkSpan("duration", p.Duration, time.Second, maxDuration),
+		checkSpan("duration", p.Duration, minDuration, maxDuration),
 		checkSpan("warmup", p.Warmup, 0, time.Duration(p.Duration)),
 		checkCount("workspace", len(p.Workspaces)),
 		checkCount("kind", len(p.Kinds)),
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -57,7 +57,7 @@
 	defer v.mu.Unlock()
 	return machines.Status[Behaviour]{
 		VM: v.info.ID, Addr: v.info.Addr, BootID: v.report.BootID, State: string(v.report.State),
-		Fence: v.report.Fence, Dead: v.dead, Answering: v.host.Answering(), Behaviour: v.behaviour,
+		Fence: v.report.Fence, Dead: v.power.Off(), Answering: v.host.Answering(), Behaviour: v.behaviour,
 	}
 }
 
@@ -67,32 +67,5 @@
 	s := v.session
 	v.mu.Unlock()
 	s.gauge.Reset()
-	v.note(journal.Boot, "cold without a boot")
-}
-
-// Kill ends the VM.
-func (v *vm) Kill() {
-	v.mu.Lock()
-	v.dead = true
-	v.mu.Unlock()
-	v.host.Kill()
-	v.boot("killed")
-}
-
-// Revive starts the VM anew.
-func (v *vm) Revive() error {
-	v.mu.Lock()
-	v.dead = false
-	v.mu.Unlock()
-	v.boot("revived")
-	return v.host.Revive()
-}
-
-// Stop ends the VM for good.
-func (v *vm) Stop() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.dead = true
-	v.stopLoad()
-	v.session.end()
+	v.note(journal.TurnedCold, "")
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -111,7 +111,7 @@
 	case capacity.Break:
 		r.began(reading)
 		r.add(journal.Cut, 0, "pushed beyond the cold limit")
-		r.vm.fallOver("pushed beyond the cold limit by " + r.entry.RequestID)
+		r.vm.fallOver(r.session, "pushed beyond the cold limit by "+r.entry.RequestID)
 		return false
 	case capacity.Full:
 		r.vm.refuse(ctx, "queue is full")
@@ -158,7 +158,7 @@
 func (r *run) start(ctx *fasthttp.RequestCtx) {
 	if m := r.vm.poison(); m != "" && strings.Contains(r.req.Prompt, m) {
 		r.add(journal.Cut, 0, "poison")
-		r.vm.fallOver("crashed by " + r.entry.RequestID)
+		r.vm.fallOver(r.session, "crashed by "+r.entry.RequestID)
 		return
 	}
 	if !r.pause(r.late) {
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/standin/capacity"
@@ -13,6 +14,7 @@
 	gauge *capacity.Gauge
 	over  chan struct{} // closed when the session ends: streams are cut
 	clock *clock
+	fell  atomic.Bool // the VM fell over in this session
 
 	mu      sync.Mutex
 	ended   bool
--- a/internal/standin/engine/vm.go
+++ b/internal/standin/engine/vm.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/platform"
 	"github.com/ragwortquay/ragwortquay/internal/standin/host"
 	"github.com/ragwortquay/ragwortquay/internal/standin/journal"
+	"github.com/ragwortquay/ragwortquay/internal/standin/machines"
 	"github.com/ragwortquay/ragwortquay/internal/target"
 )
 
@@ -20,11 +21,11 @@
 	info    platform.VM
 	opts    Options
 	host    *host.Host
+	power   *machines.Power
 	journal *journal.Journal
 	peers   func(addr string) *vm // VMs of the same process; nil for others
 
 	mu        sync.Mutex
-	dead      bool
 	report    target.Report // the truth
 	members   []string
 	fence     uint64 // the highest one seen
@@ -55,8 +56,9 @@
 	}
 	info.Addr = h.Addr()
 	info.State = platform.VMLive
-	v := &vm{info: info, opts: o, host: h, journal: j, peers: peers, behaviour: Behaviour{Straggle: 1}, stopLoad: func() {}}
-	v.boot("first start")
+	v := &vm{info: info, opts: o, host: h, journal: j, peers: peers, behaviour: Behaviour{Straggle: 1}}
+	v.power = machines.NewPower(h, v, o.Timing.Boot)
+	v.Boot("first start")
 	return v, nil
 }
 
@@ -66,24 +68,33 @@
 // Host returns the VM's server.
 func (v *vm) Host() *host.Host { return v.host }
 
-// boot starts the VM anew: a new boot id, no group, nothing cached.
-func (v *vm) boot(reason string) {
+// Power returns the VM's switch.
+func (v *vm) Power() *machines.Power { return v.power }
+
+// End breaks off what runs.
+func (v *vm) End() {
+	if v.power.Off() {
+		v.note(journal.Killed, "")
+	}
 	v.mu.Lock()
-	old := v.session
 	v.stopLoad()
+	s := v.session
+	v.mu.Unlock()
+	s.end()
+}
+
+// Boot starts the VM anew: a new boot id, no group, nothing cached.
+func (v *vm) Boot(reason string) {
+	v.mu.Lock()
+	v.stopLoad = func() {}
 	v.report = target.Report{VM: v.info.ID, BootID: ids.New(), State: target.EngineFree}
 	v.members = nil
 	v.fence = 0
 	v.session = newSession(v)
 	v.prefixes = newPrefixCache(v.opts.Prefixes)
 	v.shown, v.shownLoad = snapshot{}, snapshot{}
-	e := v.entry(journal.Boot)
 	v.mu.Unlock()
-	if old != nil {
-		old.end()
-	}
-	e.Reason = reason
-	v.journal.Add(e)
+	v.note(journal.Boot, reason)
 }
 
 // entry returns a journal entry of the VM as it is. v.mu is held.
@@ -163,22 +174,17 @@
 // serves reports whether the VM takes part in the group with the given fence.
 func (v *vm) serves(fence uint64) bool {
 	v.mu.Lock()
-	ok := !v.dead && v.report.Fence == fence && v.report.State == target.EngineReady
+	ok := v.report.Fence == fence && v.report.State == target.EngineReady
 	v.mu.Unlock()
 	return ok && v.host.Answering()
 }
 
-// fallOver breaks the VM; it comes back by itself after its boot time.
-func (v *vm) fallOver(reason string) {
+// fallOver breaks the VM, once per session; it comes back by itself after its
+// boot time.
+func (v *vm) fallOver(s *session, reason string) {
+	if !s.fell.CompareAndSwap(false, true) {
+		return
+	}
 	v.note(journal.FellOver, reason)
-	v.host.Kill()
-	v.boot(reason)
-	time.AfterFunc(v.opts.Timing.Boot, func() {
-		v.mu.Lock()
-		dead := v.dead
-		v.mu.Unlock()
-		if !dead {
-			_ = v.host.Revive()
-		}
-	})
+	v.power.FallOver(reason)
 }
--- a/internal/standin/journal/journal.go
+++ b/internal/standin/journal/journal.go
@@ -33,8 +33,11 @@
 	Ready Event = "ready"
 	// FellOver is a VM that broke under load or under a request.
 	FellOver Event = "fell_over"
-	// Boot is a VM that started anew.
-	Boot Event = "boot"
+	// Killed is a VM that lost its power, Boot one that started anew.
+	Killed Event = "killed"
+	Boot   Event = "boot"
+	// TurnedCold is a VM that became cold without a boot.
+	TurnedCold Event = "turned_cold"
 	// MemberMissing is a leader that lost a member of its group; MemberBack
 	// ends that.
 	MemberMissing Event = "member_missing"
--- a/internal/standin/machines/machines.go
+++ b/internal/standin/machines/machines.go
@@ -19,16 +19,13 @@
 type Machine[B any] interface {
 	Info() platform.VM
 	Host() *host.Host
+	Power() *Power
 	Handle(ctx *fasthttp.RequestCtx)
-	// Kill ends the VM, Revive boots it anew.
-	Kill()
-	Revive() error
 	// GoCold makes it cold without a word.
 	GoCold()
 	// Behave replaces its lasting faults.
 	Behave(B)
 	Status() Status[B]
-	Stop()
 }
 
 // Action is a fault that happens once.
@@ -123,7 +120,7 @@
 // Stop ends machines for good.
 func Stop[B any](ms []Machine[B]) {
 	for _, m := range ms {
-		m.Stop()
+		m.Power().Kill()
 		m.Host().Stop()
 	}
 }
@@ -169,9 +166,9 @@
 	switch a {
 	case "":
 	case Kill:
-		m.Kill()
+		m.Power().Kill()
 	case Revive:
-		return m.Revive()
+		return m.Power().Revive()
 	case Pause:
 		m.Host().Pause()
 	case Resume:
--- a/internal/standin/service/handle.go
+++ b/internal/standin/service/handle.go
@@ -93,7 +93,7 @@
 	case capacity.Break:
 		r.began(reading)
 		r.add(journal.Cut, "pushed beyond the cold limit")
-		r.vm.fallOver("pushed beyond the cold limit by " + r.entry.RequestID)
+		r.vm.fallOver(r.boot, "pushed beyond the cold limit by "+r.entry.RequestID)
 		return false
 	case capacity.Full:
 		r.refuse(ctx, "queue is full")
--- a/internal/standin/service/vm.go
+++ b/internal/standin/service/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/ids"
@@ -19,10 +20,10 @@
 	info    platform.VM
 	opts    Options
 	host    *host.Host
+	power   *machines.Power
 	journal *journal.Journal
 
 	mu        sync.Mutex
-	dead      bool
 	boot      *incarnation
 	behaviour Behaviour
 	requests  int // arrivals, for faults that hit every n-th
@@ -34,6 +35,8 @@
 	id    string
 	gauge *capacity.Gauge
 	over  chan struct{} // closed at its end
+	once  sync.Once
+	fell  atomic.Bool // the VM fell over in this incarnation
 }
 
 func newVM(info platform.VM, o Options, j *journal.Journal) (*vm, error) {
@@ -48,23 +51,36 @@
 	info.Addr = h.Addr()
 	info.State = platform.VMLive
 	v := &vm{info: info, opts: o, host: h, journal: j}
-	v.reboot("first start")
+	v.power = machines.NewPower(h, v, o.Boot)
+	v.Boot("first start")
 	return v, nil
 }
 
-// reboot begins a new incarnation.
-func (v *vm) reboot(reason string) {
+// Power returns the VM's switch.
+func (v *vm) Power() *machines.Power { return v.power }
+
+// End breaks off what runs.
+func (v *vm) End() {
+	if v.power.Off() {
+		v.note(journal.Killed, "")
+	}
+	v.mu.Lock()
+	b := v.boot
+	v.mu.Unlock()
+	b.end()
+}
+
+func (b *incarnation) end() {
+	b.once.Do(func() { close(b.over) })
+	b.gauge.Close()
+}
+
+// Boot begins a new incarnation.
+func (v *vm) Boot(reason string) {
 	v.mu.Lock()
-	old := v.boot
 	v.boot = &incarnation{id: ids.New(), gauge: capacity.New(v.opts.Capacity), over: make(chan struct{})}
-	e := v.entry(journal.Boot)
 	v.mu.Unlock()
-	if old != nil {
-		close(old.over)
-		old.gauge.Close()
-	}
-	e.Reason = reason
-	v.journal.Add(e)
+	v.note(journal.Boot, reason)
 }
 
 // entry returns a journal entry of the VM as it is. v.mu is held.
@@ -84,19 +100,14 @@
 	v.journal.Add(e)
 }
 
-// fallOver breaks the VM; it comes back by itself after its boot time.
-func (v *vm) fallOver(reason string) {
+// fallOver breaks the VM, once per boot; it comes back by itself after its boot
+// time.
+func (v *vm) fallOver(b *incarnation, reason string) {
+	if !b.fell.CompareAndSwap(false, true) {
+		return
+	}
 	v.note(journal.FellOver, reason)
-	v.host.Kill()
-	v.reboot(reason)
-	time.AfterFunc(v.opts.Boot, func() {
-		v.mu.Lock()
-		dead := v.dead
-		v.mu.Unlock()
-		if !dead {
-			_ = v.host.Revive()
-		}
-	})
+	v.power.FallOver(reason)
 }
 
 func (v *vm) report() target.Report {
@@ -128,7 +139,7 @@
 	defer v.mu.Unlock()
 	return machines.Status[Behaviour]{
 		VM: v.info.ID, Addr: v.info.Addr, BootID: v.boot.id, State: string(target.EngineReady),
-		Dead: v.dead, Answering: v.host.Answering(), Behaviour: v.behaviour,
+		Dead: v.power.Off(), Answering: v.host.Answering(), Behaviour: v.behaviour,
 	}
 }
 
@@ -138,31 +149,5 @@
 	g := v.boot.gauge
 	v.mu.Unlock()
 	g.Reset()
-	v.note(journal.Boot, "cold without a boot")
-}
-
-// Kill ends the VM.
-func (v *vm) Kill() {
-	v.mu.Lock()
-	v.dead = true
-	v.mu.Unlock()
-	v.host.Kill()
-	v.reboot("killed")
-}
-
-// Revive starts the VM anew.
-func (v *vm) Revive() error {
-	v.mu.Lock()
-	v.dead = false
-	v.mu.Unlock()
-	v.reboot("revived")
-	return v.host.Revive()
-}
-
-// Stop ends the VM for good.
-func (v *vm) Stop() {
-	v.mu.Lock()
-	v.dead = true
-	v.mu.Unlock()
-	v.reboot("stopped")
+	v.note(journal.TurnedCold, "")
 }
