Sample groups at the start, after each event and at the end

The test of the drive failed in 2 of 5 runs: with samples only each 100 ms, a short run could end before a fault was followed by two samples.

--- a/internal/load/drive/control.go
+++ b/internal/load/drive/control.go
@@ -48,6 +48,7 @@
 		d.mu.Lock()
 		d.events = append(d.events, r)
 		d.mu.Unlock()
+		d.look()
 	}
 	return nil
 }
@@ -75,15 +76,17 @@
 
 // sample looks at the groups now and then.
 func (d *Driver) sample(ctx context.Context) error {
+	return every(ctx, sampleInterval, d.look)
+}
+
+// look samples the groups; a look that fails leaves the last sample in force.
+func (d *Driver) look() {
 	if len(d.opts.Engines) == 0 {
-		return nil
+		return
+	}
+	if vms, err := d.sampleAll(); err == nil {
+		d.meter.Add(time.Since(d.start), vms)
 	}
-	return every(ctx, sampleInterval, func() {
-		vms, err := d.sampleAll()
-		if err == nil {
-			d.meter.Add(time.Since(d.start), vms)
-		}
-	})
 }
 
 func (d *Driver) sampleAll() ([]load.VMSample, error) {
--- a/internal/load/drive/drive.go
+++ b/internal/load/drive/drive.go
@@ -116,6 +116,7 @@
 	balance.look(side)
 	d.start = time.Now()
 	d.sender = &sender{start: d.start, balancer: balance}
+	d.look()
 	var background errgroup.Group
 	background.Go(func() error { return balance.run(side) })
 	background.Go(func() error { return d.sample(side) })
@@ -131,6 +132,7 @@
 	if err := background.Wait(); err != nil {
 		return load.Result{}, err
 	}
+	d.look()
 	return d.result(), nil
 }
 
--- a/internal/load/groups.go
+++ b/internal/load/groups.go
@@ -40,14 +40,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.started {
-		dt := at - m.last
+		dt := max(at-m.last, 0) // two looks at once may come in the other order
 		m.span += dt
 		m.complete += dt * time.Duration(m.now)
 		m.stranded += dt * time.Duration(m.strandNo)
 	}
 	m.now, m.strandNo = m.count(vms)
 	m.most = max(m.most, m.now)
-	m.last, m.started = at, true
+	m.last, m.started = max(at, m.last), true
 	m.samples++
 }
 
