--- /dev/null
+++ b/internal/cli/standin_test.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
+	"github.com/ragwortquay/ragwortquay/internal/standin/capacity"
+)
+
+func TestVMsAreLaidOutInBlocks(t *testing.T) {
+	f := fleetFlags{Host: "127.0.0.1", BasePort: 9000, Count: 10, Prefix: "vm", Domains: "a,b", FabricSize: 4}
+	vms, err := f.vms()
+	must.NoError(t, err)
+	must.Len(t, 10, vms)
+	for i, want := range []string{"a a-f0", "a a-f0", "a a-f0", "a a-f0", "a a-f1", "b b-f0", "b b-f0", "b b-f0", "b b-f0", "b b-f1"} {
+		must.Eq(t, want, vms[i].FailureDomain+" "+vms[i].FabricDomain, must.Sprint(i))
+	}
+	must.Eq(t, "vm-9", vms[9].ID)
+	must.Eq(t, "127.0.0.1:9009", vms[9].Addr)
+}
+
+func TestVMLayoutDefaults(t *testing.T) {
+	vms, err := fleetFlags{Host: "127.0.0.1", Count: 1, Domains: "a"}.vms()
+	must.NoError(t, err)
+	must.Eq(t, "a", vms[0].FabricDomain)
+	must.Eq(t, "127.0.0.1:0", vms[0].Addr)
+	_, err = fleetFlags{Count: 0, Domains: "a"}.vms()
+	must.True(t, fault.Is(err, fault.BadInput))
+}
+
+func TestCapacityFlagsFallBack(t *testing.T) {
+	d := capacity.Settings{Cold: 2, Warm: 32}
+	must.Eq(t, capacity.Settings{Cold: 2, Warm: 32, PerDone: 1, Queue: 5}, capacityFlags{PerDone: 1, Queue: 5}.settings(d))
+	must.Eq(t, capacity.Settings{Cold: 1, Warm: 9}, capacityFlags{Cold: 1, Warm: 9}.settings(d))
+}
+
+func TestParseLink(t *testing.T) {
+	o, err := parseLink("a=udp,127.0.0.1:0,127.0.0.1:9")
+	must.NoError(t, err)
+	must.Eq(t, faultproxy.LinkOptions{Name: "a", Network: faultproxy.UDP, Listen: "127.0.0.1:0", Target: "127.0.0.1:9"}, o)
+	for _, bad := range []string{"", "a", "=tcp,x,y", "a=tcp,x"} {
+		_, err := parseLink(bad)
+		must.True(t, fault.Is(err, fault.BadInput), must.Sprint(bad))
+	}
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -165,6 +165,8 @@
 	must.InDelta(t, 3100, got.Kinds[0].Answer.P50, 10)
 	must.InDelta(t, 3050, got.Kinds[0].FirstToken.P50, 10)
 	must.InDelta(t, 3000, got.SendLag.P50, 10)
+	must.InDelta(t, 100, got.Kinds[0].AnswerFromSend.P50, 1)
+	must.InDelta(t, 50, got.Kinds[0].FirstFromSend.P50, 1)
 	must.Eq(t, 1, got.Timeline[20].Late)
 }
 
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -73,12 +73,16 @@
 	whole   *hdrhistogram.Histogram
 	first   *hdrhistogram.Histogram
 	gaps    *hdrhistogram.Histogram
+	// exchange and onset count from the moment of sending.
+	exchange *hdrhistogram.Histogram
+	onset    *hdrhistogram.Histogram
 }
 
 func newSeries() *series {
 	return &series{
 		classes: map[Class]int64{}, reasons: map[string]int64{},
 		whole: newHistogram(), first: newHistogram(), gaps: newHistogram(),
+		exchange: newHistogram(), onset: newHistogram(),
 	}
 }
 
@@ -141,6 +145,7 @@
 		return
 	}
 	record(s.whole, o.Done-o.Arrival.At)
+	record(s.exchange, o.Done-o.Sent)
 	for _, g := range o.Gaps {
 		record(s.gaps, g)
 	}
@@ -149,6 +154,7 @@
 func (s *series) addFirst(o Observation) {
 	d := o.First - o.Arrival.At
 	record(s.first, d)
+	record(s.onset, o.First-o.Sent)
 	if d <= time.Duration(o.Arrival.Kind.FirstToken) {
 		s.early++
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -44,6 +44,10 @@
 	Answer        Quantiles `json:"answer"`
 	FirstToken    Quantiles `json:"first_token"`
 	BetweenTokens Quantiles `json:"between_tokens"`
+	// AnswerFromSend and FirstFromSend count from the moment of sending: they
+	// compare a daemon with its target, but hide what held up the sender.
+	AnswerFromSend Quantiles `json:"answer_from_send"`
+	FirstFromSend  Quantiles `json:"first_token_from_send"`
 }
 
 // EventResult is what became of an event.
@@ -92,6 +96,7 @@
 		Name: name, Offered: s.offered, InTime: s.inTime, InTimeRatio: ratio(s.inTime, s.offered), FirstInTime: s.early,
 		Classes: counts(s.classes), Reasons: counts(s.reasons),
 		Answer: quantiles(s.whole), FirstToken: quantiles(s.first), BetweenTokens: quantiles(s.gaps),
+		AnswerFromSend: quantiles(s.exchange), FirstFromSend: quantiles(s.onset),
 	}
 }
 
