Serve operators: edits, tables, status, audit

operate holds what operators may do and knows no transport; admin serves it over HTTP with bearer tokens. An edit carries a record id, so sending it again takes effect once, and it answers with the verdict read back from the log, the row that it lost to, and on how many joined daemons it is in force.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,180 @@
+package admin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/audit"
+	"github.com/ragwortquay/ragwortquay/internal/control"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/standin/logsvc"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+	"github.com/ragwortquay/ragwortquay/internal/tablefile"
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+	"github.com/ragwortquay/ragwortquay/internal/view"
+)
+
+const (
+	testTimeout = 30 * time.Second
+	awaToken    = "0123456789abcdef-awa"
+)
+
+type operators map[string]string
+
+func (o operators) Operator(token string) (string, bool) {
+	name, ok := o[token]
+	return name, ok
+}
+
+func run(t *testing.T, what func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- what(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
+
+// serve starts a log, a manager and an operators' server, and returns the
+// server's URL.
+func serve(t *testing.T) string {
+	t.Helper()
+	svc, err := logsvc.New(logsvc.Options{Addr: "127.0.0.1:0"})
+	must.NoError(t, err)
+	run(t, svc.Run)
+	log, err := platform.NewLog(platform.Options{URL: svc.URL()})
+	must.NoError(t, err)
+	v := view.New()
+	m := control.New(control.Options{Self: "d1", Addr: "127.0.0.1:1", Log: log, View: v, ReadInterval: 10 * time.Millisecond})
+	run(t, m.Run)
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := New(Options{
+		Listener: ln, Auth: operators{awaToken: "awa", "t2": "binta"},
+		Service: operate.New(operate.Options{Self: "d1", View: v, Control: m}),
+		Metrics: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("requests 1\n") },
+	})
+	run(t, s.Run)
+	base := "http://" + ln.Addr().String()
+	ready := func() bool { return path(t, base+"/readyz") == fasthttp.StatusOK }
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(ready), wait.Timeout(testTimeout), wait.Gap(time.Millisecond)))
+	return base
+}
+
+func path(t *testing.T, url string) int {
+	t.Helper()
+	status, _, err := fasthttp.Get(nil, url)
+	must.NoError(t, err)
+	return status
+}
+
+func client(t *testing.T, base, token string) *Client {
+	t.Helper()
+	c, err := NewClient(base, token)
+	must.NoError(t, err)
+	return c
+}
+
+func setPool(base string, limit int) operate.Change {
+	return operate.Change{Base: base, SetPool: &tablefile.Pool{
+		Name: "orders", Kind: table.Services, VMs: []string{"s1"}, Limit: limit,
+	}}
+}
+
+func TestOperatorsSession(t *testing.T) {
+	base := serve(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	awa, binta := client(t, base, awaToken), client(t, base, "t2")
+
+	first, err := awa.Apply(ctx, operate.ApplyRequest{
+		Record: "r1", Note: "open", Changes: []operate.Change{setPool("0", 8)}, Wait: tomlfile.Duration(testTimeout),
+	})
+	must.NoError(t, err)
+	must.True(t, first.Accepted)
+	must.Eq(t, []operate.RowRevision{{Row: "pool/orders", Revision: 1}}, first.Rows)
+	must.Eq(t, first.Spread.Joined, first.Spread.InForce)
+
+	again, err := awa.Apply(ctx, operate.ApplyRequest{Record: "r1", Changes: []operate.Change{setPool("0", 8)}})
+	must.NoError(t, err)
+	must.Eq(t, first.Position, again.Position, must.Sprint("a request sent again takes effect once"))
+
+	lost, err := binta.Apply(ctx, operate.ApplyRequest{Changes: []operate.Change{setPool("0", 9)}})
+	must.NoError(t, err)
+	must.False(t, lost.Accepted)
+	must.Eq(t, "awa", lost.WonBy.Author)
+	must.Eq(t, 1, lost.WonBy.Revision)
+
+	won, err := binta.Apply(ctx, operate.ApplyRequest{Changes: []operate.Change{setPool(operate.BaseCurrent, 9)}})
+	must.NoError(t, err)
+	must.True(t, won.Accepted)
+
+	tables, err := awa.Tables(ctx)
+	must.NoError(t, err)
+	must.Eq(t, 9, tables.Pools[0].Pool.Limit)
+	must.Eq(t, "binta", tables.Pools[0].Stamp.Author)
+
+	status, err := awa.Status(ctx)
+	must.NoError(t, err)
+	must.Eq(t, "serve", status.Standing.Mode)
+	must.Eq(t, "d1", status.Pools[0].Home)
+
+	header, entries, err := awa.Audit(ctx, operate.AuditRequest{Filter: audit.Filter{Row: "pool/orders"}})
+	must.NoError(t, err)
+	must.True(t, header.Complete)
+	must.SliceContainsFunc(t, entries, audit.Refused, func(e audit.Entry, r audit.Result) bool { return e.Result == r })
+	last := entries[len(entries)-1]
+	must.Eq(t, []audit.Row{{
+		Name: "pool/orders", Base: 1, Revision: 2, Fields: []table.FieldChange{{Field: "limit", Old: "8", New: "9"}},
+	}}, last.Rows)
+
+	end, err := state.ParsePosition(header.End)
+	must.NoError(t, err)
+	_, entries, err = awa.Audit(ctx, operate.AuditRequest{Filter: audit.Filter{After: &end}, Wait: time.Millisecond})
+	must.NoError(t, err)
+	must.SliceEmpty(t, entries)
+}
+
+func TestRefusals(t *testing.T) {
+	base := serve(t)
+	ctx := t.Context()
+	_, err := client(t, base, "wrong").Status(ctx)
+	must.True(t, fault.Is(err, fault.Unauthorized))
+
+	awa := client(t, base, awaToken)
+	bad := []operate.Change{
+		{Base: "0"},
+		{Base: "soon", DropPool: "x"},
+		{Base: "0", SetPool: &tablefile.Pool{Name: "p", Kind: "fish", Limit: 1}},
+	}
+	_, err = awa.Apply(ctx, operate.ApplyRequest{Changes: bad})
+	must.True(t, fault.Is(err, fault.BadInput))
+	for _, want := range []string{"exactly one", "not a revision", "unknown pool kind"} {
+		must.ErrorContains(t, err, want)
+	}
+	_, err = awa.Apply(ctx, operate.ApplyRequest{})
+	must.ErrorContains(t, err, "0 rows")
+
+	unknown := &tablefile.Route{Name: "r", Workspaces: []string{"*"}, Kinds: []string{"*"}, Pools: []string{"none"}}
+	answer, err := awa.Apply(ctx, operate.ApplyRequest{Changes: []operate.Change{{Base: "0", SetRoute: unknown}}})
+	must.NoError(t, err)
+	must.StrContains(t, answer.Reason, `pool "none", which does not exist`)
+
+	must.Eq(t, fasthttp.StatusOK, path(t, base+"/healthz"))
+	must.Eq(t, fasthttp.StatusOK, path(t, base+"/metrics"))
+	must.Eq(t, fasthttp.StatusNotFound, path(t, base+"/nowhere"))
+	must.Eq(t, fasthttp.StatusUnauthorized, path(t, base+"/v1/tables"))
+	must.Eq(t, fasthttp.StatusBadRequest, path(t, base+"/v1/apply"))
+}
--- /dev/null
+++ b/internal/admin/handlers.go
@@ -0,0 +1,158 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/audit"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+)
+
+// ErrorBody is the JSON form of an error.
+type ErrorBody struct {
+	Kind    string `json:"kind"`
+	Outcome string `json:"outcome"`
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy,omitempty"`
+}
+
+// apply answers 200 for an accepted edit and 409, with the same body, for a
+// refused one.
+func (s *Server) apply(ctx context.Context, r *fasthttp.RequestCtx, operator string) error {
+	var req operate.ApplyRequest
+	dec := json.NewDecoder(bytes.NewReader(r.PostBody()))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		return fault.Invalid("body", "send an edit as JSON", "%v", err)
+	}
+	answer, err := s.opts.Service.Apply(ctx, operator, req)
+	if err != nil {
+		return err
+	}
+	if !answer.Accepted {
+		r.SetStatusCode(fasthttp.StatusConflict)
+	}
+	return reply(r, answer)
+}
+
+func (s *Server) tables(_ context.Context, r *fasthttp.RequestCtx, _ string) error {
+	return reply(r, s.opts.Service.Tables())
+}
+
+func (s *Server) status(_ context.Context, r *fasthttp.RequestCtx, _ string) error {
+	return reply(r, s.opts.Service.Status())
+}
+
+// audit answers with JSON lines: a header, then one line per entry.
+func (s *Server) audit(ctx context.Context, r *fasthttp.RequestCtx, _ string) error {
+	req, err := auditRequest(r.QueryArgs())
+	if err != nil {
+		return err
+	}
+	header, entries, err := s.opts.Service.Audit(ctx, req)
+	if err != nil {
+		return err
+	}
+	r.SetContentType("application/x-ndjson")
+	enc := json.NewEncoder(r)
+	if err := enc.Encode(header); err != nil {
+		return fault.Wrap(fault.Internal, err, "report this", "encode the audit")
+	}
+	for i := range entries {
+		if err := enc.Encode(&entries[i]); err != nil {
+			return fault.Wrap(fault.Internal, err, "report this", "encode the audit")
+		}
+	}
+	return nil
+}
+
+func auditRequest(q *fasthttp.Args) (operate.AuditRequest, error) {
+	req := operate.AuditRequest{Filter: audit.Filter{
+		Row: string(q.Peek("row")), Author: string(q.Peek("author")), Kind: audit.Kind(q.Peek("kind")),
+	}}
+	var err error
+	if v := string(q.Peek("since")); v != "" {
+		if req.Since, err = time.Parse(time.RFC3339, v); err != nil {
+			return req, fault.Invalid("since", "write it as 2006-01-02T15:04:05Z", "%q is not a time", v)
+		}
+	}
+	if v := string(q.Peek("limit")); v != "" {
+		if req.Limit, err = strconv.Atoi(v); err != nil || req.Limit < 0 {
+			return req, fault.Invalid("limit", "give a number of entries", "%q is not a number", v)
+		}
+	}
+	if v := string(q.Peek("after")); v != "" {
+		pos, err := state.ParsePosition(v)
+		if err != nil {
+			return req, err
+		}
+		req.After = &pos
+	}
+	if v := string(q.Peek("wait")); v != "" {
+		if req.Wait, err = time.ParseDuration(v); err != nil {
+			return req, fault.Invalid("wait", "write it as 30s", "%q is not a duration", v)
+		}
+	}
+	return req, nil
+}
+
+func reply(r *fasthttp.RequestCtx, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "report this", "encode %T", v)
+	}
+	r.SetContentType("application/json")
+	r.SetBody(append(body, '\n'))
+	return nil
+}
+
+func fail(r *fasthttp.RequestCtx, err error) {
+	e := fault.As(err)
+	if e.Kind == fault.Internal {
+		klog.ErrorS(err, "operator's request failed", "path", string(r.Path()))
+	}
+	r.ResetBody()
+	r.SetStatusCode(statusOf(e.Kind))
+	// A joined error carries all mistakes; its text is the message.
+	message := e.Unwrap().Error()
+	if err.Error() != e.Error() {
+		message = err.Error()
+	}
+	body, _ := json.Marshal(ErrorBody{ // a struct of strings always encodes
+		Kind: e.Kind.String(), Outcome: e.Outcome.String(), Field: e.Field, Message: message, Remedy: e.Remedy,
+	})
+	r.SetContentType("application/json")
+	r.SetBody(append(body, '\n'))
+}
+
+func statusOf(k fault.Kind) int {
+	switch k {
+	case fault.BadInput:
+		return fasthttp.StatusBadRequest
+	case fault.Unauthorized:
+		return fasthttp.StatusUnauthorized
+	case fault.Forbidden:
+		return fasthttp.StatusForbidden
+	case fault.NotFound:
+		return fasthttp.StatusNotFound
+	case fault.Conflict:
+		return fasthttp.StatusConflict
+	case fault.TooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case fault.Internal:
+		return fasthttp.StatusInternalServerError
+	case fault.Timeout:
+		return fasthttp.StatusGatewayTimeout
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -76,6 +76,7 @@
 	Detail  string `json:"detail,omitempty"`
 	// Duplicates is the position of the record that this one repeats.
 	Duplicates string `json:"duplicates,omitempty"`
+	pos        state.Position
 }
 
 // Winner is the write that a refused edit lost to.
@@ -118,7 +119,7 @@
 }
 
 func (r *reader) entry(rec Record) Entry {
-	e := Entry{Position: rec.Pos.String(), At: rec.At.UTC(), Kind: Garbled}
+	e := Entry{pos: rec.Pos, Position: rec.Pos.String(), At: rec.At.UTC(), Kind: Garbled}
 	if rec.Rec != nil {
 		e.Author, e.Record = rec.Rec.Author, rec.Rec.ID
 		e.describe(rec)
--- a/internal/audit/filter.go
+++ b/internal/audit/filter.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
 // Filter selects entries; an empty field selects all.
@@ -12,6 +14,8 @@
 	Author string
 	Kind   Kind
 	Since  time.Time
+	// After selects entries behind that position.
+	After *state.Position
 	// Limit keeps the newest entries; 0 keeps all.
 	Limit int
 }
@@ -38,6 +42,8 @@
 		return false
 	case e.At.Before(f.Since):
 		return false
+	case f.After != nil && !f.After.Before(e.pos):
+		return false
 	default:
 		return f.Row == "" || e.concerns(f.Row)
 	}
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/table"
 )
 
@@ -25,6 +28,17 @@
 // String formats the position as epoch/offset.
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Epoch, p.Offset) }
 
+// ParsePosition reads a position as String formats it.
+func ParsePosition(text string) (Position, error) {
+	epoch, offset, _ := strings.Cut(text, "/")
+	e, err := strconv.ParseUint(epoch, 10, 32)
+	o, err2 := strconv.ParseUint(offset, 10, 64)
+	if err != nil || err2 != nil {
+		return Position{}, fault.Invalid("position", "write it as EPOCH/OFFSET, such as 1/42", "%q is not a position", text)
+	}
+	return Position{Epoch: uint32(e), Offset: o}, nil
+}
+
 const fenceOffsetBits = 40
 
 // Fence returns the fencing number of a record at p: it grows along the
