--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,221 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/audit"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+)
+
+// auditFlags select entries.
+type auditFlags struct {
+	Row    string `long:"row" value-name:"NAME" description:"a row, group, VM or daemon, such as pool/assistant or vm/a1"`
+	Author string `long:"author" description:"an operator or a daemon"`
+	Kind   string `long:"kind" choice:"edit" choice:"form" choice:"retire" choice:"release" choice:"join" choice:"leave" choice:"garbled" description:"kind of record"`
+	JSON   bool   `long:"json" description:"print JSON lines"`
+}
+
+func (f auditFlags) filter() audit.Filter {
+	return audit.Filter{Row: f.Row, Author: f.Author, Kind: audit.Kind(f.Kind)}
+}
+
+type auditCommand struct {
+	env env
+	serverFlags
+	auditFlags
+	Since string `long:"since" value-name:"WHEN" description:"a time such as 2026-01-02T15:04:05Z, or an age such as 2h"`
+	Limit int    `long:"limit" default:"200" description:"print at most so many of the newest entries; 0 prints all"`
+}
+
+func auditEntry(e env) entry {
+	return entry{
+		name:  "audit",
+		short: "Print who changed what",
+		long: "Prints the audit trail: edits with their fields, who won a race, groups, releases, and daemons that joined " +
+			"or left, as far back as the log keeps its records.",
+		cmd: &auditCommand{env: e},
+	}
+}
+
+// Execute prints the selected entries.
+func (c *auditCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	filter := c.filter()
+	filter.Limit = c.Limit
+	if filter.Since, err = parseSince(c.Since, time.Now()); err != nil {
+		return err
+	}
+	ctx, cancel := callContext(0)
+	defer cancel()
+	header, entries, err := client.Audit(ctx, operate.AuditRequest{Filter: filter})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSONLines(c.env.out, header, entries)
+	}
+	printHeader(c.env.out, header)
+	return printEntries(c.env.out, entries)
+}
+
+func parseSince(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if age, err := time.ParseDuration(text); err == nil {
+		return now.Add(-age), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return at, fault.Invalid("--since", "write a time such as 2026-01-02T15:04:05Z, or an age such as 2h", "%q is neither", text)
+	}
+	return at, nil
+}
+
+func printJSONLines(out io.Writer, header operate.AuditHeader, entries []audit.Entry) error {
+	enc := json.NewEncoder(out)
+	if err := enc.Encode(header); err != nil {
+		return fault.Wrap(fault.Internal, err, "check the standard output", "print the audit")
+	}
+	for i := range entries {
+		if err := enc.Encode(&entries[i]); err != nil {
+			return fault.Wrap(fault.Internal, err, "check the standard output", "print the audit")
+		}
+	}
+	return nil
+}
+
+func printHeader(out io.Writer, h operate.AuditHeader) {
+	switch {
+	case h.Complete:
+		fmt.Fprintf(out, "The trail is complete: it begins with the stream, at %s.\n", h.Begin)
+	case h.Snapshot != "":
+		fmt.Fprintf(out, "The log keeps records from %s on; what came before is in the snapshot at %s.\n", h.Begin, h.Snapshot)
+	default:
+		fmt.Fprintf(out, "The log keeps records from %s on, and no snapshot reaches back to it: verdicts are unknown.\n", h.Begin)
+	}
+}
+
+func printEntries(out io.Writer, entries []audit.Entry) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TIME\tPOSITION\tAUTHOR\tKIND\tRESULT\tWHAT")
+	for i := range entries {
+		printEntry(w, &entries[i])
+	}
+	return w.Flush()
+}
+
+func printEntry(w io.Writer, e *audit.Entry) {
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.At.UTC().Format(timeLayout), e.Position, e.Author, e.Kind, e.Result, what(e))
+	for _, r := range e.Rows {
+		fmt.Fprintf(w, "\t\t\t\t\t  %s\n", rowLine(r))
+	}
+}
+
+func what(e *audit.Entry) string {
+	var parts []string
+	for _, p := range []string{e.Subject, e.Detail, e.Note, e.Reason} {
+		if p != "" {
+			parts = append(parts, p)
+		}
+	}
+	if e.WonBy != nil {
+		parts = append(parts, fmt.Sprintf("revision %d by %s won", e.WonBy.Revision, e.WonBy.Author))
+	}
+	if e.Duplicates != "" {
+		parts = append(parts, "repeats "+e.Duplicates)
+	}
+	return strings.Join(parts, "; ")
+}
+
+func rowLine(r audit.Row) string {
+	s := fmt.Sprintf("%s from revision %d", r.Name, r.Base)
+	if r.Revision > 0 {
+		s += fmt.Sprintf(" to %d", r.Revision)
+	}
+	if r.Dropped {
+		return s + ", dropped"
+	}
+	for _, f := range r.Fields {
+		s += fmt.Sprintf(", %s: %s -> %s", f.Field, orNone(f.Old), orNone(f.New))
+	}
+	return s
+}
+
+type watchCommand struct {
+	env env
+	serverFlags
+	auditFlags
+}
+
+func watchEntry(e env) entry {
+	return entry{
+		name:  "watch",
+		short: "Print changes as they happen",
+		long:  "Prints each new entry of the audit trail until it is interrupted.",
+		cmd:   &watchCommand{env: e},
+	}
+}
+
+// watchWait is how long the server holds one question open.
+const watchWait = 20 * time.Second
+
+// Execute prints new entries until a signal.
+func (c *watchCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	at, err := state.ParsePosition(status.Position)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		filter := c.filter()
+		filter.After = &at
+		header, entries, err := client.Audit(ctx, operate.AuditRequest{Filter: filter, Wait: watchWait})
+		if err != nil {
+			return err
+		}
+		if err := c.print(entries); err != nil {
+			return err
+		}
+		if end, err := state.ParsePosition(header.End); err == nil && at.Before(end) {
+			at = end
+		}
+	}
+	return nil
+}
+
+func (c *watchCommand) print(entries []audit.Entry) error {
+	enc := json.NewEncoder(c.env.out)
+	for i := range entries {
+		if !c.JSON {
+			printEntry(c.env.out, &entries[i])
+			continue
+		}
+		if err := enc.Encode(&entries[i]); err != nil {
+			return fault.Wrap(fault.Internal, err, "check the standard output", "print the audit")
+		}
+	}
+	return nil
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -3,6 +3,12 @@
 // commands lists every subcommand; each is declared in a file of its own.
 func commands(e env) []entry {
 	return []entry{
+		applyEntry(e),
+		auditEntry(e),
+		diffEntry(e),
+		getEntry(e),
+		statusEntry(e),
+		watchEntry(e),
 		standinEntry(e),
 		versionEntry(e),
 	}
