--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -3,6 +3,14 @@
 // commands lists every subcommand; each is declared in a file of its own.
 func commands(e env) []entry {
 	return []entry{
+		serveEntry(e),
+		checkEntry(e),
+		applyEntry(e),
+		auditEntry(e),
+		diffEntry(e),
+		getEntry(e),
+		statusEntry(e),
+		watchEntry(e),
 		loadEntry(e),
 		standinEntry(e),
 		versionEntry(e),
