--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -29,7 +29,7 @@
 	running sync.WaitGroup
 
 	watchers map[string]*watcher
-	history  history
+	history  *group.History
 	proposer proposer
 	stats    PoolStats
 	statsAt  time.Time
@@ -43,7 +43,7 @@
 		obs:      shard.NewMap[group.Observation](),
 		dirty:    make(chan struct{}, 1),
 		watchers: make(map[string]*watcher),
-		history:  newHistory(),
+		history:  group.NewHistory(),
 		stats:    PoolStats{Pool: pool},
 	}
 	w.every.Store(int64(m.opts.ReportEvery))
@@ -83,11 +83,10 @@
 // step judges and plans once and returns the time to the next step.
 func (w *worker) step(ctx context.Context, now time.Time) time.Duration {
 	s := w.snapshot(now)
-	w.history.track(&s, w.policy())
+	w.history.Track(&s, w.policy())
 	w.syncWatchers(ctx, s)
 	judged := group.Judge(s, w.policy())
-	w.history.drains(judged, now)
-	s.DrainingSince = w.history.draining
+	w.history.Drains(&s, judged)
 	w.count(s, judged)
 	w.publish(judged)
 	w.pace(s, judged)
--- a/internal/fleet/history.go
+++ b/internal/group/history.go
@@ -1,15 +1,15 @@
-package fleet
+package group
 
 import (
 	"time"
 
-	"github.com/ragwortquay/ragwortquay/internal/group"
 	"github.com/ragwortquay/ragwortquay/internal/replica"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
-// history is what a worker remembers beyond the last reports.
-type history struct {
+// History is what a home remembers of a pool beyond the last reports. It is
+// forgotten with the home: a new one begins to wait anew, never too short.
+type History struct {
 	// groups are those seen in force, kept until their VMs are released.
 	groups   map[uint64]state.Group
 	ended    map[string]endedVM
@@ -24,8 +24,9 @@
 	boot  string
 }
 
-func newHistory() history {
-	return history{
+// NewHistory returns an empty History.
+func NewHistory() *History {
+	return &History{
 		groups:   make(map[uint64]state.Group),
 		ended:    make(map[string]endedVM),
 		slow:     make(map[string]time.Time),
@@ -33,9 +34,10 @@
 	}
 }
 
-// track adds to the snapshot's observations what only time shows: since when a
-// reservation has been over, and since when a member has been slow.
-func (h *history) track(s *group.Snapshot, p group.Policy) {
+// Track adds to the snapshot's observations what only time shows: since when a
+// reservation has been over, since when a member has been slow, and since when a
+// group has been drained as of the last Drains.
+func (h *History) Track(s *Snapshot, p Policy) {
 	h.trackGroups(s, p)
 	h.trackEnded(s)
 	for vm, o := range s.Observations {
@@ -44,30 +46,32 @@
 		o.SlowSince = h.slow[vm]
 		s.Observations[vm] = o
 	}
+	s.DrainingSince = h.draining
 }
 
-func (h *history) trackGroups(s *group.Snapshot, p group.Policy) {
+func (h *History) trackGroups(s *Snapshot, p Policy) {
 	slow := make(map[string]time.Time)
 	for _, g := range s.Groups {
 		h.groups[g.ID] = g
 		h.overlaySlow(g, s)
-		for vm, since := range group.Slow(g, s.Observations, s.Now, p) {
-			if !since.IsZero() {
-				slow[vm] = since
-			}
+	}
+	for vm, since := range stragglers(s.Groups, s.Observations, s.Now, p) {
+		if !since.IsZero() {
+			slow[vm] = since
 		}
 	}
-	// A VM that left its group stays known as slow until it boots anew or joins
-	// another group.
+	// A VM that left its group stays known as slow for a while, so that it is
+	// not the first choice of the next group.
 	for vm, since := range h.slow {
-		if r, held := s.Reservations[vm]; !held || r.Ended {
+		r, held := s.Reservations[vm]
+		if (!held || r.Ended) && s.Now.Sub(since) < p.FlapWindow {
 			slow[vm] = since
 		}
 	}
 	h.slow = slow
 }
 
-func (h *history) overlaySlow(g state.Group, s *group.Snapshot) {
+func (h *History) overlaySlow(g state.Group, s *Snapshot) {
 	for _, m := range g.Members {
 		o := s.Observations[m.VM]
 		o.SlowSince = h.slow[m.VM]
@@ -75,7 +79,7 @@
 	}
 }
 
-func (h *history) trackEnded(s *group.Snapshot) {
+func (h *History) trackEnded(s *Snapshot) {
 	ended := make(map[string]endedVM)
 	held := make(map[uint64]bool)
 	for vm, r := range s.Reservations {
@@ -97,7 +101,7 @@
 	}
 }
 
-func (h *history) boot(id uint64, vm string) string {
+func (h *History) boot(id uint64, vm string) string {
 	for _, m := range h.groups[id].Members {
 		if m.VM == vm {
 			return m.BootID
@@ -106,17 +110,18 @@
 	return ""
 }
 
-// drains notes since when each group has been draining.
-func (h *history) drains(judged []group.Judged, now time.Time) {
+// Drains notes since when each group has been draining.
+func (h *History) Drains(s *Snapshot, judged []Judged) {
 	draining := make(map[uint64]time.Time)
 	for _, j := range judged {
 		if j.Status != replica.Draining {
 			continue
 		}
-		draining[j.Group] = now
+		draining[j.Group] = s.Now
 		if since, ok := h.draining[j.Group]; ok {
 			draining[j.Group] = since
 		}
 	}
 	h.draining = draining
+	s.DrainingSince = draining
 }
--- a/internal/group/release.go
+++ b/internal/group/release.go
@@ -26,6 +26,7 @@
 			continue
 		}
 		if evidence := pl.evidence(vm, r, settled); evidence != "" {
+			pl.taken[vm] = true
 			pl.do(ProposeRelease{Release: state.Release{VM: vm, Fence: r.Group, Evidence: evidence}})
 		}
 	}
--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -9,35 +9,52 @@
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
-// Slow returns when each member of the group began to be slower than its
-// peers, given their latest reports. An idle member says nothing about its
-// speed and keeps what is known of it.
-func Slow(g state.Group, obs map[string]Observation, now time.Time, p Policy) map[string]time.Time {
-	out := make(map[string]time.Time, len(g.Members))
-	for _, m := range g.Members {
-		o := obs[m.VM]
-		out[m.VM] = o.SlowSince
-		median := peerStep(g, m.VM, obs)
-		if o.Report.Step == 0 || median == 0 {
-			continue
-		}
-		if float64(o.Report.Step) < p.SlowFactor*float64(median) {
-			out[m.VM] = time.Time{}
-		} else if o.SlowSince.IsZero() {
-			out[m.VM] = now
+// stragglers returns since when each member has been slower than its peers, by
+// their latest reports; zero if it is not. An idle member says nothing about
+// its speed and keeps what is known of it.
+func stragglers(groups []state.Group, obs map[string]Observation, now time.Time, p Policy) map[string]time.Time {
+	out := make(map[string]time.Time)
+	for _, g := range groups {
+		for rank, m := range g.Members {
+			o := obs[m.VM]
+			out[m.VM] = o.SlowSince
+			median := peerStep(groups, g, rank, obs)
+			if o.Report.Step == 0 || median == 0 {
+				continue
+			}
+			if float64(o.Report.Step) < p.SlowFactor*float64(median) {
+				out[m.VM] = time.Time{}
+			} else if o.SlowSince.IsZero() {
+				out[m.VM] = now
+			}
 		}
 	}
 	return out
 }
 
-// peerStep is the median step time of the other members that work.
-func peerStep(g state.Group, vm string, obs map[string]Observation) time.Duration {
-	var steps []time.Duration
-	for _, m := range g.Members {
-		if s := obs[m.VM].Report.Step; m.VM != vm && s > 0 {
-			steps = append(steps, s)
+// peerStep is the median step time of the other members of the group. Where
+// only leaders report one, it is that of the same rank in the other groups.
+func peerStep(groups []state.Group, g state.Group, rank int, obs map[string]Observation) time.Duration {
+	var own, others []time.Duration
+	for _, o := range groups {
+		for i, m := range o.Members {
+			step := obs[m.VM].Report.Step
+			switch {
+			case step == 0 || o.ID == g.ID && i == rank:
+			case o.ID == g.ID:
+				own = append(own, step)
+			case i == rank:
+				others = append(others, step)
+			}
 		}
 	}
+	if len(own) == 0 {
+		return median(others)
+	}
+	return median(own)
+}
+
+func median(steps []time.Duration) time.Duration {
 	if len(steps) == 0 {
 		return 0
 	}
