Run the whole path in separate processes: daemon, stand-ins, first integration test

Cause: the parts have to meet. Package daemon binds, builds, runs and drains them; package procs starts the log, VM list, weight store, engines and daemons as processes with a proxy before the log; the first integration test applies a pool and a route and reads a streamed request whole through every daemon, also one that starts later.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os/signal"
 	"syscall"
 
@@ -15,6 +16,13 @@
 	env    env
 }
 
+// addresses is the one line that a daemon prints once its sockets are bound.
+type addresses struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
 func serveEntry(e env) entry {
 	return entry{
 		name:  "serve",
@@ -38,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if err := json.NewEncoder(c.env.out).Encode(addresses{d.CallersAddr(), d.OperatorsAddr(), d.PeersAddr()}); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return d.Run(ctx)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -33,6 +33,7 @@
 		checkAddr("listen.callers", s.Listen.Callers),
 		checkAddr("listen.operators", s.Listen.Operators),
 		checkAddr("listen.peers", s.Listen.Peers),
+		s.checkAdvertised(),
 		s.checkDistinct(),
 		checkSet("secrets.cluster_key_file", s.Secrets.Cluster),
 		checkSet("secrets.tokens_file", s.Secrets.Tokens),
@@ -48,6 +49,13 @@
 	)
 }
 
+func (s Settings) checkAdvertised() error {
+	if s.Listen.AdvertisePeers == "" {
+		return nil
+	}
+	return checkAddr("listen.advertise_peers", s.Listen.AdvertisePeers)
+}
+
 func (s Settings) checkDistinct() error {
 	seen := make(map[string]struct{})
 	for _, addr := range []string{s.Listen.Callers, s.Listen.Operators, s.Listen.Peers} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,9 @@
 	Operators string `toml:"operators"`
 	// Peers is used for TCP and UDP.
 	Peers string `toml:"peers"`
+	// AdvertisePeers is the address that other daemons use instead of Peers,
+	// where something between them translates it; empty means Peers.
+	AdvertisePeers string `toml:"advertise_peers"`
 }
 
 // Secrets names the files that hold tokens and keys.
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/admin"
+	"github.com/ragwortquay/ragwortquay/internal/control"
+	"github.com/ragwortquay/ragwortquay/internal/dispatch"
+	"github.com/ragwortquay/ragwortquay/internal/fleet"
+	"github.com/ragwortquay/ragwortquay/internal/front"
+	"github.com/ragwortquay/ragwortquay/internal/gossip"
+	"github.com/ragwortquay/ragwortquay/internal/grant"
+	"github.com/ragwortquay/ragwortquay/internal/group"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/peer"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/quorum"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+// build makes the parts in the order in which they depend on each other.
+func (d *Daemon) build() error {
+	log, err := platform.NewLog(d.platformOptions(d.settings.Platform.Log))
+	if err != nil {
+		return err
+	}
+	if err := d.buildPeers(); err != nil {
+		return err
+	}
+	d.buildControl(log)
+	if err := d.buildFleet(); err != nil {
+		return err
+	}
+	d.buildGrants()
+	d.buildFront()
+	d.buildAdmin()
+	d.handle()
+	return nil
+}
+
+func (d *Daemon) buildPeers() (err error) {
+	s := d.settings
+	d.client = peer.NewClient(peer.ClientOptions{ID: s.Daemon.ID, Keys: d.keys})
+	d.server = peer.NewServer(peer.ServerOptions{Listener: d.sockets.peers, ID: s.Daemon.ID, Keys: d.keys})
+	d.members, err = gossip.New(gossip.Options{
+		ID:       s.Daemon.ID,
+		Boot:     d.boot,
+		Addr:     d.advertised(),
+		Conn:     d.sockets.gossip,
+		Keys:     d.keys,
+		Seeds:    s.Members.Seeds,
+		Interval: time.Duration(s.Members.Interval),
+	})
+	return err
+}
+
+// advertised is the address that other daemons use for this one.
+func (d *Daemon) advertised() string {
+	if a := d.settings.Listen.AdvertisePeers; a != "" {
+		return a
+	}
+	return d.PeersAddr()
+}
+
+func (d *Daemon) buildControl(log platform.Log) {
+	s := d.settings
+	diverged := d.metrics.Scope().Counter("state_divergences_total")
+	d.control = control.New(control.Options{
+		Self:          s.Daemon.ID,
+		Addr:          d.advertised(),
+		FailureDomain: s.Daemon.FailureDomain,
+		BootID:        d.boot,
+		Log:           log,
+		View:          d.view,
+		Peers:         &peers{members: d.members, client: d.client},
+		LiveIDs:       d.members.Live,
+		Reports:       func() []quorum.Report { return reports(d.members) },
+		OnDiverged:    func() { diverged.Inc(1) },
+		Limits: quorum.Limits{
+			Fresh: time.Duration(s.Members.IsolatedAfter),
+			Lag:   time.Duration(s.Members.IsolatedAfter),
+		},
+		Snapshots: control.SnapshotSettings{
+			Records:   uint64(s.Platform.SnapshotRecords),
+			Retention: time.Duration(s.Platform.Retention),
+		},
+		LeaveAfter: time.Duration(s.Members.LeaveAfter),
+	})
+}
+
+func (d *Daemon) buildFleet() error {
+	vms, err := platform.NewVMLister(d.platformOptions(d.settings.Platform.VMs))
+	if err != nil {
+		return err
+	}
+	weights, err := platform.NewWeightStore(d.platformOptions(d.settings.Platform.Weights))
+	if err != nil {
+		return err
+	}
+	policy := group.DefaultPolicy()
+	policy.SilentGrace = time.Duration(d.settings.Groups.Wait)
+	d.fleet = fleet.New(fleet.Options{
+		View:        d.view,
+		Members:     d.members,
+		VMs:         vms,
+		Store:       weights,
+		Submit:      d.control,
+		Engines:     target.NewControl(),
+		Policy:      policy,
+		ReportEvery: time.Duration(d.settings.Targets.ReportInterval),
+	})
+	return nil
+}
+
+func (d *Daemon) buildGrants() {
+	d.standing = &standing{control: d.control, members: d.members, view: d.view, life: d.life}
+	d.grants = grant.New(grant.Options{
+		Members:  d.members,
+		Caller:   d.client,
+		Pools:    d.view,
+		Replicas: d.fleet,
+		Standing: d.standing,
+		Boot:     d.boot,
+	})
+}
+
+func (d *Daemon) buildFront() {
+	s := d.settings
+	d.targets = target.New(target.Options{
+		DialTimeout:    time.Duration(s.Targets.DialTimeout),
+		Silence:        time.Duration(s.Targets.Silence),
+		MaxAnswerBytes: s.Targets.MaxAnswerBytes,
+	})
+	d.front = front.New(front.Options{
+		Listener: d.sockets.callers,
+		Dispatcher: dispatch.New(dispatch.Options{
+			Tables: d.view, Grants: d.grants.Client, Targets: d.targets, Standing: d.standing,
+		}),
+		Auth:           d.tokens,
+		Readiness:      d.standing,
+		MaxBodyBytes:   s.Limits.MaxBodyBytes,
+		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+		MaxConnections: s.Limits.MaxConnections,
+		IdleTimeout:    time.Duration(s.Limits.IdleTimeout),
+		ReadTimeout:    time.Duration(s.Limits.ReadTimeout),
+	})
+}
+
+func (d *Daemon) buildAdmin() {
+	d.admin = admin.New(admin.Options{
+		Listener: d.sockets.operators,
+		Auth:     d.tokens,
+		Metrics:  d.metrics.Page,
+		Service: operate.New(operate.Options{
+			Self:      d.settings.Daemon.ID,
+			View:      d.view,
+			Control:   d.control,
+			Readiness: d.standing,
+			Live:      d.members.Live,
+			Reports:   func() []quorum.Report { return reports(d.members) },
+			Replicas:  d.fleet.Replicas,
+		}),
+	})
+}
+
+// handle registers the answers to other daemons' questions.
+func (d *Daemon) handle() {
+	for t, h := range d.control.Handlers() {
+		d.server.Handle(t, h)
+	}
+	for _, h := range d.grants.Handlers() {
+		d.server.Handle(h.Type, h.Func)
+	}
+}
--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// leaveTimeout bounds the wait for the leave record's verdict.
+	leaveTimeout = 3 * time.Second
+	// handoverTime is how long the daemon still answers its peers after it left
+	// them, so that the new homes can take its grants and keys over.
+	handoverTime = 500 * time.Millisecond
+)
+
+// drain ends the service without cutting a request: the balancer is told first
+// and given time, then no more connections are accepted, the requests in
+// flight finish, and homes and membership are handed on.
+func (d *Daemon) drain(leave func()) {
+	s := d.settings.Shutdown
+	klog.InfoS("Shutdown: no longer ready", "daemon", d.settings.Daemon.ID, "wait", time.Duration(s.Unready).String())
+	d.life.leave()
+	d.front.Leaving()
+	pause(time.Duration(s.Unready))
+
+	klog.InfoS("Shutdown: finishing requests", "inflight", d.front.Inflight())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Drain))
+	defer cancel()
+	if err := d.front.Drain(ctx); err != nil {
+		klog.ErrorS(err, "Shutdown: requests were cut off")
+	}
+	d.life.drained()
+
+	klog.InfoS("Shutdown: leaving the members")
+	leave()
+	d.leaveRecord()
+	pause(handoverTime)
+	klog.InfoS("Shutdown: done")
+}
+
+// leaveRecord takes this daemon out of the majority's count. While the log is
+// down a peer will do so later.
+func (d *Daemon) leaveRecord() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.control.Leave(ctx); err != nil {
+		klog.ErrorS(err, "Shutdown: the leave record was not written")
+	}
+}
+
+// pause waits on a timer.
+func pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	<-t.C
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/gossip"
+	"github.com/ragwortquay/ragwortquay/internal/peer"
+	"github.com/ragwortquay/ragwortquay/internal/quorum"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// peers gives package control the live daemons' addresses and calls to them.
+type peers struct {
+	members *gossip.Manager
+	client  *peer.Client
+}
+
+// Peers returns the addresses of the live daemons, without this one.
+func (p *peers) Peers() []string {
+	var out []string
+	for _, id := range p.members.Live() {
+		if id == p.members.Self() {
+			continue
+		}
+		if addr := p.members.Addr(id); addr != "" {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// Call asks the peer at addr.
+func (p *peers) Call(ctx context.Context, addr string, req, resp wire.Message) error {
+	return p.client.Call(ctx, addr, req, resp)
+}
+
+// reports turns what the members say of themselves into the form that the
+// decision on who may serve takes.
+func reports(m *gossip.Manager) []quorum.Report {
+	metas := m.Metas()
+	out := make([]quorum.Report, 0, len(metas))
+	now := time.Now()
+	for id, meta := range metas {
+		pos := state.Position{Epoch: meta.Epoch, Offset: meta.Offset}
+		out = append(out, quorum.Report{
+			Daemon: id, Started: pos != state.Position{}, Pos: pos, Digest: meta.Digest,
+			LogAge: meta.LogAge + max(0, now.Sub(meta.At)),
+		})
+	}
+	return out
+}
+
+// follow keeps the members told of this daemon's position, and the membership
+// of daemons that joined by record.
+func (d *Daemon) follow(ctx context.Context) error {
+	ticker := time.NewTicker(time.Duration(d.settings.Members.Interval))
+	defer ticker.Stop()
+	for {
+		changed := d.view.Changed()
+		d.tell()
+		select {
+		case <-changed:
+		case <-ticker.C: // the log's age grows without a change
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) tell() {
+	pos, digest := d.view.Mark()
+	d.members.SetMeta(gossip.Meta{
+		Epoch: pos.Epoch, Offset: pos.Offset, Digest: digest, LogAge: d.control.LogAge(time.Now()),
+	})
+	for _, j := range d.view.Daemons() {
+		d.members.AddPeer(j.ID, j.Addr)
+	}
+}
--- /dev/null
+++ b/internal/procs/cluster.go
@@ -0,0 +1,137 @@
+package procs
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+)
+
+// Standin is a running stand-in.
+type Standin struct {
+	*Proc
+	// Addr is the host:port of the service, or of the control server.
+	Addr string        `json:"addr"`
+	VMs  []platform.VM `json:"vms"`
+}
+
+// URL returns the stand-in's base URL.
+func (s *Standin) URL() string { return "http://" + s.Addr }
+
+// Cluster is a set of processes on loopback.
+type Cluster struct {
+	opts     Options
+	Log      *Standin
+	VMs      *Standin
+	Weights  *Standin
+	Engines  []*Standin
+	Services []*Standin
+	Daemons  []*Daemon
+
+	mu    sync.Mutex
+	procs []*Proc
+	links []*faultproxy.Link
+}
+
+// Start starts the platform's stand-ins, the targets and the daemons, and waits
+// until the daemons serve. The caller must Close the cluster, also after an error.
+func Start(o Options) (*Cluster, error) {
+	if len(o.Domains) == 0 {
+		o.Domains = []string{"plateau", "almadies", "rufisque"}
+	}
+	c := &Cluster{opts: o}
+	if err := c.writeSecrets(); err != nil {
+		return c, err
+	}
+	if err := c.startPlatform(); err != nil {
+		return c, err
+	}
+	if err := c.startTargets(); err != nil {
+		return c, err
+	}
+	for range o.Daemons {
+		if _, err := c.AddDaemon(); err != nil {
+			return c, err
+		}
+	}
+	return c, c.WaitReady()
+}
+
+func (c *Cluster) startPlatform() (err error) {
+	if c.Log, err = c.standin("log", c.opts.Log...); err != nil {
+		return err
+	}
+	if c.VMs, err = c.standin("vms", append(Args{"--lag", "100ms"}, c.opts.VMs...)...); err != nil {
+		return err
+	}
+	c.Weights, err = c.standin("weights", append(Args{"--load", "300ms"}, c.opts.Weights...)...)
+	return err
+}
+
+func (c *Cluster) startTargets() error {
+	common := Args{"--domains", strings.Join(c.opts.Domains, ","), "--vmlist", c.VMs.URL()}
+	for _, args := range c.opts.Engines {
+		s, err := c.standin("engines", append(append(Args{"--weights", c.Weights.URL()}, common...), args...)...)
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, s)
+	}
+	for _, args := range c.opts.Services {
+		s, err := c.standin("service", append(append(Args{}, common...), args...)...)
+		if err != nil {
+			return err
+		}
+		c.Services = append(c.Services, s)
+	}
+	return nil
+}
+
+func (c *Cluster) standin(kind string, args ...string) (*Standin, error) {
+	s := &Standin{}
+	name := fmt.Sprintf("%s-%d", kind, len(c.procs))
+	p, err := startProc(c.opts.Binary, c.opts.Dir, name, s, append([]string{"standin", kind}, args...)...)
+	if err != nil {
+		return nil, err
+	}
+	s.Proc = p
+	c.track(p)
+	return s, nil
+}
+
+func (c *Cluster) track(p *Proc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.procs = append(c.procs, p)
+}
+
+// Close kills every process that the cluster started.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	procs, links := c.procs, c.links
+	c.mu.Unlock()
+	for _, p := range procs {
+		p.Kill()
+	}
+	for _, l := range links {
+		l.Close()
+	}
+}
+
+func (c *Cluster) path(name string) string { return filepath.Join(c.opts.Dir, name) }
+
+func (c *Cluster) writeSecrets() error {
+	if err := os.WriteFile(c.path("cluster.key"), []byte(clusterKey+"\n"), 0o600); err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "[[operator]]\nname = \"awa\"\ntoken = %q\n", operatorToken)
+	for _, w := range c.opts.Workspaces {
+		fmt.Fprintf(&b, "[[caller]]\nworkspace = %q\ntoken = %q\n", w, callerToken(w))
+	}
+	return os.WriteFile(c.path("tokens.toml"), []byte(b.String()), 0o600)
+}
