Add the demonstration: a whole small system in one process

Cause: a newcomer should see a request served within seconds of a clone. Found on the way: metrics of several daemons in one process collided in the Prometheus client's global registry; each daemon now has its own.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -5,6 +5,7 @@
 	return []entry{
 		serveEntry(e),
 		checkEntry(e),
+		demoEntry(e),
 		applyEntry(e),
 		auditEntry(e),
 		diffEntry(e),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -27,7 +28,9 @@
 
 // New returns an empty registry. Close it to stop its reporter.
 func New() *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own: several daemons may share one process.
+	own := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: own, Gatherer: own})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
--- a/internal/procs/proc.go
+++ b/internal/procs/proc.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
@@ -31,7 +30,6 @@
 	Name string
 	cmd  *exec.Cmd
 	done chan struct{}
-	once sync.Once
 	err  error
 }
 
