Prove under faults: member kill, domain moves, leaving targets, shutdown, mixed answers

The fault proxy learns to hold the traffic of chosen clients only, and daemons connect from their own IP number, so that daemons can be split into sides.

Seen before it landed: 2 of 4 daemons killed within seconds leave no majority, so cold replicas are not used and one request took 11.5 s of its 20 s; with 2 of 5 killed the test holds.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/admin"
@@ -40,7 +41,7 @@
 
 func (d *Daemon) buildPeers() (err error) {
 	s := d.settings
-	d.client = peer.NewClient(peer.ClientOptions{ID: s.Daemon.ID, Keys: d.keys})
+	d.client = peer.NewClient(peer.ClientOptions{ID: s.Daemon.ID, Keys: d.keys, LocalIP: d.peersIP()})
 	d.server = peer.NewServer(peer.ServerOptions{Listener: d.sockets.peers, ID: s.Daemon.ID, Keys: d.keys})
 	d.members, err = gossip.New(gossip.Options{
 		ID:       s.Daemon.ID,
@@ -54,6 +55,10 @@
 	return err
 }
 
+func (d *Daemon) peersIP() net.IP {
+	return d.sockets.peers.Addr().(*net.TCPAddr).IP
+}
+
 // advertised is the address that other daemons use for this one.
 func (d *Daemon) advertised() string {
 	if a := d.settings.Listen.AdvertisePeers; a != "" {
--- a/internal/faultproxy/faults.go
+++ b/internal/faultproxy/faults.go
@@ -4,6 +4,8 @@
 package faultproxy
 
 import (
+	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +43,9 @@
 	// connection is reset when its target begins to answer, so the request has
 	// reached it; a UDP link drops a datagram. AllAnswers means all.
 	DropAnswers int `json:"drop_answers,omitempty"`
+	// From limits what is held, delayed or black-holed to clients with these IP
+	// numbers; empty means all clients.
+	From []string `json:"from,omitempty"`
 }
 
 // switches are the faults in force and the signal of their change.
@@ -77,6 +82,14 @@
 	return s.now.DropAnswers == AllAnswers
 }
 
+// of returns the faults that hold for a client.
+func (f Faults) of(client net.IP) Faults {
+	if len(f.From) == 0 || slices.Contains(f.From, client.String()) {
+		return f
+	}
+	return Faults{Refuse: f.Refuse}
+}
+
 // allowance is the number of bytes that may pass now in direction d of a
 // connection that has passed n bytes; below zero it is without bound.
 func (f Faults) allowance(d Direction, n int64) int64 {
--- a/internal/faultproxy/pair.go
+++ b/internal/faultproxy/pair.go
@@ -23,6 +23,7 @@
 // pair is one client's connection and the one to the target.
 type pair struct {
 	client, target *net.TCPConn
+	from           net.IP
 	switches       *switches
 	gone           chan struct{} // closed when the pair is broken
 	hush           chan struct{} // closed when it is silent for good
@@ -34,12 +35,19 @@
 }
 
 func newPair(client, target *net.TCPConn, s *switches) *pair {
+	from := client.RemoteAddr().(*net.TCPAddr).IP
 	return &pair{
-		client: client, target: target, switches: s,
+		client: client, target: target, from: from, switches: s,
 		gone: make(chan struct{}), hush: make(chan struct{}),
 	}
 }
 
+// faults returns the faults for this client and the signal of their change.
+func (p *pair) faults() (Faults, <-chan struct{}) {
+	f, changed := p.switches.get()
+	return f.of(p.from), changed
+}
+
 // run forwards until both directions have ended.
 func (p *pair) run() {
 	var wg sync.WaitGroup
@@ -62,7 +70,7 @@
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := src.Read(buf)
-		f, _ := p.switches.get()
+		f, _ := p.faults()
 		if n > 0 && !p.push(queue, chunk{data: buf[:n], due: time.Now().Add(f.delay())}) {
 			return
 		}
@@ -127,7 +135,7 @@
 // number; 0 means that the pair is broken.
 func (p *pair) mayPass(d Direction, passed int64) int64 {
 	for {
-		f, changed := p.switches.get()
+		f, changed := p.faults()
 		allowed := f.allowance(d, passed)
 		select {
 		case <-p.hush:
--- a/internal/faultproxy/udp.go
+++ b/internal/faultproxy/udp.go
@@ -99,6 +99,7 @@
 // send passes one datagram on, now or after the delay, unless it is dropped.
 func (u *udpLink) send(d Direction, c *udpClient, data []byte) {
 	f, _ := u.switches.get()
+	f = f.of(c.addr.IP)
 	if f.Refuse || !u.account(f, d, c, int64(len(data))) {
 		return
 	}
--- a/internal/faultproxy/udp_test.go
+++ b/internal/faultproxy/udp_test.go
@@ -118,3 +118,24 @@
 	_ = resp.Body.Close()
 	must.Eq(t, want, resp.StatusCode)
 }
+
+func TestFaultsFromOneClientOnly(t *testing.T) {
+	target, got := newUDPEcho(t)
+	l, err := NewLink(LinkOptions{Name: "u", Network: UDP, Listen: "127.0.0.1:0", Target: target})
+	must.NoError(t, err)
+	defer l.Close()
+	must.NoError(t, l.Set(Faults{HoldToTarget: true, From: []string{"127.0.1.9"}}))
+	dial := func(ip string) net.Conn {
+		c, err := (&net.Dialer{LocalAddr: &net.UDPAddr{IP: net.ParseIP(ip)}}).Dial("udp", l.Addr())
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	held, free := dial("127.0.1.9"), dial("127.0.1.8")
+	_, err = held.Write([]byte("held"))
+	must.NoError(t, err)
+	_, err = free.Write([]byte("free"))
+	must.NoError(t, err)
+	hearDatagram(t, free, "free")
+	must.Eq(t, "free", <-got)
+}
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -9,29 +9,6 @@
 	"github.com/ragwortquay/ragwortquay/internal/standin/oracle"
 )
 
-// assistant is a pool of two groups of two engines per failure domain, and a
-// route to it.
-const assistant = `
-[[pool]]
-name = "assistant"
-kind = "engine"
-model = "drafter"
-version = "1"
-group_size = 2
-vms = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"]
-limit = 8
-cold_limit = 2
-
-[[route]]
-name = "quotes"
-workspaces = ["*"]
-kinds = ["quote"]
-pools = ["assistant"]
-deadline = "20s"
-idempotent = true
-retries = 3
-`
-
 func engines(count string, more ...string) []procs.Args {
 	return []procs.Args{append(procs.Args{"--count", count}, more...)}
 }
@@ -40,7 +17,7 @@
 // request answered whole through every daemon, also one that starts later.
 func TestWholePath(t *testing.T) {
 	c := startCluster(t, procs.Options{Daemons: 3, Engines: engines("6")})
-	apply(t, c, assistant)
+	apply(t, c, tables{vms: 6}.toml())
 	for _, d := range c.Daemons {
 		r := served(t, c, d, "quote")
 		must.Eq(t, oracle.Answer("hello", 3), r.Text)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,6 +16,9 @@
 	// ID is this daemon's identity.
 	ID   string
 	Keys Keys
+	// LocalIP is the address that connections come from, on a VM that has
+	// several; nil leaves the choice to the system.
+	LocalIP net.IP
 	// DialTimeout bounds connecting, HandshakeTimeout the handshake,
 	// WriteTimeout one write, CallTimeout a call whose context has no deadline.
 	DialTimeout      time.Duration
@@ -149,7 +152,8 @@
 
 // connect dials addr and proves both ends to each other.
 func (c *Client) connect(addr string) (net.Conn, error) {
-	raw, err := net.DialTimeout("tcp", addr, c.opts.DialTimeout)
+	d := net.Dialer{Timeout: c.opts.DialTimeout, LocalAddr: localAddr(c.opts.LocalIP)}
+	raw, err := d.Dial("tcp", addr)
 	if err != nil {
 		return nil, notRun(err, "check that the daemon runs and its port is open", "connect to %s", addr)
 	}
@@ -164,6 +168,14 @@
 	return conn, nil
 }
 
+// localAddr returns the address to connect from; nil leaves it to the system.
+func localAddr(ip net.IP) net.Addr {
+	if ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 func handshakeFailed(err error, addr string) error {
 	if fault.Is(err, fault.Unauthorized) {
 		return fault.As(err).WithOutcome(fault.NotRun)
--- a/internal/standin/service/handle.go
+++ b/internal/standin/service/handle.go
@@ -47,6 +47,15 @@
 	r.execute(ctx, closes)
 }
 
+// delay is the time that answer number n waits after the work.
+func (b Behaviour) delay(n int) time.Duration {
+	ms := b.DelayMs
+	if hitsNth(b.LateEvery, n) {
+		ms += b.LateMs
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func hitsNth(every, n int) bool { return every > 0 && n%every == 0 }
 
 func (v *vm) arrive(ctx *fasthttp.RequestCtx) *run {
@@ -122,8 +131,7 @@
 }
 
 func (r *run) execute(ctx *fasthttp.RequestCtx, closes bool) {
-	delay := r.vm.opts.Work + time.Duration(r.plan.DelayMs)*time.Millisecond
-	if !r.pause(delay) {
+	if !r.pause(r.vm.opts.Work + r.plan.delay(r.nth)) {
 		r.boot.gauge.Leave(time.Now(), false)
 		r.add(journal.Cut, "the VM ended")
 		r.conn.Cut()
--- a/internal/standin/service/options.go
+++ b/internal/standin/service/options.go
@@ -30,6 +30,9 @@
 type Behaviour struct {
 	// DelayMs delays each answer, after the request ran.
 	DelayMs int `json:"delay_ms,omitempty"`
+	// LateEvery delays every n-th answer further, by LateMs.
+	LateEvery int `json:"late_every,omitempty"`
+	LateMs    int `json:"late_ms,omitempty"`
 	// CloseOnNth closes a connection at its n-th request, without an answer;
 	// CloseAfterRun runs the request before.
 	CloseOnNth    int  `json:"close_on_nth,omitempty"`
