--- /dev/null
+++ b/internal/once/layout.go
@@ -0,0 +1,49 @@
+package once
+
+import "time"
+
+// Layout folds the stream that fixes the number of once streams: daemons that
+// spread keys over different numbers of streams would not see each other's
+// intents. The first Begin fixes the number. Another one is accepted only after
+// a quiet time in which all keys of the old streams have expired, while daemons
+// that serve keys renew the number far more often.
+type Layout struct {
+	limits Limits
+	shards int
+	at     time.Time
+	next   uint64
+}
+
+// renewals is the number of times that the layout is renewed per MaxKeyAge.
+const renewals = 4
+
+// NewLayout returns the layout of an empty stream.
+func NewLayout(l Limits) *Layout { return &Layout{limits: l} }
+
+// Shards returns the number in force; 0 if there is none.
+func (l *Layout) Shards() int { return l.shards }
+
+// Next returns the offset of the next record to fold.
+func (l *Layout) Next() uint64 { return l.next }
+
+// Start sets the offset of the first record that will be folded.
+func (l *Layout) Start(offset uint64) { l.next = offset }
+
+// Fold takes in the record at p.
+func (l *Layout) Fold(p Place, b Begin) {
+	if p.Offset < l.next {
+		return
+	}
+	l.next = p.Offset + 1
+	quiet := p.At.Sub(l.at) > 2*l.limits.Horizon()
+	if b.Shards < 1 || (l.shards != 0 && l.shards != b.Shards && !quiet) {
+		return
+	}
+	l.shards = b.Shards
+	if p.At.After(l.at) {
+		l.at = p.At
+	}
+}
+
+// RenewEvery is the time for which a daemon may rely on the layout it has read.
+func (l *Layout) RenewEvery() time.Duration { return l.limits.MaxKeyAge / renewals }
