--- /dev/null
+++ b/internal/state/property_test.go
@@ -0,0 +1,193 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+var (
+	someVMs     = []string{"a", "b", "c", "d", "e"}
+	somePools   = []string{"p", "q"}
+	someDaemons = []string{"d1", "d2"}
+)
+
+// drawRecord draws a record of any kind. The pools share VMs, so that both
+// edits and proposers compete for them.
+func drawRecord(t *rapid.T, id string) *state.Record {
+	r := &state.Record{ID: id, Author: rapid.SampledFrom(someDaemons).Draw(t, "author")}
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0, 1:
+		r.Edit = drawEdit(t)
+	case 2, 3, 4, 5:
+		r.Form = drawForm(t)
+	case 6:
+		r.Retire = &state.Retire{Group: drawGroup(t)}
+	case 7, 8:
+		r.Release = &state.Release{VM: rapid.SampledFrom(someVMs).Draw(t, "vm"), Fence: drawGroup(t)}
+	default:
+		d := rapid.SampledFrom(someDaemons).Draw(t, "daemon")
+		boot := fmt.Sprint(rapid.IntRange(1, 2).Draw(t, "boot"))
+		if rapid.Bool().Draw(t, "join") {
+			r.Join = &state.Join{Daemon: d, Addr: "x", BootID: boot}
+		} else {
+			r.Leave = &state.Leave{Daemon: d, BootID: boot}
+		}
+	}
+	return r
+}
+
+// drawGroup draws a fencing number that an earlier record may have got.
+func drawGroup(t *rapid.T) uint64 {
+	return state.Position{Epoch: 1, Offset: uint64(rapid.IntRange(0, 40).Draw(t, "group"))}.Fence()
+}
+
+func drawEdit(t *rapid.T) *state.Edit {
+	base := uint64(rapid.IntRange(0, 3).Draw(t, "base"))
+	name := rapid.SampledFrom(somePools).Draw(t, "pool")
+	c := state.Change{Base: base}
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		c.DropPool = name
+	case 1:
+		c.SetRoute = &table.Route{Name: "r", Workspaces: []string{"*"}, Kinds: []string{"*"}, Pools: []string{name}, Deadline: 1}
+	default:
+		size := rapid.IntRange(1, 2).Draw(t, "size")
+		c.SetPool = &table.Pool{Name: name, Kind: table.Engines, Model: "m", Version: "1", GroupSize: size, VMs: someVMs, Limit: 1, ColdLimit: 1}
+	}
+	return &state.Edit{Changes: []state.Change{c}}
+}
+
+func drawForm(t *rapid.T) *state.Form {
+	f := &state.Form{Pool: rapid.SampledFrom(somePools).Draw(t, "pool"), Model: "m", Version: "1"}
+	for _, vm := range rapid.SliceOfN(rapid.SampledFrom(someVMs), 1, 2).Draw(t, "members") {
+		f.Members = append(f.Members, state.Member{VM: vm, BootID: "b", FabricDomain: rapid.SampledFrom([]string{"f", "f", "f", "g"}).Draw(t, "fabric")})
+	}
+	if rapid.Bool().Draw(t, "replacing") {
+		f.Replaces = []uint64{drawGroup(t)}
+	}
+	return f
+}
+
+// drawLog draws a stream as it may come to be: first the pools, then records
+// of any kind, some of them twice and some long after they were written.
+func drawLog(t *rapid.T) []*state.Record {
+	var log []*state.Record
+	for i, name := range somePools {
+		p := table.Pool{Name: name, Kind: table.Engines, Model: "m", Version: "1", GroupSize: 1 + i, VMs: someVMs, Limit: 1, ColdLimit: 1}
+		log = append(log, &state.Record{ID: "first-" + name, Edit: &state.Edit{Changes: []state.Change{{SetPool: &p}}}})
+	}
+	n := rapid.IntRange(1, 40).Draw(t, "records")
+	for i := range n {
+		if i > 0 && rapid.IntRange(0, 4).Draw(t, "again") == 0 {
+			log = append(log, log[rapid.IntRange(0, len(log)-1).Draw(t, "which")])
+			continue
+		}
+		if rapid.IntRange(0, 20).Draw(t, "garbled") == 0 {
+			log = append(log, nil)
+			continue
+		}
+		log = append(log, drawRecord(t, fmt.Sprint("r", i)))
+	}
+	return log
+}
+
+func at(i int) state.Position { return state.Position{Epoch: 1, Offset: uint64(i)} }
+
+func checkInvariants(t *rapid.T, s *state.State) {
+	held := make(map[string]uint64)
+	for id, g := range s.Groups {
+		must.Eq(t, id, g.ID)
+		for _, m := range g.Members {
+			must.MapNotContainsKey(t, held, m.VM, must.Sprint("VM in two groups"))
+			held[m.VM] = id
+			must.Eq(t, state.Reservation{Group: id, Pool: g.Pool}, s.VMs[m.VM])
+			must.Eq(t, g.Members[0].FabricDomain, m.FabricDomain)
+		}
+	}
+	for vm, r := range s.VMs {
+		if !r.Ended {
+			must.Eq(t, r.Group, held[vm], must.Sprint("VM held by no group in force"))
+		}
+	}
+	for _, row := range s.Routes {
+		must.MapContainsKey(t, s.Pools, row.Route.Pools[0])
+	}
+}
+
+func TestFoldKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := state.New()
+		var lastGroup uint64
+		revisions := make(map[string]uint64)
+		for i, rec := range drawLog(t) {
+			v := s.Apply(at(i), rec)
+			checkInvariants(t, s)
+			if v.Accepted && !v.Duplicate && rec.Form != nil {
+				must.Greater(t, lastGroup, v.Pos.Fence(), must.Sprint("fencing numbers grow"))
+				lastGroup = v.Pos.Fence()
+			}
+			for row, rev := range s.Revisions {
+				must.GreaterEq(t, revisions[row], rev, must.Sprint("revisions never go back"))
+				revisions[row] = rev
+			}
+			must.False(t, s.Apply(at(i), rec).Accepted, must.Sprint("a position is folded once"))
+		}
+	})
+}
+
+// A reader that starts from a snapshot, taken anywhere and passed through its
+// encoding, reaches the same verdicts and the same state as one that replays
+// everything.
+func TestSnapshotAndReplayEqualsReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := drawLog(t)
+		cut := rapid.IntRange(0, len(log)-1).Draw(t, "cut")
+		straight, resumed := state.New(), state.New()
+		for i, rec := range log {
+			want := straight.Apply(at(i), rec)
+			if i <= cut {
+				resumed.Apply(at(i), rec)
+			} else {
+				got := resumed.Apply(at(i), rec)
+				must.Eq(t, want.Accepted, got.Accepted)
+				must.Eq(t, want.Duplicate, got.Duplicate)
+				must.Eq(t, want.Reason, got.Reason)
+			}
+			if i == cut {
+				data, err := wire.EncodeState(resumed)
+				must.NoError(t, err)
+				resumed, err = wire.DecodeState(data)
+				must.NoError(t, err)
+			}
+			must.Eq(t, straight.Digest(), resumed.Digest())
+		}
+	})
+}
+
+// An edit is accepted only on the revision that it was based on: of several
+// that raced from the same one, exactly the first in the log wins.
+func TestOfRacingEditsTheFirstWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := state.New()
+		n := rapid.IntRange(2, 6).Draw(t, "writers")
+		order := rapid.Permutation([]int{0, 1, 2, 3, 4, 5}[:n]).Draw(t, "order")
+		for i, w := range order {
+			p := table.Pool{Name: "p", Kind: table.Services, GroupSize: 1, Limit: 1 + w, ColdLimit: 1}
+			rec := &state.Record{ID: fmt.Sprint(w), Author: fmt.Sprint("op", w), Edit: &state.Edit{Changes: []state.Change{{SetPool: &p}}}}
+			v := s.Apply(at(i), rec)
+			must.Eq(t, i == 0, v.Accepted)
+			if i > 0 {
+				must.Eq(t, fmt.Sprint("op", order[0]), v.Winner.Author)
+				must.Eq(t, 1, v.Winner.Revision)
+			}
+		}
+		must.Eq(t, 1+order[0], s.Pools["p"].Pool.Limit)
+	})
+}
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,134 @@
+package view
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+)
+
+func at(o uint64) state.Position { return state.Position{Epoch: 1, Offset: o} }
+
+func pool(name string) *table.Pool {
+	return &table.Pool{Name: name, Kind: table.Engines, Model: "m", Version: "1", GroupSize: 1, VMs: []string{"a", "b"}, Limit: 8, ColdLimit: 1}
+}
+
+func route(name, workspace, kind, pool string) *table.Route {
+	return &table.Route{Name: name, Workspaces: []string{workspace}, Kinds: []string{kind}, Pools: []string{pool}, Deadline: 1}
+}
+
+func form(id, vm string, replaces ...uint64) *state.Record {
+	return &state.Record{ID: id, Form: &state.Form{Pool: "p", Model: "m", Version: "1", Replaces: replaces, Members: []state.Member{{VM: vm, BootID: "x"}}}}
+}
+
+func history() []*state.Record {
+	return []*state.Record{
+		{ID: "e1", Edit: &state.Edit{Changes: []state.Change{
+			{SetPool: pool("p")},
+			{SetPool: pool("q")},
+			{SetRoute: route("any", table.Any, table.Any, "p")},
+			{SetRoute: route("shops", "shops", table.Any, "q")},
+		}}},
+		{ID: "j1", Join: &state.Join{Daemon: "d1", Addr: "x", BootID: "1"}},
+		form("f1", "a"),
+		form("f2", "b"),
+		form("f3", "a"), // refused: a is held
+		{ID: "x1", Retire: &state.Retire{Group: at(2).Fence()}},
+		{ID: "x2", Release: &state.Release{VM: "a", Fence: at(2).Fence()}},
+		form("f4", "b", at(3).Fence()),
+		{ID: "e2", Edit: &state.Edit{Changes: []state.Change{{Base: 1, DropRoute: "shops"}, {Base: 1, DropPool: "q"}}}},
+		nil,
+		{ID: "l1", Leave: &state.Leave{Daemon: "d1", BootID: "1"}},
+	}
+}
+
+func requireEqual(t *testing.T, s *state.State, v *View) {
+	t.Helper()
+	must.Eq(t, s.Pos, v.Position())
+	must.Eq(t, s.Digest(), v.Digest())
+	must.Eq(t, len(s.Pools), len(v.Pools()))
+	must.Eq(t, len(s.Routes), len(v.Routes()))
+	must.Eq(t, len(s.Daemons), len(v.Daemons()))
+	must.Eq(t, len(s.Groups), len(v.Groups("p")))
+	must.Eq(t, len(s.VMs), v.vms.Len())
+	for id, g := range s.Groups {
+		got, ok := v.Group(id)
+		must.True(t, ok)
+		must.Eq(t, g, got)
+	}
+	for vm, r := range s.VMs {
+		got, _ := v.Reservation(vm)
+		must.Eq(t, r, got)
+	}
+}
+
+func TestMapsFollowTheFold(t *testing.T) {
+	s, v := state.New(), New()
+	for i, rec := range history() {
+		must.Eq(t, s.Apply(at(uint64(i)), rec), v.Fold(at(uint64(i)), rec))
+		requireEqual(t, s, v)
+		loaded := New()
+		must.True(t, loaded.Load(s.Clone()))
+		requireEqual(t, s, loaded)
+	}
+}
+
+func TestLoadMovesOnlyForward(t *testing.T) {
+	v, old := New(), state.New()
+	must.False(t, v.Load(state.New()), must.Sprint("an empty state is no news"))
+	for i, rec := range history() {
+		v.Fold(at(uint64(i)), rec)
+		if i < 4 {
+			old.Apply(at(uint64(i)), rec)
+		}
+	}
+	before := v.Digest()
+	must.False(t, v.Load(old))
+	must.False(t, v.Fold(at(2), history()[0]).Accepted)
+	must.Eq(t, before, v.Digest())
+}
+
+func TestRoutePrefersTheMoreSpecific(t *testing.T) {
+	v := New()
+	v.Fold(at(0), history()[0])
+	row, ok := v.Route("shops", "quote")
+	must.True(t, ok)
+	must.Eq(t, "shops", row.Route.Name)
+	row, _ = v.Route("others", "quote")
+	must.Eq(t, "any", row.Route.Name)
+	_, ok = New().Route("others", "quote")
+	must.False(t, ok)
+}
+
+func TestWaiting(t *testing.T) {
+	v := New()
+	records := history()
+	var wg sync.WaitGroup
+	for i, rec := range records {
+		wg.Go(func() {
+			if err := v.WaitPosition(t.Context(), at(uint64(i))); err != nil {
+				t.Error(err)
+			}
+			if rec == nil {
+				return
+			}
+			if got, err := v.WaitVerdict(t.Context(), rec.ID); err != nil || got.Pos != at(uint64(i)) {
+				t.Errorf("record %s: %v, %v", rec.ID, got.Pos, err)
+			}
+		})
+	}
+	for i, rec := range records {
+		v.Fold(at(uint64(i)), rec)
+	}
+	wg.Wait()
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	must.Error(t, v.WaitPosition(ended, at(99)))
+	_, err := v.WaitVerdict(ended, "none")
+	must.Error(t, err)
+}
