Take a decoder's panic for an undecodable record

Cause: the msgpack library panics on nil in place of a time, so one garbled record in the log would have ended every daemon that reads it. Ruled out: a time as integer in the record, which leaves other panics of the library open.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -105,10 +106,21 @@
 	return b, nil
 }
 
-// Unmarshal decodes b into v, which must be a pointer.
-func Unmarshal(b []byte, v any) error {
+// Unmarshal decodes b into v, which must be a pointer. Bytes that the library
+// panics on (nil in place of a time, for one) are an error like any other: a
+// garbled record of the log must not end every daemon that reads it.
+func Unmarshal(b []byte, v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = undecodable(fmt.Errorf("decoder panic: %v", r), v)
+		}
+	}()
 	if err := msgpack.Unmarshal(b, v); err != nil {
-		return fault.Wrap(fault.BadInput, err, "run the same release on all daemons", "decode %T", v)
+		return undecodable(err, v)
 	}
 	return nil
 }
+
+func undecodable(err error, v any) error {
+	return fault.Wrap(fault.BadInput, err, "run the same release on all daemons", "decode %T", v)
+}
