--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -16,6 +16,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/table"
 	"github.com/ragwortquay/ragwortquay/internal/view"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
 const testTimeout = 30 * time.Second
@@ -109,6 +110,7 @@
 	must.True(t, submit(t, m, poolEdit("p", 0)).Accepted)
 	row, _ := m.opts.View.Pool("p")
 	must.Eq(t, 1, row.Stamp.Revision)
+	must.Eq(t, 1, log.next(platform.StreamControl), must.Sprint("the record was found in the log and not appended again"))
 }
 
 func TestSubmitRefusedByTheLogIsNotRun(t *testing.T) {
@@ -128,6 +130,60 @@
 	must.Eq(t, state.Position{Epoch: 1, Offset: 2}, submit(t, m, poolEdit("p", 0)).Pos)
 }
 
+func TestGapsAreRefused(t *testing.T) {
+	log := newFakeLog()
+	m := New(Options{Log: log, View: view.New()})
+	log.with(func() {
+		s := log.stream(platform.StreamControl)
+		s.records = []platform.Record{{Offset: 0}, {Offset: 2}, {Offset: 3}}
+	})
+	must.ErrorContains(t, m.follow(testContext(t)), "offset 2 where 1/1 was asked")
+	must.Eq(t, state.Position{Epoch: 1}, m.opts.View.Position())
+
+	ask := &wire.RecordsAsk{Started: true, After: m.opts.View.Position()}
+	for _, next := range []state.Position{{Epoch: 1, Offset: 2}, {Epoch: 1}, {Epoch: 2, Offset: 1}} {
+		must.Error(t, m.foldPeer(ask, []wire.RawRecord{{Pos: next}}))
+	}
+	must.NoError(t, m.foldPeer(ask, []wire.RawRecord{{Pos: state.Position{Epoch: 1, Offset: 1}}, {Pos: state.Position{Epoch: 2}}}))
+	must.Eq(t, state.Position{Epoch: 2}, m.opts.View.Position())
+}
+
+func TestTailGivesRecordsWithoutAGap(t *testing.T) {
+	at := func(o uint64) state.Position { return state.Position{Epoch: 1, Offset: o} }
+	kept := &tail{view: view.New()}
+	const n = tailRecords + 10
+	for i := range uint64(n) {
+		_, folded := kept.fold(wire.RawRecord{Pos: at(i)}, nil)
+		must.True(t, folded)
+	}
+	_, folded := kept.fold(wire.RawRecord{Pos: at(5)}, nil)
+	must.False(t, folded)
+	cases := []struct {
+		name    string
+		after   uint64
+		started bool
+		want    int
+		whole   bool
+	}{
+		{"from the start, which is dropped", 0, false, 0, false},
+		{"before what is kept", 8, true, 0, false},
+		{"just before what is kept", 9, true, tailRecords, true},
+		{"in the middle", n - 4, true, 3, true},
+		{"level", n - 1, true, 0, true},
+		{"ahead", n + 5, true, 0, true},
+	}
+	for _, c := range cases {
+		records, whole := kept.after(at(c.after), c.started)
+		must.Eq(t, c.whole, whole, must.Sprint(c.name))
+		must.Len(t, c.want, records, must.Sprint(c.name))
+	}
+	s := state.New()
+	s.Apply(at(n+100), nil)
+	must.True(t, kept.load(s))
+	_, whole := kept.after(at(n-1), true)
+	must.False(t, whole, must.Sprint("a loaded state leaves a gap behind it"))
+}
+
 func TestLogServedToOneOfTwo(t *testing.T) {
 	log, net := newFakeLog(), newMesh()
 	a, _ := node(t, net, log, "a", false)
@@ -143,8 +199,10 @@
 	a, _ := node(t, net, log, "a", false)
 	b, _ := node(t, net, log, "b", false)
 	submit(t, a, poolEdit("p", 0))
-	until(t, "both joined", joined(b, "a", "b"))
-	until(t, "b has the edit", hasPool(b, "p"))
+	for _, m := range []*Manager{a, b} {
+		until(t, "both joined", joined(m, "a", "b"))
+		until(t, "the edit is in force", hasPool(m, "p"))
+	}
 	log.setRefuse(true)
 	net.remove("b")
 
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -60,6 +60,13 @@
 	return s
 }
 
+// next returns the offset that the next append will get.
+func (l *fakeLog) next(name string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).next()
+}
+
 func (l *fakeLog) Append(_ context.Context, name string, records [][]byte) (platform.AppendAnswer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
