Let load plans make operators' moves and read the daemons' status

A move withdraws failure domains from pools through the first operators' server that takes it; one whose outcome is unknown is not repeated.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -14,15 +14,17 @@
 )
 
 type loadCommand struct {
-	env     env
-	Plan    string   `long:"plan" required:"yes" description:"file with the plan"`
-	Daemons []string `long:"daemon" required:"yes" description:"host:port of a front door; may be given more than once"`
-	Servers []string `long:"server" description:"NAME=URL that the plan's events refer to; may be given more than once"`
-	Engines []string `long:"engines" description:"URL of a control server of stand-in engines, to measure groups; may be given more than once"`
-	Any     bool     `long:"any-daemon" description:"send also to daemons that do not answer that they are ready"`
-	Out     string   `long:"out" description:"file for the result as JSON"`
-	Seed    *uint64  `long:"seed" description:"replaces the plan's seed"`
-	Max     int      `long:"max-inflight" description:"bound of the requests under way"`
+	env       env
+	Plan      string   `long:"plan" required:"yes" description:"file with the plan"`
+	Daemons   []string `long:"daemon" required:"yes" description:"host:port of a front door; may be given more than once"`
+	Servers   []string `long:"server" description:"NAME=URL that the plan's events refer to; may be given more than once"`
+	Engines   []string `long:"engines" description:"URL of a control server of stand-in engines, to measure groups; may be given more than once"`
+	Operators []string `long:"operators" description:"URL of a daemon's operators' server, for the plan's moves and the daemons' status; may be given more than once"`
+	TokenFile string   `long:"token-file" value-name:"FILE" env:"RAGWORTQUAY_TOKEN_FILE" description:"file that holds the operator's token"`
+	Any       bool     `long:"any-daemon" description:"send also to daemons that do not answer that they are ready"`
+	Out       string   `long:"out" description:"file for the result as JSON"`
+	Seed      *uint64  `long:"seed" description:"replaces the plan's seed"`
+	Max       int      `long:"max-inflight" description:"bound of the requests under way"`
 }
 
 func loadEntry(e env) entry {
@@ -68,6 +70,13 @@
 	o := drive.Options{
 		Plan: p, Daemons: c.Daemons, Balance: !c.Any, Engines: c.Engines, Progress: c.env.err, MaxInflight: c.Max,
 	}
+	if len(c.Operators) > 0 {
+		token, err := os.ReadFile(c.TokenFile)
+		if err != nil {
+			return o, fault.Wrap(fault.BadInput, err, "name a readable file that holds the token alone", "--token-file")
+		}
+		o.Operators, o.OperatorToken = c.Operators, strings.TrimSpace(string(token))
+	}
 	for _, text := range c.Servers {
 		name, url, ok := strings.Cut(text, "=")
 		if !ok {
--- a/internal/load/drive/drive.go
+++ b/internal/load/drive/drive.go
@@ -29,6 +29,8 @@
 	readyInterval = 200 * time.Millisecond
 	// controlTimeout bounds requests other than the plan's own.
 	controlTimeout = 5 * time.Second
+	// statusTimeout bounds a look at a daemon's status.
+	statusTimeout = time.Second
 )
 
 // Server is a named base URL that events refer to.
@@ -46,6 +48,10 @@
 	// platform's balancer does.
 	Balance bool
 	Servers []Server
+	// Operators are the base URLs of the daemons' operators' servers, for the
+	// plan's moves and the daemons' status.
+	Operators     []string
+	OperatorToken string
 	// Engines are control servers of stand-in engines to sample groups from.
 	Engines []string
 	// Progress gets lines for people; nil is none.
@@ -59,7 +65,8 @@
 	opts     Options
 	sender   *sender
 	recorder *load.Recorder
-	meter    *load.GroupMeter
+	meter    *load.GroupMeter // by the engines' own state
+	reported *load.GroupMeter // by the daemons' status
 	start    time.Time
 	slots    chan struct{} // one token per request under way
 	sent     atomic.Int64
@@ -80,7 +87,7 @@
 		o.Progress = io.Discard
 	}
 	d := &Driver{
-		opts: o, recorder: load.NewRecorder(&o.Plan), meter: load.NewGroupMeter(o.Plan.Groups),
+		opts: o, recorder: load.NewRecorder(&o.Plan), meter: load.NewGroupMeter(o.Plan.Groups), reported: load.NewGroupMeter(o.Plan.Groups),
 		slots: make(chan struct{}, o.MaxInflight),
 	}
 	if err := d.checkServers(); err != nil {
@@ -91,6 +98,12 @@
 
 func (d *Driver) checkServers() error {
 	for _, e := range d.opts.Plan.Events {
+		if e.IsMove() {
+			if len(d.opts.Operators) == 0 {
+				return fault.Invalid("operators", "name the daemons' operators' servers", "event %q is an operator's move", e.Name)
+			}
+			continue
+		}
 		if _, ok := d.server(e.Server); !ok {
 			return fault.Invalid("server", "give "+e.Server+"=URL on the command line", "event %q needs server %q", e.Name, e.Server)
 		}
@@ -145,6 +158,10 @@
 		g := d.meter.Result()
 		r.Groups = &g
 	}
+	if len(d.opts.Operators) > 0 {
+		g := d.reported.Result()
+		r.ReportedGroups = &g
+	}
 	return r
 }
 
--- a/internal/load/drive/drive_test.go
+++ b/internal/load/drive/drive_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/valyala/fasthttp"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/load"
@@ -158,7 +157,7 @@
 	must.Eq(t, k.Of(load.Answered), k.Answer.Count)
 	must.Positive(t, k.BetweenTokens.Count)
 	must.Len(t, 1, r.Events)
-	must.Eq(t, fasthttp.StatusOK, r.Events[0].Status)
+	must.Eq(t, "status 200", r.Events[0].Answer)
 	must.Eq(t, 1, r.Groups.Expected)
 	must.Positive(t, r.Groups.DowntimeS)
 }
--- /dev/null
+++ b/internal/load/drive/operators_test.go
@@ -0,0 +1,98 @@
+package drive
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/control"
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/replica"
+	"github.com/ragwortquay/ragwortquay/internal/tablefile"
+)
+
+// operators answers as the operators' server of a daemon does.
+type operators struct {
+	accept  bool
+	applied chan operate.ApplyRequest
+}
+
+func (o *operators) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	enc := json.NewEncoder(w)
+	switch r.URL.Path {
+	case "/v1/tables":
+		_ = enc.Encode(operate.Tables{Pools: []operate.PoolRow{
+			{Pool: tablefile.Pool{Name: "assistant", Limit: 5}, Stamp: operate.Stamp{Revision: 7}},
+			{Pool: tablefile.Pool{Name: "other"}},
+		}})
+	case "/v1/status":
+		_ = enc.Encode(operate.Status{Daemon: "d1", Pools: []operate.Pool{
+			{
+				Home:   "d1",
+				Groups: []operate.Group{{Fence: "5", Members: []string{"a"}}, {Fence: "6", Members: []string{"b"}}},
+				Replicas: []operate.Replica{
+					{ID: replica.GroupID(5), Status: replica.Serving.String()},
+					{ID: replica.GroupID(6), Status: replica.Broken.String()},
+				},
+			},
+			{Home: "d2", Groups: []operate.Group{{Fence: "9", Members: []string{"c"}}}},
+		}})
+	case "/v1/apply":
+		var req operate.ApplyRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		o.applied <- req
+		if !o.accept {
+			w.WriteHeader(http.StatusConflict)
+		}
+		_ = enc.Encode(operate.ApplyAnswer{Accepted: o.accept, Reason: "why", Position: "1/2", Spread: &control.Spread{InForce: 3, Joined: 4}})
+	}
+}
+
+const move = `
+[[event]]
+at = "50ms"
+name = "take plateau out"
+pools = ["assistant"]
+withdrawn = ["plateau"]
+`
+
+func TestOperatorsMoves(t *testing.T) {
+	tests := []struct {
+		name          string
+		accept        bool
+		answer, error string
+	}{
+		{"accepted", true, "accepted at 1/2, in force on 3 of 4", ""},
+		{"refused", false, "", "refused: why (leave the pool alone during the run)"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			o := &operators{accept: tc.accept, applied: make(chan operate.ApplyRequest, 10)}
+			server := httptest.NewServer(o)
+			t.Cleanup(server.Close)
+			// The first daemon is down: the move goes through the next one.
+			r := drive(t, load.Call, move, Options{
+				Daemons: []string{newServices(t).VMs()[0].Addr}, Operators: []string{"http://127.0.0.1:1", server.URL},
+			})
+			must.Len(t, 1, r.Events)
+			must.Eq(t, tc.answer, r.Events[0].Answer)
+			must.Eq(t, tc.error, r.Events[0].Error)
+			must.Eq(t, 1, len(o.applied))
+			req := <-o.applied
+			want := tablefile.Pool{Name: "assistant", Limit: 5, Withdrawn: []string{"plateau"}}
+			must.Eq(t, []operate.Change{{Base: "7", SetPool: &want}}, req.Changes)
+			must.Eq(t, 1, r.ReportedGroups.Expected)
+			must.Positive(t, r.ReportedGroups.StrandedS)
+		})
+	}
+}
+
+func TestMovesNeedAnOperatorsServer(t *testing.T) {
+	p := load.Plan{Events: []load.Event{{Name: "m", Pools: []string{"assistant"}}}}
+	_, err := New(Options{Plan: p, Daemons: []string{"127.0.0.1:1"}})
+	must.ErrorContains(t, err, "operators")
+}
--- /dev/null
+++ b/internal/load/drive/sample.go
@@ -0,0 +1,106 @@
+package drive
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ragwortquay/ragwortquay/internal/admin"
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/replica"
+	"github.com/ragwortquay/ragwortquay/internal/standin/engine"
+	"github.com/ragwortquay/ragwortquay/internal/standin/machines"
+	"github.com/ragwortquay/ragwortquay/internal/target"
+)
+
+// sample looks at the groups now and then.
+func (d *Driver) sample(ctx context.Context) error {
+	return every(ctx, sampleInterval, d.look)
+}
+
+// look samples the groups; a look that fails leaves the last sample in force.
+func (d *Driver) look() {
+	if len(d.opts.Engines) > 0 {
+		if vms, err := d.sampleEngines(); err == nil {
+			d.meter.Add(time.Since(d.start), vms)
+		}
+	}
+	if len(d.opts.Operators) > 0 {
+		d.reported.Add(time.Since(d.start), d.sampleDaemons())
+	}
+}
+
+func (d *Driver) sampleEngines() ([]load.VMSample, error) {
+	var out []load.VMSample
+	for _, url := range d.opts.Engines {
+		status, body, err := controlClient.GetTimeout(nil, url+"/v1/faults", controlTimeout)
+		if err != nil || status != fasthttp.StatusOK {
+			return nil, eris.Errorf("%s: status %d: %v", url, status, err)
+		}
+		var vms []machines.Status[engine.Behaviour]
+		if err := json.Unmarshal(body, &vms); err != nil {
+			return nil, eris.Wrap(err, url)
+		}
+		for _, v := range vms {
+			alive := v.Answering && !v.Dead
+			ready := alive && v.State == string(target.EngineReady)
+			out = append(out, load.VMSample{VM: v.VM, Fence: v.Fence, Ready: ready, Alive: alive})
+		}
+	}
+	return out, nil
+}
+
+// sampleDaemons asks all daemons. Each pool is judged by its home, which alone
+// knows the pool's replicas; a pool whose home does not answer has no group
+// that is known to serve.
+func (d *Driver) sampleDaemons() []load.VMSample {
+	var out []load.VMSample
+	for _, url := range d.opts.Operators {
+		s, err := d.status(url)
+		if err != nil {
+			continue
+		}
+		for _, p := range s.Pools {
+			if p.Home == s.Daemon {
+				out = append(out, poolSamples(p)...)
+			}
+		}
+	}
+	return out
+}
+
+func (d *Driver) status(url string) (operate.Status, error) {
+	c, err := admin.NewClient(url, d.opts.OperatorToken)
+	if err != nil {
+		return operate.Status{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	return c.Status(ctx)
+}
+
+func poolSamples(p operate.Pool) []load.VMSample {
+	serving := make(map[string]struct{})
+	for _, r := range p.Replicas {
+		if r.Status == replica.Serving.String() {
+			serving[r.ID] = struct{}{}
+		}
+	}
+	var out []load.VMSample
+	for _, g := range p.Groups {
+		fence, err := strconv.ParseUint(g.Fence, 10, 64)
+		if err != nil {
+			continue
+		}
+		_, ready := serving[replica.GroupID(fence)]
+		for _, vm := range g.Members {
+			out = append(out, load.VMSample{VM: vm, Fence: fence, Ready: ready, Alive: true})
+		}
+	}
+	return out
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -126,6 +126,7 @@
 		{"tokens out of order", "max_tokens = 9", "max_tokens = 4", "kind[0].max_tokens"},
 		{"unknown form", `form = "call"`, `form = "shout"`, "kind[1].form"},
 		{"warm-up too long", `warmup = "10s"`, `warmup = "200s"`, "warmup"},
+		{"move without a name", "[[workspace]]", "[[event]]\npools=['p']\n[[workspace]]", "event[0].name"},
 		{"event without a server", "[[workspace]]", "[[event]]\nname='e'\npath='/x'\n[[workspace]]", "event[0].server"},
 	}
 	for _, tc := range tests {
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -94,20 +94,24 @@
 	Unchecked bool `toml:"unchecked"`
 }
 
-// Event is an operator's move or a fault: one HTTP request at a time.
+// Event is an operator's move, if it names pools, or else a fault: one HTTP
+// request.
 type Event struct {
 	At   tomlfile.Duration `toml:"at"`
 	Name string            `toml:"name"`
-	// Method is POST if empty.
-	Method string `toml:"method"`
-	// Server names one of the servers given on the command line.
+	// Pools are those whose withdrawn failure domains become Withdrawn, in one edit.
+	Pools     []string `toml:"pools"`
+	Withdrawn []string `toml:"withdrawn"`
+	// Server names one of the servers given on the command line; the request is
+	// a POST of Body to Path.
 	Server string `toml:"server"`
 	Path   string `toml:"path"`
-	Token  string `toml:"token"`
-	Type   string `toml:"content_type"`
 	Body   string `toml:"body"`
 }
 
+// IsMove reports whether the event is an operator's move.
+func (e Event) IsMove() bool { return len(e.Pools) > 0 }
+
 // Groups say what counts as a complete group when downtime is measured.
 type Groups struct {
 	Size int `toml:"size"`
@@ -169,7 +173,7 @@
 		errs = append(errs, k.check(fmt.Sprintf("kind[%d]", i), p))
 	}
 	for i, e := range p.Events {
-		errs = append(errs, e.check(fmt.Sprintf("event[%d]", i), p))
+		errs = append(errs, e.check(fmt.Sprintf("event[%d]", i), time.Duration(p.Duration)))
 	}
 	return errors.Join(errs...)
 }
@@ -206,11 +210,12 @@
 	return errors.Join(errs...)
 }
 
-func (e Event) check(at string, p Plan) error {
-	return errors.Join(
-		checkName(at+".name", e.Name), checkName(at+".server", e.Server), checkName(at+".path", e.Path),
-		checkSpan(at+".at", e.At, 0, time.Duration(p.Duration)),
-	)
+func (e Event) check(at string, end time.Duration) error {
+	errs := []error{checkName(at+".name", e.Name), checkSpan(at+".at", e.At, 0, end)}
+	if !e.IsMove() {
+		errs = append(errs, checkName(at+".server", e.Server), checkName(at+".path", e.Path))
+	}
+	return errors.Join(errs...)
 }
 
 func checkName(field, v string) error {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -54,8 +54,10 @@
 type EventResult struct {
 	Name   string  `json:"name"`
 	AtS    float64 `json:"at_s"`
-	Status int     `json:"status"`
-	Error  string  `json:"error,omitempty"`
+	TookMs float64 `json:"took_ms"`
+	// Answer is what the server said; Error says that the event failed.
+	Answer string `json:"answer,omitempty"`
+	Error  string `json:"error,omitempty"`
 }
 
 // Result is the outcome of one run.
@@ -67,10 +69,13 @@
 	Kinds      []Part  `json:"kinds"`
 	Workspaces []Part  `json:"workspaces"`
 	// SendLag is how late the tool itself sent; it is part of all other times.
-	SendLag  Quantiles     `json:"send_lag"`
-	Events   []EventResult `json:"events"`
-	Groups   *GroupResult  `json:"groups,omitempty"`
-	Timeline []Second      `json:"timeline"`
+	SendLag Quantiles     `json:"send_lag"`
+	Events  []EventResult `json:"events"`
+	// Groups is measured from the engines' own state, ReportedGroups from what
+	// the daemons say.
+	Groups         *GroupResult `json:"groups,omitempty"`
+	ReportedGroups *GroupResult `json:"reported_groups,omitempty"`
+	Timeline       []Second     `json:"timeline"`
 }
 
 // Result returns what was recorded so far.
@@ -142,15 +147,22 @@
 	writeParts(t, "kind", r.Kinds)
 	writeParts(t, "workspace", r.Workspaces)
 	fmt.Fprintf(t, "sent late by the tool (ms): p50 %.1f, p99 %.1f, max %.1f\n", r.SendLag.P50, r.SendLag.P99, r.SendLag.Max)
-	if g := r.Groups; g != nil {
-		fmt.Fprintf(t, "groups: %d expected, downtime %.1f group-seconds, stranded %.1f VM-seconds, in %.1f s\n", g.Expected, g.DowntimeS, g.StrandedS, g.SpanS)
-	}
+	writeGroups(t, "groups by the engines", r.Groups)
+	writeGroups(t, "groups by the daemons", r.ReportedGroups)
 	for _, e := range r.Events {
-		fmt.Fprintf(t, "event at %.1f s: %s: status %d %s\n", e.AtS, e.Name, e.Status, e.Error)
+		fmt.Fprintf(t, "event at %.1f s, %.0f ms: %s: %s%s\n", e.AtS, e.TookMs, e.Name, e.Answer, e.Error)
 	}
 	return t.Flush()
 }
 
+func writeGroups(w io.Writer, title string, g *GroupResult) {
+	if g == nil {
+		return
+	}
+	fmt.Fprintf(w, "%s: %d expected, downtime %.1f group-seconds, stranded %.1f VM-seconds, in %.1f s\n",
+		title, g.Expected, g.DowntimeS, g.StrandedS, g.SpanS)
+}
+
 func writeParts(w io.Writer, title string, parts []Part) {
 	fmt.Fprintf(w, "%s\toffered\tin time\t%%\treplayed\tnot run\tunknown\tfailed\tcut\tunreachable\twrong\tanswer p50\tp95\tp99\tfirst p50\tp95\tbetween p50\tp95\t\n", title)
 	for _, p := range parts {
