--- a/internal/load/drive/sample.go
+++ b/internal/load/drive/sample.go
@@ -57,7 +57,7 @@
 
 // sampleDaemons asks all daemons. Each pool is judged by its home, which alone
 // knows the pool's replicas; a pool whose home does not answer has no group
-// that is known to serve.
+// that is known to be complete.
 func (d *Driver) sampleDaemons() []load.VMSample {
 	var out []load.VMSample
 	for _, url := range d.opts.Operators {
@@ -85,10 +85,12 @@
 }
 
 func poolSamples(p operate.Pool) []load.VMSample {
-	serving := make(map[string]struct{})
+	complete := make(map[string]struct{})
 	for _, r := range p.Replicas {
-		if r.Status == replica.Serving.String() {
-			serving[r.ID] = struct{}{}
+		// A draining replica is complete: operators have withdrawn it, or its
+		// group is about to end.
+		if r.Status == replica.Serving.String() || r.Status == replica.Draining.String() {
+			complete[r.ID] = struct{}{}
 		}
 	}
 	var out []load.VMSample
@@ -97,7 +99,7 @@
 		if err != nil {
 			continue
 		}
-		_, ready := serving[replica.GroupID(fence)]
+		_, ready := complete[replica.GroupID(fence)]
 		for _, vm := range g.Members {
 			out = append(out, load.VMSample{VM: vm, Fence: fence, Ready: ready, Alive: true})
 		}
