--- a/internal/limit/admit.go
+++ b/internal/limit/admit.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
@@ -38,10 +39,15 @@
 	if err := p.checkTime(now, &req); err != nil {
 		return err
 	}
+	if err := p.checkReplicas(&req); err != nil {
+		return err
+	}
 	w := &waiting{req: req, at: now, giveUp: p.speed.giveUp(now, req.Deadline)}
+	if p.barred(now) {
+		w.giveUp = earlier(w.giveUp, now.Add(barredWait))
+	}
 	p.queue.push(w)
 	p.dueBy(w.giveUp)
-	p.reserve(&req)
 	p.serve(now)
 	return nil
 }
@@ -56,6 +62,46 @@
 	return nil
 }
 
+// checkReplicas refuses a request that excludes every replica there is.
+func (p *Pool) checkReplicas(req *Request) error {
+	if len(req.Exclude) == 0 || len(p.units) == 0 {
+		return nil
+	}
+	for id := range p.units {
+		if !slices.Contains(req.Exclude, id) {
+			return nil
+		}
+	}
+	return fault.Refuse(fault.Unavailable, "add replicas to the pool", "every replica of pool %q has been tried", p.name)
+}
+
+// barred reports whether this side of a partition may use none of the
+// replicas that are open: it then refuses soon, so that the caller may reach
+// the other side.
+func (p *Pool) barred(now time.Time) bool {
+	if p.standing.MayUseCold || p.recovery.holds(now) {
+		return false
+	}
+	open := false
+	for _, u := range p.units {
+		if p.allowed(u, now) > 0 {
+			return false
+		}
+		open = open || p.open(u)
+	}
+	return open
+}
+
+// barredWait is how long a request waits for a partition to heal.
+const barredWait = time.Second
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Pool) checkTime(now time.Time, req *Request) error {
 	wait, left := p.wait(req), req.Deadline.Sub(now)
 	if wait+p.speed.typical() <= left {
@@ -88,7 +134,7 @@
 
 // serve grants queued requests while any can be placed.
 func (p *Pool) serve(now time.Time) {
-	for p.queue.len() > 0 && p.room(now) {
+	for p.updateReserve(); p.queue.len() > 0 && p.room(now); p.updateReserve() {
 		placed := p.queue.take(func(r *Request) bool {
 			g := p.place(now, r)
 			if g != nil {
@@ -119,9 +165,17 @@
 			continue
 		}
 		p.queue.remove(key)
-		wait := now.Sub(w.at).Round(time.Millisecond)
-		p.answers = append(p.answers, Answer{Request: w.req, Err: p.overload(p.wait(&w.req), "no replica of pool %q was free within %s", p.name, wait)})
+		p.answers = append(p.answers, Answer{Request: w.req, Err: p.late(now, w)})
+	}
+}
+
+func (p *Pool) late(now time.Time, w *waiting) error {
+	waited := now.Sub(w.at).Round(time.Millisecond)
+	if p.slots() == 0 || p.barred(now) {
+		return fault.Refuse(fault.Unavailable, "see status for the pool's replicas", "no replica of pool %q may serve; waited %s", p.name, waited).
+			WithRetryAfter(barredWait)
 	}
+	return p.overload(p.wait(&w.req), "no replica of pool %q was free within %s", p.name, waited)
 }
 
 // minRetryAfter keeps refused callers from coming back at once.
--- a/internal/limit/choose.go
+++ b/internal/limit/choose.go
@@ -13,6 +13,8 @@
 	// affinityFactor is how far above the mean relative load a replica may be
 	// and still attract its prefixes.
 	affinityFactor = 1.25
+	// affinityFloor is the relative load up to which it does so in any case.
+	affinityFloor = 0.5
 	// freshReport is the age up to which a report counts as recent.
 	freshReport = 2 * time.Second
 )
@@ -25,9 +27,6 @@
 	}
 	h := &hold{unit: u, at: now, grant: p.grantOn(now, u, req)}
 	p.add(now, h)
-	if req.Alone && p.reserved == u.rep.ID {
-		p.reserved = ""
-	}
 	g := h.grant
 	return &g
 }
@@ -89,12 +88,12 @@
 }
 
 func (p *Pool) byPrefix(now time.Time, prefix uint64, fit []*unit) *unit {
-	mean := p.meanLoad(now)
+	bound := max(affinityFloor, affinityFactor*p.meanLoad(now))
 	var best *unit
 	var top uint64
 	for _, u := range fit {
 		allowed := float64(p.allowed(u, now))
-		if float64(u.used()+1) > math.Ceil(affinityFactor*mean*allowed) {
+		if float64(u.used()+1) > math.Ceil(bound*allowed) {
 			continue
 		}
 		if w := affinity(prefix, u.rep.ID); best == nil || w > top {
@@ -161,23 +160,3 @@
 	}
 	return loads
 }
-
-// reserve keeps the least used replica free for a request that must run alone,
-// so that it becomes idle under a load that never pauses.
-func (p *Pool) reserve(req *Request) {
-	if !req.Alone || p.reserved != "" {
-		return
-	}
-	var best *unit
-	for _, u := range p.units {
-		if !p.open(u) || slices.Contains(req.Exclude, u.rep.ID) {
-			continue
-		}
-		if best == nil || u.used() < best.used() || (u.used() == best.used() && u.rep.ID < best.rep.ID) {
-			best = u
-		}
-	}
-	if best != nil {
-		p.reserved = best.rep.ID
-	}
-}
--- a/internal/limit/hold.go
+++ b/internal/limit/hold.go
@@ -14,7 +14,7 @@
 	full := !u.lastFull.Before(h.at) || u.used() >= u.ramp.level
 	p.drop(now, h)
 	if h.grant.Incarnation == u.ramp.incarnation {
-		u.ramp.record(r.Result, full && h.grant.Level == u.ramp.level, p.cfg)
+		u.ramp.record(now, r.Result, full && h.grant.Level == u.ramp.level, p.cfg)
 	}
 	if r.Result.Outcome == OK {
 		p.speed.record(r.Result.Duration)
@@ -27,7 +27,7 @@
 func (p *Pool) Cancel(now time.Time, holder, request string) {
 	key := requestKey(holder, request)
 	if p.queue.remove(key) {
-		p.unreserve()
+		p.serve(now)
 		return
 	}
 	if h, ok := p.byRequest[key]; ok {
@@ -70,9 +70,9 @@
 }
 
 func (p *Pool) dropLost(now time.Time, holder string, r Renewal, listed map[string]struct{}) {
-	for id, h := range p.holds {
+	for id, h := range p.byHolder[holder] {
 		g := &h.grant
-		if g.Holder != holder || g.Boot != r.Boot || g.Seq > r.Seq {
+		if g.Boot != r.Boot || g.Seq > r.Seq {
 			continue
 		}
 		_, used := listed[id]
@@ -88,8 +88,9 @@
 	h.grant.Expires = now.Add(GrantTTL)
 	if h.orphan {
 		h.orphan = false
-		h.unit.orphans--
+		delete(h.unit.orphans, h)
 		h.unit.held++
+		h.unit.excuse()
 	}
 	p.dueBy(h.grant.Expires)
 }
@@ -98,8 +99,8 @@
 // still run at the targets, so its grants stay counted until their deadlines
 // or until a report shows less.
 func (p *Pool) Reboot(now time.Time, holder, boot string) {
-	for _, h := range p.holds {
-		if h.grant.Holder == holder && h.grant.Boot != boot && !h.orphan {
+	for _, h := range p.byHolder[holder] {
+		if h.grant.Boot != boot && !h.orphan {
 			p.orphan(h)
 		}
 	}
@@ -109,9 +110,7 @@
 func (p *Pool) orphan(h *hold) {
 	h.orphan = true
 	h.unit.held--
-	h.unit.orphans++
-	// From now on only the deadline or a report ends it.
-	h.at = h.grant.Expires
+	h.unit.orphans[h] = struct{}{}
 	p.dueBy(h.grant.Deadline)
 }
 
@@ -124,7 +123,6 @@
 	}
 	p.settleOrphans(now)
 	p.refuseLate(now)
-	p.unreserve()
 	p.serve(now)
 }
 
@@ -141,37 +139,47 @@
 	}
 }
 
-// settleOrphans drops orphans that a report disproves: the report was made
-// after they were sent and counts less work than there are orphans.
+// settleOrphans applies the newest reports to the orphans.
 func (p *Pool) settleOrphans(now time.Time) {
 	for _, u := range p.units {
-		if u.orphans > u.rep.Inflight {
+		if len(u.orphans) > 0 {
 			p.settle(now, u)
 		}
 	}
 }
 
+// settle drops the orphans that a report disproves: it was made after their
+// holders fell silent and counts no work. If it counts less work than there
+// are, some have ended, but which ones is not known: all are kept, and only as
+// many as may run are counted.
 func (p *Pool) settle(now time.Time, u *unit) {
-	for _, h := range p.holds {
-		if u.orphans <= u.rep.Inflight {
-			return
-		}
-		if h.unit == u && h.orphan && u.rep.ReportedAt.After(h.grant.Expires.Add(ReportLag)) {
+	u.room = u.rep.Inflight
+	if p.warm(u) {
+		// Here the work of live holders is taken off. Not on a cold replica,
+		// where a single request too many does harm: it may all be the orphans'.
+		u.room = max(0, u.rep.Inflight-u.spans.least(now, u.held))
+	}
+	for h := range u.orphans {
+		if u.room == 0 && u.silent(h) {
 			p.drop(now, h)
 		}
 	}
+	u.excuse()
 }
 
-// unreserve gives up a reserved replica that no queued request needs, or that
-// is no longer open.
-func (p *Pool) unreserve() {
-	if p.reserved == "" {
-		return
-	}
-	for _, w := range p.queue.byID {
-		if w.req.Alone {
-			return
+// silent reports whether the newest report was made after the orphan's holder
+// could last have started its work.
+func (u *unit) silent(h *hold) bool {
+	return u.rep.ReportedAt.After(h.grant.Expires.Add(ReportLag))
+}
+
+// excuse counts the orphans that the report leaves no room for.
+func (u *unit) excuse() {
+	n := 0
+	for h := range u.orphans {
+		if u.silent(h) {
+			n++
 		}
 	}
-	p.reserved = ""
+	u.excused = max(0, n-u.room)
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -10,10 +10,10 @@
 // Times of the grant protocol.
 const (
 	// GrantTTL is the life of a grant that is not renewed.
-	GrantTTL = 5 * time.Second
+	GrantTTL = 3 * time.Second
 	// ClockSkew is the largest difference between two daemons' clocks that
 	// expiries allow for: a holder stops that long before the home does.
-	ClockSkew = time.Second
+	ClockSkew = 500 * time.Millisecond
 	// ReportLag is the age that a target's report may have when it arrives.
 	ReportLag = 2 * time.Second
 	// ColdQuiet is how long a new home leaves cold replicas alone while some
@@ -78,13 +78,14 @@
 	At    time.Time
 	Alone bool
 	// Home is the daemon that granted, Term its tenure as the pool's home.
+	// Later tenures have greater terms.
 	Home string
 	Term string
 }
 
 // Usable reports whether the holder may still start work under the grant.
 func (g *Grant) Usable(now time.Time) bool {
-	return now.Add(ClockSkew).Before(g.Expires)
+	return now.Add(ClockSkew).Before(g.Expires) && now.Before(g.Deadline)
 }
 
 // Outcome is how an attempt under a grant ended.
@@ -109,6 +110,8 @@
 	Outcome Outcome
 	// FirstToken is the time from sending to the first token; 0 if none came.
 	FirstToken time.Duration
+	// Step is the mean time between tokens; 0 if there were none.
+	Step time.Duration
 	// Duration is the time from sending to the end; 0 if never sent.
 	Duration time.Duration
 }
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -22,10 +22,12 @@
 	holds    map[string]*hold
 	// byRequest finds a grant by its holder and request.
 	byRequest map[string]*hold
-	memories  map[string]Memory
-	queue     queue
-	answers   []Answer
-	speed     speed
+	// byHolder has the grants of each holder by id.
+	byHolder map[string]map[string]*hold
+	memories map[string]Memory
+	queue    queue
+	answers  []Answer
+	speed    speed
 	// reserved is the replica kept free of new work for a request that must
 	// run alone; "" if there is none.
 	reserved string
@@ -58,6 +60,7 @@
 		units:     make(map[string]*unit),
 		holds:     make(map[string]*hold),
 		byRequest: make(map[string]*hold),
+		byHolder:  make(map[string]map[string]*hold),
 		memories:  make(map[string]Memory),
 		queue:     newQueue(),
 	}
@@ -71,6 +74,7 @@
 	p.cfg = cfg
 	for _, u := range p.units {
 		u.ramp.clamp(cfg)
+		p.watchOpen(now, u)
 	}
 	p.serve(now)
 }
@@ -82,7 +86,8 @@
 }
 
 // SetReplicas takes the pool's replicas as they are watched now. One that is
-// missing gets no more work; it is forgotten when nothing runs on it.
+// missing gets no more work; it is forgotten when it has been gone for long
+// and nothing runs on it.
 func (p *Pool) SetReplicas(now time.Time, reps []replica.Replica) {
 	present := make(map[string]struct{}, len(reps))
 	for _, r := range reps {
@@ -94,7 +99,8 @@
 			continue
 		}
 		u.rep.Status = replica.Broken
-		if u.known() == 0 {
+		p.watchOpen(now, u)
+		if u.held+len(u.orphans) == 0 && u.closedFor(now) > coolAfter {
 			delete(p.units, id)
 		}
 	}
@@ -105,20 +111,21 @@
 func (p *Pool) setReplica(now time.Time, r replica.Replica) {
 	u := p.unit(r.ID)
 	u.report(r, now)
+	p.sound(u)
+	p.watchOpen(now, u)
 	if u.ramp.incarnation == r.Incarnation {
 		return
 	}
 	u.ramp.begin(r.Incarnation, p.cfg.ColdLimit)
 	if m, ok := p.memories[r.ID]; ok && m.Incarnation == r.Incarnation {
-		u.ramp.level = m.Level
-		u.ramp.clamp(p.cfg)
+		u.ramp.recall(m, p.cfg)
 	}
 }
 
 func (p *Pool) unit(id string) *unit {
 	u, ok := p.units[id]
 	if !ok {
-		u = &unit{rep: replica.Replica{ID: id, Pool: p.name}}
+		u = &unit{rep: replica.Replica{ID: id, Pool: p.name}, orphans: make(map[*hold]struct{})}
 		p.units[id] = u
 	}
 	return u
@@ -127,10 +134,15 @@
 // add counts a new grant.
 func (p *Pool) add(now time.Time, h *hold) {
 	p.holds[h.grant.ID] = h
+	h.unit.spans.note(now, h.unit.held, h.unit.known())
 	p.byRequest[requestKey(h.grant.Holder, h.grant.Request)] = h
+	if p.byHolder[h.grant.Holder] == nil {
+		p.byHolder[h.grant.Holder] = make(map[string]*hold)
+	}
+	p.byHolder[h.grant.Holder][h.grant.ID] = h
 	h.unit.held++
+	h.unit.spans.note(now, h.unit.held, h.unit.known())
 	h.unit.alone = h.unit.alone || h.grant.Alone
-	h.unit.peaks.note(now, h.unit.known())
 	if h.unit.used() >= h.unit.ramp.level {
 		h.unit.lastFull = now
 	}
@@ -140,22 +152,35 @@
 // drop ends a grant for good.
 func (p *Pool) drop(now time.Time, h *hold) {
 	u := h.unit
-	u.peaks.note(now, u.known())
+	u.spans.note(now, u.held, u.known())
 	if u.used() >= u.ramp.level {
 		u.lastFull = now
 	}
-	delete(p.holds, h.grant.ID)
-	delete(p.byRequest, requestKey(h.grant.Holder, h.grant.Request))
+	p.forget(h)
 	if h.orphan {
-		u.orphans--
+		delete(u.orphans, h)
+		u.excuse()
 	} else {
 		u.held--
 	}
+	u.spans.note(now, u.held, u.known())
 	if h.grant.Alone || u.known() == 0 {
 		u.alone = false
 	}
 }
 
+func (p *Pool) forget(h *hold) {
+	g := &h.grant
+	delete(p.holds, g.ID)
+	if key := requestKey(g.Holder, g.Request); p.byRequest[key] == h {
+		delete(p.byRequest, key)
+	}
+	delete(p.byHolder[g.Holder], g.ID)
+	if len(p.byHolder[g.Holder]) == 0 {
+		delete(p.byHolder, g.Holder)
+	}
+}
+
 func (p *Pool) nextID() string {
 	p.seq++
 	return p.term + "." + strconv.FormatUint(p.seq, 10)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -51,6 +51,8 @@
 	byID        map[string]*waiting
 	byWorkspace map[string]int
 	taken       int
+	// alone is the longest waiting request that must run alone.
+	alone *Request
 }
 
 func newQueue() queue {
@@ -78,6 +80,9 @@
 	l.n++
 	q.byID[requestKey(w.req.Holder, w.req.ID)] = w
 	q.byWorkspace[w.req.Workspace]++
+	if w.req.Alone && q.alone == nil {
+		q.alone = &w.req
+	}
 }
 
 // remove takes a request out of its line and reports whether it was there.
@@ -110,6 +115,22 @@
 	if q.byWorkspace[w.req.Workspace]--; q.byWorkspace[w.req.Workspace] <= 0 {
 		delete(q.byWorkspace, w.req.Workspace)
 	}
+	if q.alone == &w.req {
+		q.alone = q.oldestAlone()
+	}
+}
+
+func (q *queue) oldestAlone() *Request {
+	var oldest *waiting
+	for _, w := range q.byID {
+		if w.req.Alone && (oldest == nil || w.at.Before(oldest.at)) {
+			oldest = w
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	return &oldest.req
 }
 
 // take offers requests in order to place until one is placed; that one leaves
--- a/internal/limit/ramp.go
+++ b/internal/limit/ramp.go
@@ -7,8 +7,10 @@
 	// slowFactor is how far above its own baseline a first token must come to
 	// count as slow.
 	slowFactor = 4
-	// slowFloor keeps fast targets from being called slow for noise.
-	slowFloor = 100 * time.Millisecond
+	// firstFloor and stepFloor keep fast targets from being called slow for
+	// noise.
+	firstFloor = 100 * time.Millisecond
+	stepFloor  = 50 * time.Millisecond
 	// slowRun is the number of slow answers in a row that mean a cold target.
 	slowRun = 3
 	// baselineWeight is the weight of history in the baseline.
@@ -21,9 +23,13 @@
 type ramp struct {
 	incarnation string
 	level       int
-	proven      int
-	slow        int
-	baseline    time.Duration
+	// since is when the level was last learned; zero for a new incarnation.
+	since  time.Time
+	proven int
+	slow   int
+	// first and step are the replica's own times when it was not slow.
+	first gauge
+	step  gauge
 }
 
 // begin sets the ramp to the cold limit for an incarnation.
@@ -33,8 +39,17 @@
 
 // chill returns to the cold limit within one incarnation. The baseline stays:
 // answers are evidence again once they are as fast as before.
-func (r *ramp) chill(cold int) {
-	r.level, r.proven, r.slow = min(r.level, cold), 0, 0
+func (r *ramp) chill(now time.Time, cold int) {
+	r.level, r.proven, r.slow, r.since = min(r.level, cold), 0, 0, now
+}
+
+// recall takes a level that another daemon remembers, unless a newer one is
+// known.
+func (r *ramp) recall(m Memory, c Config) {
+	if m.At.After(r.since) {
+		r.level, r.since = m.Level, m.At
+		r.clamp(c)
+	}
 }
 
 // clamp keeps the level within the pool's limits after an edit.
@@ -44,48 +59,51 @@
 
 // record takes the result of an attempt. full says that the replica was at
 // its level while the attempt ran, and that the level is still the same.
-func (r *ramp) record(res Result, full bool, c Config) {
+func (r *ramp) record(now time.Time, res Result, full bool, c Config) {
 	switch res.Outcome {
 	case Crashed, Overloaded:
-		r.chill(c.ColdLimit)
+		r.chill(now, c.ColdLimit)
 	case OK:
-		r.recordOK(res, full, c)
+		r.recordOK(now, res, full, c)
 	case Failed, Cancelled:
 	}
 }
 
-func (r *ramp) recordOK(res Result, full bool, c Config) {
-	if r.isSlow(res.FirstToken) {
+func (r *ramp) recordOK(now time.Time, res Result, full bool, c Config) {
+	slow := r.first.isSlow(res.FirstToken, firstFloor) || r.step.isSlow(res.Step, stepFloor)
+	r.first.learn(res.FirstToken)
+	r.step.learn(res.Step)
+	if slow {
 		r.slow++
-		r.learn(res.FirstToken)
 		if r.slow >= slowRun {
-			r.chill(c.ColdLimit)
+			r.chill(now, c.ColdLimit)
 		}
 		return
 	}
 	r.slow = 0
-	r.learn(res.FirstToken)
 	if !full || r.level >= c.Limit {
 		return
 	}
 	r.proven++
 	if r.proven >= r.level {
 		r.level = min(c.Limit, r.level+max(1, r.level/2))
-		r.proven = 0
+		r.proven, r.since = 0, now
 	}
 }
 
-func (r *ramp) isSlow(first time.Duration) bool {
-	return r.baseline > 0 && first > slowFloor && first > slowFactor*r.baseline
+// gauge is a slowly moving mean. A lasting change becomes the new baseline.
+type gauge struct{ mean time.Duration }
+
+func (g *gauge) isSlow(d, floor time.Duration) bool {
+	return g.mean > 0 && d > floor && d > slowFactor*g.mean
 }
 
-func (r *ramp) learn(first time.Duration) {
-	if first <= 0 {
-		return
-	}
-	if r.baseline == 0 {
-		r.baseline = first
-		return
+func (g *gauge) learn(d time.Duration) {
+	switch {
+	case d <= 0:
+	case g.mean == 0:
+		g.mean = d
+	default:
+		g.mean += (d - g.mean) / baselineWeight
 	}
-	r.baseline += (first - r.baseline) / baselineWeight
 }
--- /dev/null
+++ b/internal/limit/transfer.go
@@ -0,0 +1,104 @@
+package limit
+
+import "time"
+
+// Memory is what a holder remembers of a replica's level.
+type Memory struct {
+	Replica     string
+	Incarnation string
+	Level       int
+	At          time.Time
+}
+
+// Holdings is what one holder has from earlier homes of the pool.
+type Holdings struct {
+	Holder string
+	Boot   string
+	Grants []Grant
+	// Levels are the newest levels seen in grants.
+	Levels []Memory
+}
+
+// Table is all that a home knew when another one took over.
+type Table struct {
+	Grants []Grant
+	Levels []Memory
+	// Strangers bounds work that no grant in the table explains.
+	Strangers []Strangers
+	// Complete means that the home had nothing left to recover itself: all work
+	// is in the table, or bounded by Strangers.
+	Complete bool
+}
+
+// Held takes one holder's answer. The holder's own list is the truth about its
+// grants: those it does not list were given back or will never reach it.
+func (p *Pool) Held(now time.Time, h Holdings) {
+	p.recovery.answer(h.Holder)
+	listed := make(map[string]struct{}, len(h.Grants))
+	for i := range h.Grants {
+		listed[h.Grants[i].ID] = struct{}{}
+		p.adopt(now, h.Grants[i])
+	}
+	for id, o := range p.byHolder[h.Holder] {
+		if _, ok := listed[id]; !ok && o.grant.Boot == h.Boot && o.grant.Term != p.term {
+			p.drop(now, o)
+		}
+	}
+	p.Reboot(now, h.Holder, h.Boot)
+	p.Remember(h.Levels)
+	p.serve(now)
+}
+
+// HandedOver takes the table of the home before this one. It speaks for the
+// holders that have not answered.
+func (p *Pool) HandedOver(now time.Time, t Table) {
+	for i := range t.Grants {
+		if _, ok := p.recovery.answered[t.Grants[i].Holder]; !ok {
+			p.adopt(now, t.Grants[i])
+		}
+	}
+	p.recovery.complete = p.recovery.complete || t.Complete
+	p.inherit(t.Strangers)
+	p.Remember(t.Levels)
+	p.serve(now)
+}
+
+// Remember takes levels that others saw; the newest one of an incarnation wins.
+func (p *Pool) Remember(levels []Memory) {
+	for _, m := range levels {
+		old, ok := p.memories[m.Replica]
+		if ok && !m.At.After(old.At) {
+			continue
+		}
+		p.memories[m.Replica] = m
+		if u, known := p.units[m.Replica]; known && u.ramp.incarnation == m.Incarnation {
+			u.ramp.recall(m, p.cfg)
+		}
+	}
+}
+
+// adopt takes over a grant that another home made. Its holder, if it lives,
+// renews it here; the full term gives it time to learn of this home.
+func (p *Pool) adopt(now time.Time, g Grant) {
+	if _, ok := p.holds[g.ID]; ok {
+		return
+	}
+	h := &hold{grant: g, unit: p.unit(g.Replica), at: now}
+	h.grant.Expires = now.Add(GrantTTL)
+	p.add(now, h)
+}
+
+// Export returns all that the pool knows, for the home that takes over.
+func (p *Pool) Export(now time.Time) Table {
+	var t Table
+	t.Strangers, t.Complete = p.strangers()
+	for _, h := range p.holds {
+		t.Grants = append(t.Grants, h.grant)
+	}
+	for id, u := range p.units {
+		if u.ramp.incarnation != "" {
+			t.Levels = append(t.Levels, Memory{Replica: id, Incarnation: u.ramp.incarnation, Level: u.ramp.level, At: now})
+		}
+	}
+	return t
+}
--- a/internal/limit/unit.go
+++ b/internal/limit/unit.go
@@ -7,34 +7,67 @@
 	"github.com/ragwortquay/ragwortquay/internal/replica"
 )
 
-// Windows over which a report is compared with what was held.
-const (
-	peakBuckets = 8
-	peakBucket  = ReportLag / (peakBuckets - 1)
-)
-
 // unit is one replica with all that runs on it as far as the home knows.
 type unit struct {
 	rep  replica.Replica
 	ramp ramp
-	// held counts grants that their holders renew, orphans those that expired
-	// while the request may still run.
+	// held counts grants that their holders renew, orphans are those that
+	// expired while the request may still run.
 	held    int
-	orphans int
+	orphans map[*hold]struct{}
+	// excused counts the orphans that a report leaves no room for.
+	excused int
+	// room is the work that the newest report leaves for orphans.
+	room int
 	// unknown is reported work that no grant explains.
 	unknown int
+	// strangers bounds the work that silent holders may still run; it stands
+	// for the recovery that soundedFor names by its start.
+	strangers  int
+	soundedFor time.Time
 	// lastFull is the last time at which the replica was at its level.
 	lastFull time.Time
 	// alone means that the only grant forbids others beside it.
 	alone bool
-	peaks peaks
+	spans spans
+	// closedAt is when the replica last ceased to be open; zero while it is.
+	closedAt time.Time
+	// withdrawn means that operators took its failure domain out meanwhile.
+	withdrawn bool
 }
 
-// known is the work that grants account for.
-func (u *unit) known() int { return u.held + u.orphans }
+// coolAfter is how long a replica stays warm without work while it is closed.
+const coolAfter = 30 * time.Second
+
+// closedFor is how long the replica has been closed.
+func (u *unit) closedFor(now time.Time) time.Duration {
+	if u.closedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(u.closedAt)
+}
+
+// watchOpen notes when a replica closes or opens. One that comes back with its
+// failure domain, or after a long time, is cold.
+func (p *Pool) watchOpen(now time.Time, u *unit) {
+	if !p.open(u) {
+		if u.closedAt.IsZero() {
+			u.closedAt = now
+		}
+		u.withdrawn = u.withdrawn || slices.Contains(p.cfg.Withdrawn, u.rep.FailureDomain)
+		return
+	}
+	if u.withdrawn || u.closedFor(now) > coolAfter {
+		u.ramp.chill(now, p.cfg.ColdLimit)
+	}
+	u.closedAt, u.withdrawn = time.Time{}, false
+}
+
+// known is the work that grants account for, as far as it may be running.
+func (u *unit) known() int { return u.held + len(u.orphans) - u.excused }
 
 // used is all work that may be running on the replica.
-func (u *unit) used() int { return u.known() + u.unknown }
+func (u *unit) used() int { return u.known() + max(u.unknown, u.strangers) }
 
 // report takes a newer report of the replica's work. Reports lag, so the work
 // is unexplained only if it exceeds everything held during the lag.
@@ -44,33 +77,7 @@
 	if !fresh {
 		return
 	}
-	u.unknown = max(0, rep.Inflight-max(u.known(), u.peaks.max(now)))
-}
-
-// peaks remembers the most work held in each of the last few spans.
-type peaks struct {
-	at  [peakBuckets]int64
-	top [peakBuckets]int
-}
-
-func (p *peaks) note(now time.Time, n int) {
-	span := now.UnixNano() / int64(peakBucket)
-	i := span % peakBuckets
-	if p.at[i] != span {
-		p.at[i], p.top[i] = span, 0
-	}
-	p.top[i] = max(p.top[i], n)
-}
-
-func (p *peaks) max(now time.Time) int {
-	oldest := now.UnixNano()/int64(peakBucket) - peakBuckets
-	top := 0
-	for i, span := range p.at {
-		if span > oldest {
-			top = max(top, p.top[i])
-		}
-	}
-	return top
+	u.unknown = max(0, rep.Inflight-max(u.known(), u.spans.most(now)))
 }
 
 // open reports whether the replica may get new work at all.
@@ -90,7 +97,7 @@
 	if p.warm(u) {
 		return top
 	}
-	if !p.standing.MayUseCold || !p.recovery.mayUseCold(now) {
+	if !p.standing.MayUseCold || !p.recovery.mayUseCold(now) || p.unsounded(u) {
 		return 0
 	}
 	return min(u.ramp.level, top)
