Order tenures by term, hand pools over, linger after cancellations

Two homes begun at once yielded to each other and neither served; terms now order tenures, a later one never yields to an earlier, and a holder that knows a later tenure says so. A home that leaves or loses a pool ends its tenure and keeps the table for its successor alone.

A cold replica whose caller hung up may still be at work: its grant counts one second longer, since a request that arrives before the target notices would push it over.

--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -17,8 +17,10 @@
 	opt   Options
 	home  *Home
 	lines *shard.Map[*line]
-	// pushes wakes the sender of releases.
-	pushes chan struct{}
+	// loads has what homes last said of each pool's slices.
+	loads *shard.Map[poolLoad]
+	// stopped is closed when the client no longer renews.
+	stopped chan struct{}
 }
 
 // Acquire asks the pool's home for a grant and waits for its decision. It asks
@@ -42,15 +44,19 @@
 		if a.refused != nil {
 			return limit.Grant{}, a.refused
 		}
-		hint = a.hint
+		if a.hint != "" && a.hint != hint {
+			hint = a.hint
+			continue
+		}
+		hint = ""
 		if err := c.pause(ctx, a.moved); err != nil {
 			return limit.Grant{}, err
 		}
 	}
 }
 
-// pause waits before another attempt: at once the first time that a home
-// named another, otherwise until the members change or a short time passes.
+// pause waits before another attempt until the members change or a short time
+// passes.
 func (c *Client) pause(ctx context.Context, changed <-chan struct{}) error {
 	timer := time.NewTimer(repeatAfter)
 	defer timer.Stop()
@@ -75,7 +81,7 @@
 
 func (c *Client) attempt(ctx context.Context, req limit.Request, hint string) attempted {
 	moved := c.opt.Members.Changed()
-	slice := 0
+	slice := c.slice(&req)
 	home := hint
 	if home == "" {
 		home = c.owner(req.Pool, slice)
@@ -91,11 +97,14 @@
 		go c.withdraw(home, req, slice)
 		return attempted{moved: moved}
 	}
+	c.noteLoad(req.Pool, slice, m)
 	switch {
 	case m.Refused != nil:
 		return attempted{refused: m.Refused.Fault()}
 	case m.Grant != nil && l.accept(*m.Grant):
 		return attempted{grant: m.Grant}
+	case m.Grant != nil:
+		go c.withdraw(home, req, slice)
 	case m.Moved && m.Home != home:
 		return attempted{hint: m.Home, moved: moved}
 	}
@@ -106,13 +115,13 @@
 	if c.opt.Local {
 		return c.opt.Members.Self()
 	}
-	return c.opt.Members.Owner(Key(pool, slice))
+	return c.home.owner(pool, slice)
 }
 
 // homeOf returns the daemon that keeps account of what the line holds: the one
 // that announced itself last while it lives, or else the owner.
 func (c *Client) homeOf(l *line) string {
-	if last := l.lastHome(); last != "" && slices.Contains(c.opt.Members.Live(), last) {
+	if last, _ := l.latest(); last != "" && slices.Contains(c.opt.Members.Live(), last) {
 		return last
 	}
 	return c.owner(l.pool, l.slice)
@@ -162,15 +171,9 @@
 // Release gives a grant back. It does not wait; the message is repeated until
 // the pool's home has it.
 func (c *Client) Release(g limit.Grant, r limit.Result) {
-	if c.line(g.Pool, g.Slice).release(limit.Release{Grant: g.ID, Result: r}) {
-		c.wake()
-	}
-}
-
-func (c *Client) wake() {
-	select {
-	case c.pushes <- struct{}{}:
-	default:
+	l := c.line(g.Pool, g.Slice)
+	if l.release(time.Now(), limit.Release{Grant: g.ID, Result: r}) {
+		go c.giveBack(l)
 	}
 }
 
@@ -191,9 +194,9 @@
 	return l
 }
 
-// takeover notes the pool's new home and returns all that this daemon holds.
-func (c *Client) takeover(m *wire.Takeover) limit.Holdings {
-	held := c.line(m.Pool, m.Slice).takeover(m.Home, m.Term)
-	held.Holder, held.Boot = c.opt.Members.Self(), c.opt.Boot
-	return held
+// takeover notes the pool's new home and adds all that this daemon holds, or
+// the later tenure that it knows of.
+func (c *Client) takeover(m *wire.Takeover, resp *wire.Holdings) {
+	resp.Held, resp.LaterHome, resp.LaterTerm = c.line(m.Pool, m.Slice).takeover(m.Home, m.Term)
+	resp.Held.Holder, resp.Held.Boot = c.opt.Members.Self(), c.opt.Boot
 }
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortquay/ragwortquay/internal/limit"
-	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
 // run follows members, rows and replicas until ctx ends.
@@ -71,29 +70,37 @@
 }
 
 func (h *Home) owns(t *tenure) bool {
-	return h.opt.Local || h.opt.Members.Owner(Key(t.id.Pool, t.id.Slice)) == h.opt.Members.Self()
+	return h.owner(t.id.Pool, t.id.Slice) == h.opt.Members.Self()
 }
 
-// membersChanged hands the pools that moved to their new homes.
+// membersChanged hands the pools that moved to their new homes, and asks
+// daemons that came into sight what they hold of those that stay.
 func (h *Home) membersChanged() {
-	h.moves.Add(1)
 	if h.opt.Local {
 		return
 	}
+	live := h.opt.Members.Live()
+	fresh, changed := h.seen.replace(live)
+	if !changed {
+		return
+	}
+	h.moves.Add(1)
 	for _, t := range h.serve() {
-		if owner := h.opt.Members.Owner(Key(t.id.Pool, t.id.Slice)); owner != "" && owner != h.opt.Members.Self() {
-			go h.handOver(context.Background(), t, owner)
+		if !h.owns(t) {
+			go h.handOver(context.Background(), t, h.owner(t.id.Pool, t.id.Slice))
+			continue
 		}
+		h.askFresh(t, live, fresh)
 	}
 	h.refresh()
 }
 
-// handOver asks another daemon to take the pool over, which it does by its
-// Takeover; this daemon goes on until then.
-func (h *Home) handOver(ctx context.Context, t *tenure, to string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	req := &wire.Handover{Pool: t.id.Pool, Slice: t.id.Slice}
-	// If the call fails the new home takes over with its first request.
-	_ = h.opt.Caller.Call(ctx, h.opt.Members.Addr(to), req, &wire.Done{})
+func (h *Home) askFresh(t *tenure, live, fresh []string) {
+	if len(fresh) == 0 {
+		return
+	}
+	t.do(func(now time.Time, p *limit.Pool) { p.Ask(now, live, fresh) })
+	for _, id := range fresh {
+		go h.collect(t, id)
+	}
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -91,9 +91,10 @@
 		o.Boot = ids.New()
 	}
 	c := &Client{
-		opt:    o,
-		lines:  shard.NewMap[*line](),
-		pushes: make(chan struct{}, 1),
+		opt:     o,
+		lines:   shard.NewMap[*line](),
+		loads:   shard.NewMap[poolLoad](),
+		stopped: make(chan struct{}),
 	}
 	h := &Home{opt: o, tenures: shard.NewMap[*tenure](), client: c}
 	c.home = h
--- a/internal/grant/handle.go
+++ b/internal/grant/handle.go
@@ -45,8 +45,8 @@
 			h.push(q)
 			return &wire.Done{}, nil
 		})},
-		{wire.TypeHandover, handle(func(_ context.Context, _ string, q *wire.Handover) (wire.Message, error) {
-			h.begin(q.Pool, q.Slice)
+		{wire.TypeHandover, handle(func(_ context.Context, from string, q *wire.Handover) (wire.Message, error) {
+			h.handedOver(q, from)
 			return &wire.Done{}, nil
 		})},
 	}
--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
-	"github.com/ragwortquay/ragwortquay/internal/ids"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -20,6 +19,10 @@
 	tenures *shard.Map[*tenure]
 	// moves counts the changes of membership.
 	moves atomic.Uint64
+	// leaving is set when this daemon hands its pools on before it ends.
+	leaving atomic.Bool
+	// seen are the live daemons at the last change.
+	seen liveSet
 }
 
 // acquire answers a request for a grant once it is decided, or when ctx ends.
@@ -28,9 +31,12 @@
 	if t == nil {
 		return &wire.Acquired{Moved: true, Home: owner}
 	}
-	reply := t.acquire(m.Request)
+	if n := h.sliceCount(m.Request.Pool); n > 0 && m.Slice >= n {
+		return &wire.Acquired{Moved: true, Slices: n}
+	}
 	select {
-	case a := <-reply:
+	case a := <-t.acquire(m.Request):
+		a.Slices, a.Waiting = h.sliceCount(m.Request.Pool), t.waiting()
 		return a
 	case <-ctx.Done():
 		t.cancel(m.Request.Holder, m.Request.ID)
@@ -51,8 +57,8 @@
 			return nil, successor
 		}
 	}
-	owner := h.opt.Members.Owner(key)
-	if !h.opt.Local && owner != h.opt.Members.Self() {
+	owner := h.owner(pool, slice)
+	if owner != h.opt.Members.Self() {
 		return nil, owner
 	}
 	return h.begin(pool, slice), ""
@@ -86,18 +92,19 @@
 }
 
 func (h *Home) newTenure(pool string, slice int) *tenure {
-	id := limit.Identity{Pool: pool, Slice: slice, Home: h.opt.Members.Self(), Term: ids.New()}
+	self := h.opt.Members.Self()
+	_, last := h.client.line(pool, slice).latest()
+	id := limit.Identity{Pool: pool, Slice: slice, Home: self, Term: nextTerm(last, self)}
 	return newTenure(id, h.config(pool))
 }
 
 // start gives a tenure its replicas and asks every daemon what it holds.
 func (h *Home) start(t *tenure) {
 	live := h.opt.Members.Live()
-	_, total := h.opt.Standing.VisibleShare()
+	seen, total := h.opt.Standing.VisibleShare()
 	t.do(func(now time.Time, p *limit.Pool) {
-		p.SetStanding(now, h.opt.standing())
 		if !h.opt.Local {
-			p.Recover(now, live, total-len(live))
+			p.Recover(now, live, total-seen)
 		}
 		h.refreshPool(now, t, p)
 	})
@@ -109,39 +116,6 @@
 	}
 }
 
-// collect announces the tenure to one daemon and takes what it holds.
-func (h *Home) collect(t *tenure, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	req := &wire.Takeover{Pool: t.id.Pool, Slice: t.id.Slice, Home: t.id.Home, Term: t.id.Term}
-	resp := &wire.Holdings{}
-	if id == h.opt.Members.Self() {
-		resp = h.takeover(req)
-	} else if err := h.opt.Caller.Call(ctx, h.opt.Members.Addr(id), req, resp); err != nil {
-		t.do(func(now time.Time, p *limit.Pool) { p.Silent(now, id) })
-		return
-	}
-	t.do(func(now time.Time, p *limit.Pool) { take(now, p, resp) })
-}
-
-func take(now time.Time, p *limit.Pool, m *wire.Holdings) {
-	p.Held(now, m.Held)
-	if m.Table != nil {
-		p.HandedOver(now, *m.Table)
-	}
-}
-
-// takeover yields the pool to its new home, if this daemon had it, and answers
-// with all that this daemon knows of it.
-func (h *Home) takeover(m *wire.Takeover) *wire.Holdings {
-	resp := &wire.Holdings{Pool: m.Pool, Slice: m.Slice}
-	if t, ok := h.tenures.Get(Key(m.Pool, m.Slice)); ok && t.id.Term != m.Term {
-		resp.Table = t.yield(m.Home, h.moves.Load())
-	}
-	resp.Held = h.client.takeover(m)
-	return resp
-}
-
 func (h *Home) cancel(from string, m *wire.Cancel) {
 	if t, ok := h.tenures.Get(Key(m.Pool, m.Slice)); ok {
 		t.cancel(from, m.Request)
@@ -155,7 +129,7 @@
 	key := Key(m.Pool, m.Slice)
 	t, ok := h.tenures.Get(key)
 	if !ok {
-		return h.opt.Members.Owner(key) == h.opt.Members.Self()
+		return h.owner(m.Pool, m.Slice) == h.opt.Members.Self()
 	}
 	if _, ended := t.ended(); ended {
 		return false
@@ -177,7 +151,7 @@
 		}
 		t.do(func(now time.Time, p *limit.Pool) {
 			if len(p.Renew(now, from, r)) > 0 {
-				resp.Unknown = append(resp.Unknown, wire.PoolSlice{Pool: r.Pool, Slice: r.Slice})
+				resp.Unknown = append(resp.Unknown, wire.Tenure{Pool: r.Pool, Slice: r.Slice, Term: t.id.Term})
 			}
 		})
 	}
--- a/internal/grant/line.go
+++ b/internal/grant/line.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/limit"
 )
@@ -14,19 +15,21 @@
 	slice int
 
 	mu sync.Mutex
-	// term is the tenure that announced itself last. Grants of other tenures
-	// that arrive afterwards are not accepted: the new home was told without
-	// them, and has given their room to others.
+	// term is the latest tenure known, home its daemon. Grants of earlier
+	// tenures that arrive afterwards are not accepted: the later home was told
+	// without them, and has given their room to others.
 	term string
-	// home is the daemon of that tenure.
 	home string
 	seq  uint64
 	// told is the last request whose end an empty renewal has told the home.
 	told    uint64
 	pending map[string]struct{}
 	held    map[string]limit.Grant
-	ended   []limit.Release
 	levels  map[string]limit.Memory
+	// ended are the grants to give back; sending is set while one goroutine
+	// does so.
+	ended   []limit.Release
+	sending bool
 }
 
 func newLine(pool string, slice int) *line {
@@ -57,48 +60,69 @@
 func (l *line) accept(g limit.Grant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term != "" && l.term != g.Term {
+	if g.Term < l.term {
 		return false
 	}
+	l.term, l.home = g.Term, g.Home
 	l.held[g.ID] = g
-	if m, ok := l.levels[g.Replica]; !ok || g.At.After(m.At) {
-		l.levels[g.Replica] = limit.Memory{Replica: g.Replica, Incarnation: g.Incarnation, Level: g.Level, At: g.At}
-	}
+	l.remember(limit.Memory{Replica: g.Replica, Incarnation: g.Incarnation, Level: g.Level, At: g.At})
 	return true
 }
 
-// release moves a grant to those that are given back; false if it is not held.
-func (l *line) release(r limit.Release) bool {
+func (l *line) remember(m limit.Memory) {
+	if old, ok := l.levels[m.Replica]; !ok || m.At.After(old.At) {
+		l.levels[m.Replica] = m
+	}
+}
+
+// release moves a grant to those that are given back. It reports whether the
+// caller has to start the sender.
+func (l *line) release(now time.Time, r limit.Release) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.held[r.Grant]; !ok {
+	g, ok := l.held[r.Grant]
+	if !ok {
 		return false
 	}
 	delete(l.held, r.Grant)
+	if r.Result.Outcome == limit.Crashed || r.Result.Outcome == limit.Overloaded {
+		// The home may die before it tells anybody that the replica is cold.
+		l.remember(limit.Memory{Replica: g.Replica, Incarnation: g.Incarnation, At: now})
+	}
 	l.ended = append(l.ended, r)
-	return true
+	start := !l.sending
+	l.sending = true
+	return start
 }
 
-// takeover notes a new tenure and returns what is held.
-func (l *line) takeover(home, term string) limit.Holdings {
+// takeover notes a new tenure and returns what is held. If a later tenure is
+// known it returns that one instead.
+func (l *line) takeover(home, term string) (held limit.Holdings, laterHome, laterTerm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if term < l.term {
+		return limit.Holdings{}, l.home, l.term
+	}
 	l.home, l.term = home, term
-	return l.list()
+	held.Grants = slices.Collect(maps.Values(l.held))
+	held.Levels = slices.Collect(maps.Values(l.levels))
+	return held, "", ""
 }
 
-// holdings returns what is held.
-func (l *line) holdings() limit.Holdings {
+// see notes that a tenure exists.
+func (l *line) see(home, term string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.list()
+	if term > l.term {
+		l.home, l.term = home, term
+	}
 }
 
-func (l *line) list() limit.Holdings {
-	return limit.Holdings{
-		Grants: slices.Collect(maps.Values(l.held)),
-		Levels: slices.Collect(maps.Values(l.levels)),
-	}
+// latest returns the latest tenure known; empty if there is none.
+func (l *line) latest() (home, term string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.home, l.term
 }
 
 // settled reports whether the home has been told of the end of every request
@@ -118,13 +142,6 @@
 	}
 }
 
-// lastHome returns the home that announced itself last; "" if none has.
-func (l *line) lastHome() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.home
-}
-
 // renewal lists what is held and waited for.
 func (l *line) renewal(boot string) limit.Renewal {
 	l.mu.Lock()
@@ -136,12 +153,14 @@
 	}
 }
 
-// takeEnded removes and returns the grants to give back.
+// takeEnded removes and returns the grants to give back. With none left the
+// sender has to stop.
 func (l *line) takeEnded() []limit.Release {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.ended
 	l.ended = nil
+	l.sending = len(e) > 0
 	return e
 }
 
--- a/internal/grant/renew.go
+++ b/internal/grant/renew.go
@@ -4,21 +4,13 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/ragwortquay/ragwortquay/internal/limit"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
-// run renews grants and sends releases until ctx ends.
+// run renews grants until ctx ends.
 func (c *Client) run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.runRenewals(ctx) })
-	g.Go(func() error { return c.runReleases(ctx) })
-	return g.Wait()
-}
-
-func (c *Client) runRenewals(ctx context.Context) error {
+	defer close(c.stopped)
 	ticker := time.NewTicker(RenewEvery)
 	defer ticker.Stop()
 	for {
@@ -68,63 +60,63 @@
 	}
 }
 
-// push tells a home about grants that it does not know.
-func (c *Client) push(ctx context.Context, home string, u wire.PoolSlice) {
-	held := c.line(u.Pool, u.Slice).holdings()
+// push tells a home about grants that it does not know. Like an answer to a
+// take-over, it voids what earlier tenures still have under way.
+func (c *Client) push(ctx context.Context, home string, u wire.Tenure) {
+	held, later, _ := c.line(u.Pool, u.Slice).takeover(home, u.Term)
+	if later != "" {
+		return
+	}
 	held.Holder, held.Boot = c.opt.Members.Self(), c.opt.Boot
 	m := &wire.Holdings{Pool: u.Pool, Slice: u.Slice, Held: held}
 	if home == c.opt.Members.Self() {
 		c.home.push(m)
 		return
 	}
+	// If the call fails the next renewal leads here again.
 	_ = c.opt.Caller.Call(ctx, c.opt.Members.Addr(home), m, &wire.Done{})
 }
 
-// runReleases sends what has gathered while the batch before was under way.
-func (c *Client) runReleases(ctx context.Context) error {
+// giveBack sends releases until there are none left: each message has what
+// gathered while the one before was under way.
+func (c *Client) giveBack(l *line) {
 	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-c.pushes:
+		e := l.takeEnded()
+		if len(e) == 0 {
+			return
 		}
-		if !c.sendReleases(ctx) {
-			c.wakeLater()
+		if c.sendReleases(l, e) == nil {
+			continue
+		}
+		l.putEnded(e)
+		if !c.rest() {
+			return
 		}
 	}
 }
 
-// wakeLater repeats releases that did not reach their home.
-func (c *Client) wakeLater() { time.AfterFunc(repeatAfter, c.wake) }
-
-func (c *Client) sendReleases(ctx context.Context) bool {
-	var g errgroup.Group
-	c.lines.Range(func(_ string, l *line) bool {
-		if e := l.takeEnded(); len(e) > 0 {
-			g.Go(func() error { return c.sendLine(ctx, l, e) })
-		}
+// rest waits before a repetition; false once the client has stopped.
+func (c *Client) rest() bool {
+	timer := time.NewTimer(repeatAfter)
+	defer timer.Stop()
+	select {
+	case <-c.stopped:
+		return false
+	case <-timer.C:
 		return true
-	})
-	return g.Wait() == nil
-}
-
-func (c *Client) sendLine(ctx context.Context, l *line, e []limit.Release) error {
-	m := &wire.Release{Pool: l.pool, Slice: l.slice, Releases: e}
-	err := c.sendRelease(ctx, c.homeOf(l), m)
-	if err != nil {
-		l.putEnded(e)
 	}
-	return err
 }
 
-func (c *Client) sendRelease(ctx context.Context, home string, m *wire.Release) error {
+func (c *Client) sendReleases(l *line, e []limit.Release) error {
+	m := &wire.Release{Pool: l.pool, Slice: l.slice, Releases: e}
+	home := c.homeOf(l)
 	if home == c.opt.Members.Self() {
 		if !c.home.release(m) {
 			return errNotHome
 		}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	return c.opt.Caller.Call(ctx, c.opt.Members.Addr(home), m, &wire.Done{})
 }
--- a/internal/grant/tenure.go
+++ b/internal/grant/tenure.go
@@ -17,8 +17,11 @@
 	pool    *limit.Pool
 	waiters map[string]chan *wire.Acquired
 	timer   *time.Timer
-	// successor is the home that took over; "" while this one serves.
+	// over is set at the end of the tenure; successor is the home that follows,
+	// table the pool's state for it.
+	over      bool
 	successor string
+	table     *limit.Table
 	// endedAt is the home's count of membership changes when it ended.
 	endedAt uint64
 }
@@ -32,7 +35,7 @@
 func (t *tenure) do(fn func(now time.Time, p *limit.Pool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.successor != "" {
+	if t.over {
 		return
 	}
 	now := time.Now()
@@ -46,7 +49,7 @@
 	reply := make(chan *wire.Acquired, 1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.successor != "" {
+	if t.over {
 		reply <- &wire.Acquired{Moved: true, Home: t.successor}
 		return reply
 	}
@@ -111,15 +114,15 @@
 	t.do(func(now time.Time, p *limit.Pool) { p.Tick(now) })
 }
 
-// yield ends the tenure in favour of another home, sends those who wait there,
-// and returns the pool's state; nil if it had ended before.
-func (t *tenure) yield(successor string, moves uint64) *limit.Table {
+// yield ends the tenure in favour of another home and sends those who wait
+// there. It reports false if it had ended before.
+func (t *tenure) yield(successor string, moves uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.successor != "" {
-		return nil
+	if t.over {
+		return false
 	}
-	t.successor, t.endedAt = successor, moves
+	t.over, t.successor, t.endedAt = true, successor, moves
 	if t.timer != nil {
 		t.timer.Stop()
 	}
@@ -128,12 +131,33 @@
 		reply <- &wire.Acquired{Moved: true, Home: successor}
 	}
 	table := t.pool.Export(time.Now())
-	return &table
+	t.table = &table
+	return true
+}
+
+// takeTable returns the pool's state as it was at the end, once, and only to
+// the successor: anybody later would take it for newer than it is.
+func (t *tenure) takeTable(successor string) *limit.Table {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.successor != successor {
+		return nil
+	}
+	table := t.table
+	t.table = nil
+	return table
+}
+
+// waiting counts those who wait for a decision.
+func (t *tenure) waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiters)
 }
 
 // ended returns the home that took over, if any.
 func (t *tenure) ended() (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.successor, t.successor != ""
+	return t.successor, t.over
 }
--- a/internal/limit/hold.go
+++ b/internal/limit/hold.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Release gives a grant back with what the holder learned. An unknown grant is
 // ignored: it was given back before, or another home made it and this one has
@@ -12,7 +15,11 @@
 	}
 	u := h.unit
 	full := !u.lastFull.Before(h.at) || u.used() >= u.ramp.level
-	p.drop(now, h)
+	if p.lingers(u, r.Result) {
+		p.linger(now, h)
+	} else {
+		p.drop(now, h)
+	}
 	if h.grant.Incarnation == u.ramp.incarnation {
 		u.ramp.record(now, r.Result, full && h.grant.Level == u.ramp.level, p.cfg)
 	}
@@ -22,6 +29,27 @@
 	p.serve(now)
 }
 
+// lingerTime is how long a target may take to notice that its caller has gone.
+const lingerTime = time.Second
+
+// lingers reports whether a cold replica may still be at work on an attempt
+// that its caller left.
+func (p *Pool) lingers(u *unit, r Result) bool {
+	left := r.Outcome == Cancelled || r.Outcome == Crashed
+	return left && r.Duration > 0 && !p.warm(u)
+}
+
+// linger keeps a grant that was given back counted for a while.
+func (p *Pool) linger(now time.Time, h *hold) {
+	p.drop(now, h)
+	h.orphan = false
+	h.grant.Expires, h.grant.Deadline = now, now.Add(lingerTime)
+	// No renewal speaks of it any more.
+	h.grant.Seq = math.MaxUint64
+	p.add(now, h)
+	p.orphan(h)
+}
+
 // Cancel withdraws a request: from the queue, or its grant if it has one that
 // the holder never used.
 func (p *Pool) Cancel(now time.Time, holder, request string) {
--- a/internal/limit/recovery.go
+++ b/internal/limit/recovery.go
@@ -16,7 +16,10 @@
 	unreachable int
 	answered    map[string]struct{}
 	// complete means that the home before this one handed over all it knew.
+	// merging means that other homes may have served besides, behind a
+	// partition: one table is then not enough.
 	complete bool
+	merging  bool
 }
 
 // silent counts the holders that have not answered.
@@ -88,7 +91,7 @@
 	if !r.active(now) {
 		*r = recovery{asked: set(others), answered: set(others)}
 	}
-	r.started, r.complete = now, false
+	r.started, r.complete, r.merging = now, false, true
 	for _, h := range fresh {
 		r.asked[h] = struct{}{}
 		delete(r.answered, h)
--- a/internal/limit/transfer.go
+++ b/internal/limit/transfer.go
@@ -57,7 +57,7 @@
 			p.adopt(now, t.Grants[i])
 		}
 	}
-	p.recovery.complete = p.recovery.complete || t.Complete
+	p.recovery.complete = p.recovery.complete || (t.Complete && !p.recovery.merging)
 	p.inherit(t.Strangers)
 	p.Remember(t.Levels)
 	p.serve(now)
--- a/internal/wire/grant.go
+++ b/internal/wire/grant.go
@@ -72,18 +72,19 @@
 func (*Renew) WireType() Type { return TypeRenew }
 
 // Renewed answers Renew: for each renewal that names grants which the home
-// does not have, the pool and slice.
+// does not have, the tenure to tell them to.
 type Renewed struct {
-	Unknown []PoolSlice `msgpack:"u,omitempty"`
+	Unknown []Tenure `msgpack:"u,omitempty"`
 }
 
 // WireType returns TypeRenewed.
 func (*Renewed) WireType() Type { return TypeRenewed }
 
-// PoolSlice names one slice of a pool.
-type PoolSlice struct {
+// Tenure names a daemon's time as the home of one slice of a pool.
+type Tenure struct {
 	Pool  string `msgpack:"p"`
 	Slice int    `msgpack:"s,omitempty"`
+	Term  string `msgpack:"t"`
 }
 
 // Takeover announces a pool's new home to a daemon and asks what it holds. The
@@ -99,20 +100,25 @@
 func (*Takeover) WireType() Type { return TypeTakeover }
 
 // Holdings is what a daemon holds of a pool; Table is set by the home before.
+// If the daemon knows of a later tenure it names that one instead.
 type Holdings struct {
-	Pool  string         `msgpack:"p"`
-	Slice int            `msgpack:"s,omitempty"`
-	Held  limit.Holdings `msgpack:"h"`
-	Table *limit.Table   `msgpack:"t,omitempty"`
+	Pool      string         `msgpack:"p"`
+	Slice     int            `msgpack:"s,omitempty"`
+	Held      limit.Holdings `msgpack:"h"`
+	Table     *limit.Table   `msgpack:"t,omitempty"`
+	LaterHome string         `msgpack:"lh,omitempty"`
+	LaterTerm string         `msgpack:"lt,omitempty"`
 }
 
 // WireType returns TypeHoldings.
 func (*Holdings) WireType() Type { return TypeHoldings }
 
-// Handover asks a daemon to take over a pool from the sender.
+// Handover asks a daemon to take over a pool from the sender, whose tenure
+// Term names.
 type Handover struct {
 	Pool  string `msgpack:"p"`
 	Slice int    `msgpack:"s,omitempty"`
+	Term  string `msgpack:"t"`
 }
 
 // WireType returns TypeHandover.
