Tell a deputy of grants within the home's failure domain

Killing the home left every replica below its warm limit without work for 8 s (simulated, 15 daemons, 4 replicas, 40 requests/s): the dead home's own holdings were unknown, so the new one had to wait for them to expire. Shorter expiries were ruled out (the lag of reports and of detection remain), replicating every grant too (a second round trip for all).

A grant is known to its home and its holder; only where the two share a failure domain is a third daemon, outside it, told first. The loss of one domain then leaves no doubt, and a new home says so when everybody else has answered.

Also: the table handed over has the replicas, which stand until the new home's watch has seen them, and a question put to a hinted home is no longer cancelled by every change of membership.

Shared: daemon passes the view as Daemons and drains homes before leaving.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -125,6 +125,7 @@
 		Pools:    d.view,
 		Replicas: d.fleet,
 		Standing: d.standing,
+		Daemons:  d.view,
 		Boot:     d.boot,
 	})
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -33,7 +33,8 @@
 	}
 	d.life.drained()
 
-	klog.InfoS("Shutdown: leaving the members")
+	klog.InfoS("Shutdown: handing homes over and leaving the members")
+	d.grants.Home.Drain(ctx)
 	leave()
 	d.leaveRecord()
 	pause(handoverTime)
--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -143,8 +143,10 @@
 	return resp, err
 }
 
-// watch cancels a question when another daemon has become the home.
+// watch cancels a question when the pool's owner changes, or when the daemon
+// that was asked is gone.
 func (c *Client) watch(home string, m *wire.Acquire, moved, stop <-chan struct{}, cancel func()) {
+	owner := c.owner(m.Request.Pool, m.Slice)
 	for {
 		select {
 		case <-stop:
@@ -152,7 +154,7 @@
 		case <-moved:
 		}
 		moved = c.opt.Members.Changed()
-		if c.owner(m.Request.Pool, m.Slice) != home {
+		if c.owner(m.Request.Pool, m.Slice) != owner || !slices.Contains(c.opt.Members.Live(), home) {
 			cancel()
 			return
 		}
--- a/internal/grant/cluster_test.go
+++ b/internal/grant/cluster_test.go
@@ -3,29 +3,39 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/ids"
-	"github.com/ragwortquay/ragwortquay/internal/limit"
 	"github.com/ragwortquay/ragwortquay/internal/replica"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/table"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
-// cluster is a set of daemons in one process, joined by memory. It holds what
-// the test decides: who sees whom, who may use cold replicas, the replicas.
+// Times of the simulated world.
+const (
+	latency     = 1500 * time.Microsecond
+	detection   = time.Second
+	reportEvery = 250 * time.Millisecond
+)
+
+// cluster is a set of daemons in one bubble of simulated time, joined by a
+// network that the test cuts as it likes. Who sees whom follows the network
+// after the time that detection takes.
 type cluster struct {
-	mu       sync.Mutex
-	nodes    map[string]*node
-	sees     func(a, b string) bool
-	replicas []replica.Replica
-	row      state.PoolRow
-	changed  chan struct{}
+	ctx  context.Context
+	pool table.Pool
+
+	mu      sync.Mutex
+	nodes   map[string]*node
+	cut     func(a, b string) bool
+	seen    func(a, b string) bool
+	targets []*target
+	changed chan struct{}
 }
 
 type node struct {
@@ -33,34 +43,49 @@
 	c      *cluster
 	m      *Manager
 	cancel context.CancelFunc
-	down   bool
+	dead   bool
+	gone   bool // seen to be dead
 }
 
-func newCluster(tb testing.TB, n int, pool table.Pool, reps []replica.Replica) *cluster {
+func always(string, string) bool { return true }
+func never(string, string) bool  { return false }
+
+// newCluster starts daemons before targets that are cold.
+func newCluster(ctx context.Context, daemons int, pool table.Pool, targets ...*target) *cluster {
 	c := &cluster{
-		nodes: make(map[string]*node), replicas: reps, changed: make(chan struct{}),
-		row:  state.PoolRow{Pool: pool},
-		sees: func(string, string) bool { return true },
+		ctx: ctx, pool: pool, targets: targets, nodes: make(map[string]*node),
+		cut: never, seen: always, changed: make(chan struct{}),
 	}
-	for i := range n {
-		c.start(tb, fmt.Sprintf("d%02d", i), false)
+	for i := range daemons {
+		c.start(fmt.Sprintf("d%02d", i), false)
 	}
+	go c.report()
 	return c
 }
 
-// start adds a daemon.
-func (c *cluster) start(tb testing.TB, id string, local bool) *node {
+// start adds a daemon; in Local mode it limits by itself.
+func (c *cluster) start(id string, local bool) *node {
 	n := &node{id: id, c: c}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.ctx)
 	n.cancel = cancel
-	n.m = New(Options{Members: n, Caller: n, Pools: n, Replicas: n, Standing: n, Local: local})
+	n.m = New(Options{Members: n, Caller: n, Pools: n, Replicas: n, Standing: n, Daemons: n, Local: local})
 	c.update(func() { c.nodes[id] = n })
-	done := make(chan struct{})
-	go func() { _ = n.m.Run(ctx); close(done) }()
-	tb.Cleanup(func() { cancel(); <-done })
+	go func() { _ = n.m.Run(ctx) }()
 	return n
 }
 
+// report wakes the daemons for the targets' reports.
+func (c *cluster) report() {
+	for c.ctx.Err() == nil {
+		time.Sleep(reportEvery)
+		c.update(func() {
+			for _, t := range c.targets {
+				t.report()
+			}
+		})
+	}
+}
+
 // update changes what the daemons see and wakes them.
 func (c *cluster) update(fn func()) {
 	c.mu.Lock()
@@ -70,25 +95,53 @@
 	c.changed = make(chan struct{})
 }
 
-// kill stops a daemon; the others learn of it at once.
-func (c *cluster) kill(id string) {
-	c.nodes[id].cancel()
-	c.update(func() { c.nodes[id].down = true })
+// kill stops a daemon at once; the others see it after the detection time.
+func (c *cluster) kill(n *node) {
+	n.cancel()
+	c.update(func() { n.dead = true })
+	time.AfterFunc(detection, func() { c.update(func() { n.gone = true }) })
 }
 
-func (c *cluster) list() []*node {
+// leave lets a daemon go in good order: it says so, and ends a little later.
+func (c *cluster) leave(n *node) {
+	n.m.Home.Drain(c.ctx)
+	c.update(func() { n.gone = true })
+	time.Sleep(500 * time.Millisecond)
+	c.update(func() { n.dead = true })
+	n.cancel()
+}
+
+// split cuts the network; the daemons see it after the detection time.
+func (c *cluster) split(apart func(a, b string) bool) {
+	c.update(func() { c.cut = apart })
+	time.AfterFunc(detection, func() {
+		c.update(func() { c.seen = func(a, b string) bool { return !apart(a, b) } })
+	})
+}
+
+func (c *cluster) heal() { c.split(never) }
+
+// live lists the daemons that run, by name.
+func (c *cluster) live() []*node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ns []*node
-	for _, n := range c.nodes {
-		if !n.down {
+	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
+		if n := c.nodes[id]; !n.dead && !n.gone {
 			ns = append(ns, n)
 		}
 	}
-	slices.SortFunc(ns, func(a, b *node) int { return slices.Compare([]byte(a.id), []byte(b.id)) })
 	return ns
 }
 
+// home returns the daemon that owns the pool in the eyes of the first one.
+func (c *cluster) home() *node {
+	owner := c.live()[0].Owner(Key(c.pool.Name, 0))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[owner]
+}
+
 func (n *node) Self() string { return n.id }
 
 func (n *node) Live() []string {
@@ -99,21 +152,21 @@
 
 func (n *node) live() []string {
 	var ls []string
-	for id, o := range n.c.nodes {
-		if !o.down && (id == n.id || n.c.sees(n.id, id)) {
+	for _, id := range slices.Sorted(maps.Keys(n.c.nodes)) {
+		if id == n.id || (!n.c.nodes[id].gone && n.c.seen(n.id, id)) {
 			ls = append(ls, id)
 		}
 	}
-	slices.Sort(ls)
 	return ls
 }
 
 func (n *node) Addr(id string) string   { return id }
 func (n *node) Owner(key string) string { return ids.Owner(key, n.Live()) }
+
 func (n *node) Pool(string) (state.PoolRow, bool) {
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
-	return n.c.row, true
+	return state.PoolRow{Pool: n.c.pool}, true
 }
 
 func (n *node) Changed() <-chan struct{} {
@@ -125,9 +178,26 @@
 func (n *node) Replicas(string) []replica.Replica {
 	n.c.mu.Lock()
 	defer n.c.mu.Unlock()
-	return slices.Clone(n.c.replicas)
+	var reps []replica.Replica
+	for _, t := range n.c.targets {
+		reps = append(reps, t.rep)
+	}
+	return reps
 }
 
+func (n *node) Daemons() []state.Daemon {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	var ds []state.Daemon
+	for _, id := range slices.Sorted(maps.Keys(n.c.nodes)) {
+		ds = append(ds, state.Daemon{ID: id, FailureDomain: domainOf(id)})
+	}
+	return ds
+}
+
+// domainOf spreads the daemons over three failure domains.
+func domainOf(id string) string { return fmt.Sprint("f", int(id[len(id)-1])%3) }
+
 func (n *node) MayUseCold() bool {
 	seen, total := n.VisibleShare()
 	return 2*seen > total
@@ -139,34 +209,26 @@
 	return len(n.live()), len(n.c.nodes)
 }
 
-// Call carries a message to another daemon through its encoding. A daemon that
-// is down or not seen does not answer.
+// Call carries a message to another daemon through its encoding. One that is
+// dead or cut off does not answer.
 func (n *node) Call(ctx context.Context, addr string, req, resp wire.Message) error {
 	n.c.mu.Lock()
-	to, ok := n.c.nodes[addr]
-	reached := ok && !to.down && n.c.sees(n.id, addr)
+	to := n.c.nodes[addr]
 	n.c.mu.Unlock()
-	if !reached {
-		<-ctx.Done()
-		return fault.Wrap(fault.Timeout, ctx.Err(), "", "call")
-	}
 	body, err := wire.Marshal(req)
 	if err != nil {
 		return err
 	}
-	for _, h := range to.m.Handlers() {
-		if h.Type == req.WireType() {
-			return n.exchange(ctx, h, body, resp)
-		}
+	if err := n.cross(ctx, to); err != nil {
+		return err
 	}
-	return fault.New(fault.NotFound, "", "no handler")
-}
-
-func (n *node) exchange(ctx context.Context, h Handler, body []byte, resp wire.Message) error {
-	m, err := h.Func(ctx, n.id, body)
+	m, err := to.handle(ctx, n.id, req.WireType(), body)
 	if err != nil {
 		return err
 	}
+	if err := to.cross(ctx, n); err != nil {
+		return err
+	}
 	b, err := wire.Marshal(m)
 	if err != nil {
 		return err
@@ -174,17 +236,24 @@
 	return wire.Unmarshal(b, resp)
 }
 
-func request(id string) limit.Request {
-	return limit.Request{ID: id, Pool: "p", Workspace: "w", Deadline: time.Now().Add(10 * time.Second)}
+// cross waits until a message has crossed the network.
+func (n *node) cross(ctx context.Context, to *node) error {
+	time.Sleep(latency)
+	n.c.mu.Lock()
+	lost := n.dead || to.dead || n.c.cut(n.id, to.id)
+	n.c.mu.Unlock()
+	if !lost && ctx.Err() == nil {
+		return nil
+	}
+	<-ctx.Done()
+	return fault.Wrap(fault.Timeout, ctx.Err(), "", "call")
 }
 
-func serving(n int) []replica.Replica {
-	var reps []replica.Replica
-	for i := range n {
-		reps = append(reps, replica.Replica{
-			ID: fmt.Sprintf("r%d", i), Pool: "p", Incarnation: "i1", Addr: fmt.Sprintf("r%d:80", i),
-			FailureDomain: fmt.Sprintf("f%d", i%3), Status: replica.Serving,
-		})
+func (n *node) handle(ctx context.Context, from string, t wire.Type, body []byte) (wire.Message, error) {
+	for _, h := range n.m.Handlers() {
+		if h.Type == t {
+			return h.Func(ctx, from, body)
+		}
 	}
-	return reps
+	return nil, fault.New(fault.NotFound, "", "no handler for type %d", t)
 }
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -54,13 +54,18 @@
 func (h *Home) refreshPool(now time.Time, t *tenure, p *limit.Pool) {
 	p.Configure(now, h.config(t.id.Pool))
 	p.SetStanding(now, h.opt.standing())
-	// A daemon that is no longer the owner watches no replicas either; the last
-	// known ones stand until the new home has taken over.
-	if h.owns(t) {
-		p.SetReplicas(now, h.replicas(t))
+	reps := h.replicas(t)
+	if len(reps) == 0 && (now.Sub(t.began) < watchDelay || !h.owns(t)) {
+		// A watch that has just begun has seen nothing yet, and a daemon that is
+		// no longer the owner has ended its own: the replicas known last stand.
+		return
 	}
+	p.SetReplicas(now, reps)
 }
 
+// watchDelay is the time that the watch of a pool's replicas needs at first.
+const watchDelay = 2 * time.Second
+
 func (h *Home) config(pool string) limit.Config {
 	row, ok := h.opt.Pools.Pool(pool)
 	if !ok {
@@ -85,17 +90,18 @@
 		return
 	}
 	h.moves.Add(1)
+	peers, _ := h.peers()
 	for _, t := range h.serve() {
 		if !h.owns(t) {
 			go h.handOver(context.Background(), t, h.owner(t.id.Pool, t.id.Slice))
 			continue
 		}
-		h.askFresh(t, live, fresh)
+		h.askFresh(t, peers, fresh)
 	}
 	h.refresh()
 }
 
-func (h *Home) askFresh(t *tenure, live, fresh []string) {
+func (h *Home) askFresh(t *tenure, live []limit.Peer, fresh []string) {
 	if len(fresh) == 0 {
 		return
 	}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -55,6 +55,11 @@
 	VisibleShare() (seen, total int)
 }
 
+// Daemons lists the daemons that joined, live or not.
+type Daemons interface {
+	Daemons() []state.Daemon
+}
+
 // Options are the parts that a Manager works with.
 type Options struct {
 	Members  Members
@@ -62,6 +67,9 @@
 	Pools    Pools
 	Replicas Replicas
 	Standing Standing
+	// Daemons tells which daemons may hold grants although they are not live,
+	// and the failure domains of all. Without it only live ones are asked.
+	Daemons Daemons
 	// Local makes this daemon limit by itself, without homes: a baseline to
 	// measure against, which keeps no limit that spans daemons.
 	Local bool
@@ -96,7 +104,7 @@
 		loads:   shard.NewMap[poolLoad](),
 		stopped: make(chan struct{}),
 	}
-	h := &Home{opt: o, tenures: shard.NewMap[*tenure](), client: c}
+	h := &Home{opt: o, tenures: shard.NewMap[*tenure](), client: c, deputies: newDeputies()}
 	c.home = h
 	return &Manager{Home: h, Client: c}
 }
--- a/internal/grant/handle.go
+++ b/internal/grant/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -49,6 +50,12 @@
 			h.handedOver(q, from)
 			return &wire.Done{}, nil
 		})},
+		{wire.TypeNote, handle(func(_ context.Context, _ string, q *wire.Note) (wire.Message, error) {
+			if !m.Client.line(q.Pool, q.Slice).note(time.Now(), q) {
+				return nil, errNotHome
+			}
+			return &wire.Done{}, nil
+		})},
 	}
 }
 
--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -20,7 +20,8 @@
 	// moves counts the changes of membership.
 	moves atomic.Uint64
 	// leaving is set when this daemon hands its pools on before it ends.
-	leaving atomic.Bool
+	leaving  atomic.Bool
+	deputies *deputies
 	// seen are the live daemons at the last change.
 	seen liveSet
 }
@@ -37,13 +38,23 @@
 	select {
 	case a := <-t.acquire(m.Request):
 		a.Slices, a.Waiting = h.sliceCount(m.Request.Pool), t.waiting()
-		return a
+		return h.confirm(ctx, t, m, a)
 	case <-ctx.Done():
 		t.cancel(m.Request.Holder, m.Request.ID)
 		return &wire.Acquired{Refused: wire.FromFault(fault.Refuse(fault.Timeout, "give the request more time", "the request ended while it waited"))}
 	}
 }
 
+// confirm passes an answer on once a deputy knows of its grant, if it needs
+// one. Otherwise the grant is withdrawn and the holder asks again.
+func (h *Home) confirm(ctx context.Context, t *tenure, m *wire.Acquire, a *wire.Acquired) *wire.Acquired {
+	if a.Grant == nil || h.note(ctx, t, a.Grant) {
+		return a
+	}
+	t.cancel(m.Request.Holder, m.Request.ID)
+	return &wire.Acquired{Moved: true, Home: t.id.Home}
+}
+
 // serving returns the tenure that may grant, which begins with the first
 // request; otherwise the daemon to ask.
 func (h *Home) serving(pool string, slice int) (*tenure, string) {
@@ -100,19 +111,18 @@
 
 // start gives a tenure its replicas and asks every daemon what it holds.
 func (h *Home) start(t *tenure) {
-	live := h.opt.Members.Live()
-	seen, total := h.opt.Standing.VisibleShare()
+	live, gone := h.peers()
 	t.do(func(now time.Time, p *limit.Pool) {
 		if !h.opt.Local {
-			p.Recover(now, live, total-seen)
+			p.Recover(now, live, gone)
 		}
 		h.refreshPool(now, t, p)
 	})
 	if h.opt.Local {
 		return
 	}
-	for _, id := range live {
-		go h.collect(t, id)
+	for _, p := range live {
+		go h.collect(t, p.ID)
 	}
 }
 
@@ -139,6 +149,7 @@
 			p.Release(now, r)
 		}
 	})
+	h.forget(t, m.Releases)
 	return true
 }
 
--- a/internal/grant/line.go
+++ b/internal/grant/line.go
@@ -26,6 +26,11 @@
 	pending map[string]struct{}
 	held    map[string]limit.Grant
 	levels  map[string]limit.Memory
+	// notes are grants between a home and a holder in one failure domain, which
+	// this daemon remembers in case both are lost. They are swept when their
+	// number reaches sweep.
+	notes map[string]limit.Grant
+	sweep int
 	// ended are the grants to give back; sending is set while one goroutine
 	// does so.
 	ended   []limit.Release
@@ -38,6 +43,8 @@
 		pending: make(map[string]struct{}),
 		held:    make(map[string]limit.Grant),
 		levels:  make(map[string]limit.Memory),
+		notes:   make(map[string]limit.Grant),
+		sweep:   minSweep,
 	}
 }
 
@@ -103,7 +110,9 @@
 	if term < l.term {
 		return limit.Holdings{}, l.home, l.term
 	}
+	held.LastHome, held.LastTerm = l.home, l.term
 	l.home, l.term = home, term
+	held.Notes = slices.Collect(maps.Values(l.notes))
 	held.Grants = slices.Collect(maps.Values(l.held))
 	held.Levels = slices.Collect(maps.Values(l.levels))
 	return held, "", ""
--- a/internal/grant/tenure.go
+++ b/internal/grant/tenure.go
@@ -11,7 +11,8 @@
 // tenure is this daemon's time as the home of one pool or slice. Its lock is
 // the only one around the pool's state.
 type tenure struct {
-	id limit.Identity
+	id    limit.Identity
+	began time.Time
 
 	mu      sync.Mutex
 	pool    *limit.Pool
@@ -27,7 +28,7 @@
 }
 
 func newTenure(id limit.Identity, cfg limit.Config) *tenure {
-	return &tenure{id: id, pool: limit.New(id, cfg), waiters: make(map[string]chan *wire.Acquired)}
+	return &tenure{id: id, began: time.Now(), pool: limit.New(id, cfg), waiters: make(map[string]chan *wire.Acquired)}
 }
 
 // do runs fn on the pool and delivers what it decided. It does nothing once
--- a/internal/limit/hold_test.go
+++ b/internal/limit/hold_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,12 +117,21 @@
 	must.False(t, g.Usable(f.now.Add(GrantTTL-ClockSkew)))
 }
 
-// takenOver returns a fixture whose pool recovers from d1, d2 and one daemon
-// that can't be asked.
+// gone lists daemons that can't be asked, each in a failure domain of its own.
+func gone(n int) []Peer {
+	var ps []Peer
+	for i := range n {
+		ps = append(ps, Peer{ID: fmt.Sprint("g", i), Domain: fmt.Sprint("z", i)})
+	}
+	return ps
+}
+
+// takenOver returns a fixture whose pool recovers from d1, d2 and daemons that
+// can't be asked.
 func takenOver(t *testing.T, unreachable int) *fixture {
 	f := newFixture(t, Config{Limit: 4, ColdLimit: 2}, rep("warm", "f1"), rep("cold", "f2"))
 	f.warmed("warm")
-	f.p.Recover(f.now, []string{"d1", "d2"}, unreachable)
+	f.p.Recover(f.now, []Peer{{ID: "d1", Domain: "x"}, {ID: "d2", Domain: "y"}}, gone(unreachable))
 	return f
 }
 
@@ -137,7 +147,7 @@
 
 func TestRecovery(t *testing.T) {
 	held := func(holder string, ids ...string) Holdings {
-		h := Holdings{Holder: holder, Boot: "b1"}
+		h := Holdings{Holder: holder, Boot: "b1", LastHome: "d1", LastTerm: "0"}
 		for _, id := range ids {
 			h.Grants = append(h.Grants, Grant{ID: id, Request: id, Replica: id[:len(id)-1], Holder: holder, Boot: "b1", Term: "0", Deadline: epoch.Add(time.Hour)})
 		}
@@ -189,6 +199,24 @@
 			f.p.Held(f.now, held("d1"))
 			f.pass(AnswerWait)
 		}, 2, 0},
+		{"a home lost with its holder leaves no doubt", 0, func(f *fixture) {
+			h := held("d1")
+			h.LastHome = "d2"
+			f.p.Held(f.now, h)
+			f.p.Silent(f.now, "d2")
+		}, 4, 2},
+		{"what others were told to remember of it is used", 0, func(f *fixture) {
+			h := held("d1")
+			h.LastHome, h.Notes = "d2", held("d2", "cold1", "warm1").Grants
+			f.p.Held(f.now, h)
+			f.p.Silent(f.now, "d2")
+		}, 3, 1},
+		{"a holder's own list overrules that too", 0, func(f *fixture) {
+			h := held("d1")
+			h.Notes = held("d2", "cold1", "warm1").Grants
+			f.p.Held(f.now, h)
+			f.p.Held(f.now, held("d2", "warm1"))
+		}, 3, 2},
 		{"a complete table speaks for the silent", 0, func(f *fixture) {
 			f.p.HandedOver(f.now, Table{Complete: true, Grants: held("d2", "cold1").Grants})
 			f.p.Held(f.now, held("d1"))
@@ -202,12 +230,12 @@
 		{"a daemon from behind a partition: cold rests until it answers", 0, func(f *fixture) {
 			f.p.Held(f.now, held("d1"))
 			f.p.Held(f.now, held("d2"))
-			f.p.Ask(f.now, []string{"d1", "d2", "d3"}, []string{"d3"})
+			f.p.Ask(f.now, []Peer{{"d1", "x"}, {"d2", "y"}, {"d3", "x"}}, []string{"d3"})
 		}, 3, 0},
 		{"and its grants count", 0, func(f *fixture) {
 			f.p.Held(f.now, held("d1"))
 			f.p.Held(f.now, held("d2"))
-			f.p.Ask(f.now, []string{"d1", "d2", "d3"}, []string{"d3"})
+			f.p.Ask(f.now, []Peer{{"d1", "x"}, {"d2", "y"}, {"d3", "x"}}, []string{"d3"})
 			f.p.Held(f.now, held("d3", "cold1"))
 		}, 4, 1},
 	}
--- a/internal/limit/model_test.go
+++ b/internal/limit/model_test.go
@@ -67,14 +67,16 @@
 	old := m.p
 	m.terms++
 	m.p = New(Identity{Pool: "p", Home: "h", Term: fmt.Sprintf("%04d", m.terms)}, m.cfg)
-	var asked []string
-	dead := 0
+	// Each daemon is a failure domain of its own, and the home is none of them:
+	// nobody remembers grants for others here.
+	var asked, dead []Peer
 	for _, h := range m.holders {
+		p := Peer{ID: h.id, Domain: h.id}
 		if h.dead {
-			dead++
+			dead = append(dead, p)
 			continue
 		}
-		asked = append(asked, h.id)
+		asked = append(asked, p)
 	}
 	m.p.Recover(m.now, asked, dead)
 	m.report(0)
@@ -97,7 +99,7 @@
 // still under way are then void.
 func (m *model) answer(h *holder) {
 	h.term = m.p.Term()
-	held := Holdings{Holder: h.id, Boot: "b"}
+	held := Holdings{Holder: h.id, Boot: "b", LastHome: "h", LastTerm: "0000"}
 	held.Grants = append(held.Grants, h.unused...)
 	held.Grants = append(held.Grants, m.jobsOf(h)...)
 	m.p.Held(m.now, held)
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -28,6 +28,8 @@
 	queue    queue
 	answers  []Answer
 	speed    speed
+	// watched is set once replicas came from the home's own watch.
+	watched bool
 	// reserved is the replica kept free of new work for a request that must
 	// run alone; "" if there is none.
 	reserved string
@@ -89,6 +91,7 @@
 // missing gets no more work; it is forgotten when it has been gone for long
 // and nothing runs on it.
 func (p *Pool) SetReplicas(now time.Time, reps []replica.Replica) {
+	p.watched = true
 	present := make(map[string]struct{}, len(reps))
 	for _, r := range reps {
 		present[r.ID] = struct{}{}
--- a/internal/limit/sound.go
+++ b/internal/limit/sound.go
@@ -25,7 +25,7 @@
 
 // unsounded reports whether the work of silent holders has no bound yet.
 func (p *Pool) unsounded(u *unit) bool {
-	return p.recovery.doubtful() && !u.soundedFor.Equal(p.recovery.started)
+	return p.recovery.doubt && !u.soundedFor.Equal(p.recovery.started)
 }
 
 // strangers lists the bounds for the next home. It reports false if some cold
--- a/internal/limit/transfer.go
+++ b/internal/limit/transfer.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/replica"
+)
 
 // Memory is what a holder remembers of a replica's level.
 type Memory struct {
@@ -17,6 +21,11 @@
 	Grants []Grant
 	// Levels are the newest levels seen in grants.
 	Levels []Memory
+	// Notes are grants of other holders that this daemon was told to remember.
+	Notes []Grant
+	// LastHome and LastTerm are the latest tenure that the holder knew before.
+	LastHome string
+	LastTerm string
 }
 
 // Table is all that a home knew when another one took over.
@@ -25,6 +34,9 @@
 	Levels []Memory
 	// Strangers bounds work that no grant in the table explains.
 	Strangers []Strangers
+	// Replicas are the pool's replicas as the home saw them last. They stand
+	// until the new home's own watch has seen them.
+	Replicas []replica.Replica
 	// Complete means that the home had nothing left to recover itself: all work
 	// is in the table, or bounded by Strangers.
 	Complete bool
@@ -33,7 +45,8 @@
 // Held takes one holder's answer. The holder's own list is the truth about its
 // grants: those it does not list were given back or will never reach it.
 func (p *Pool) Held(now time.Time, h Holdings) {
-	p.recovery.answer(h.Holder)
+	p.recovery.answer(&h)
+	p.adoptUnspoken(now, h.Notes)
 	listed := make(map[string]struct{}, len(h.Grants))
 	for i := range h.Grants {
 		listed[h.Grants[i].ID] = struct{}{}
@@ -52,17 +65,29 @@
 // HandedOver takes the table of the home before this one. It speaks for the
 // holders that have not answered.
 func (p *Pool) HandedOver(now time.Time, t Table) {
-	for i := range t.Grants {
-		if _, ok := p.recovery.answered[t.Grants[i].Holder]; !ok {
-			p.adopt(now, t.Grants[i])
+	if !p.watched {
+		for _, r := range t.Replicas {
+			p.setReplica(now, r)
 		}
 	}
+	p.adoptUnspoken(now, t.Grants)
 	p.recovery.complete = p.recovery.complete || (t.Complete && !p.recovery.merging)
+	p.recovery.judge()
 	p.inherit(t.Strangers)
 	p.Remember(t.Levels)
 	p.serve(now)
 }
 
+// adoptUnspoken adopts grants whose holders have not themselves told what they
+// hold.
+func (p *Pool) adoptUnspoken(now time.Time, grants []Grant) {
+	for i := range grants {
+		if !p.recovery.speaks(&grants[i]) {
+			p.adopt(now, grants[i])
+		}
+	}
+}
+
 // Remember takes levels that others saw; the newest one of an incarnation wins.
 func (p *Pool) Remember(levels []Memory) {
 	for _, m := range levels {
@@ -96,6 +121,7 @@
 		t.Grants = append(t.Grants, h.grant)
 	}
 	for id, u := range p.units {
+		t.Replicas = append(t.Replicas, u.rep)
 		if u.ramp.incarnation != "" {
 			t.Levels = append(t.Levels, Memory{Replica: id, Incarnation: u.ramp.incarnation, Level: u.ramp.level, At: now})
 		}
--- a/internal/wire/grant.go
+++ b/internal/wire/grant.go
@@ -15,6 +15,7 @@
 	TypeHandover
 	TypeDone
 	TypeQuarantine
+	TypeNote
 )
 
 // Acquire asks a pool's home for a grant. The answer, Acquired, comes when the
@@ -124,6 +125,20 @@
 // WireType returns TypeHandover.
 func (*Handover) WireType() Type { return TypeHandover }
 
+// Note asks a daemon to remember grants that the sender made to holders in its
+// own failure domain, and to forget those that ended.
+type Note struct {
+	Pool   string        `msgpack:"p"`
+	Slice  int           `msgpack:"s,omitempty"`
+	Home   string        `msgpack:"h"`
+	Term   string        `msgpack:"t"`
+	Grants []limit.Grant `msgpack:"g,omitempty"`
+	Ended  []string      `msgpack:"e,omitempty"`
+}
+
+// WireType returns TypeNote.
+func (*Note) WireType() Type { return TypeNote }
+
 // Done answers a grant message that has no result.
 type Done struct{}
 
