--- a/internal/wire/grant.go
+++ b/internal/wire/grant.go
@@ -1,6 +1,9 @@
 package wire
 
-import "github.com/ragwortquay/ragwortquay/internal/limit"
+import (
+	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+)
 
 // Grant message types.
 const (
@@ -139,6 +142,14 @@
 // WireType returns TypeNote.
 func (*Note) WireType() Type { return TypeNote }
 
+// Quarantine tells a daemon of a crash and what the sender ran on the replica.
+type Quarantine struct {
+	Crash retry.Crash `msgpack:"c"`
+}
+
+// WireType returns TypeQuarantine.
+func (*Quarantine) WireType() Type { return TypeQuarantine }
+
 // Done answers a grant message that has no result.
 type Done struct{}
 
