Tell a silent connection from a dead target; let package retry decide

Cause: TestSilentConnections: 39 requests came back unknown with "every replica has been tried": a stream on a connection that had gone silent blamed its target, and two replicas were soon used up. Ruled out: longer timeouts, which only delay the same end. The wait for the first byte and between tokens are bounded apart (5 s and 1.5 s).

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -101,6 +101,7 @@
 func (t Targets) check() error {
 	return errors.Join(
 		checkDuration("targets.dial_timeout", t.DialTimeout, minInterval, time.Minute),
+		checkDuration("targets.first_byte_timeout", t.FirstByte, 100*time.Millisecond, maxInterval),
 		checkDuration("targets.silence_timeout", t.Silence, 100*time.Millisecond, maxInterval),
 		checkDuration("targets.report_interval", t.ReportInterval, minInterval, time.Minute),
 		checkRange("targets.max_answer_bytes", t.MaxAnswerBytes, 1, maxBytes),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,7 +78,11 @@
 
 // Targets tunes the request path.
 type Targets struct {
-	DialTimeout    tomlfile.Duration `toml:"dial_timeout"`
+	DialTimeout tomlfile.Duration `toml:"dial_timeout"`
+	// FirstByte is how long an idempotent request waits for the first byte of
+	// an answer before its connection is doubted, Silence the wait for each
+	// later one.
+	FirstByte      tomlfile.Duration `toml:"first_byte_timeout"`
 	Silence        tomlfile.Duration `toml:"silence_timeout"`
 	ReportInterval tomlfile.Duration `toml:"report_interval"`
 	MaxAnswerBytes int               `toml:"max_answer_bytes"`
@@ -137,7 +141,8 @@
 		},
 		Targets: Targets{
 			DialTimeout:    dur(time.Second),
-			Silence:        dur(5 * time.Second),
+			FirstByte:      dur(5 * time.Second),
+			Silence:        dur(1500 * time.Millisecond),
 			ReportInterval: dur(500 * time.Millisecond),
 			MaxAnswerBytes: 8 << 20,
 		},
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -134,6 +134,7 @@
 	s := d.settings
 	d.targets = target.New(target.Options{
 		DialTimeout:    time.Duration(s.Targets.DialTimeout),
+		FirstByte:      time.Duration(s.Targets.FirstByte),
 		Silence:        time.Duration(s.Targets.Silence),
 		MaxAnswerBytes: s.Targets.MaxAnswerBytes,
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/table"
@@ -38,6 +39,10 @@
 // Targets sends one attempt.
 type Targets interface {
 	Do(ctx context.Context, r *target.Request) (*target.Response, error)
+	// Alive asks the target for a sign of life over a new connection.
+	Alive(addr string) bool
+	// Forget drops the kept connections to the target.
+	Forget(addr string)
 }
 
 // Standing tells whether this daemon may serve at all.
@@ -56,10 +61,15 @@
 }
 
 // Dispatcher serves requests.
-type Dispatcher struct{ opts Options }
+type Dispatcher struct {
+	opts    Options
+	budgets *retry.Budgets
+}
 
 // New returns a dispatcher.
-func New(opts Options) *Dispatcher { return &Dispatcher{opts: opts} }
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{opts: opts, budgets: retry.NewBudgets()}
+}
 
 // job is a request with what its route says of it.
 type job struct {
@@ -69,11 +79,8 @@
 	prefix   uint64
 	// generate is the parsed body of a request to an engine pool.
 	generate *target.GenerateRequest
-	// exclude are the replicas that failed this request.
-	exclude []string
-	retries int
-	// doubt is set once an attempt may have run.
-	doubt bool
+	// state is what the retry decision knows of the attempts so far.
+	state retry.State
 }
 
 // Serve answers one request. An error's outcome is NotRun only if no attempt
@@ -101,7 +108,15 @@
 	if r.Timeout > 0 && r.Timeout < row.Route.Deadline {
 		j.deadline = r.Received.Add(r.Timeout)
 	}
-	return j, d.inspect(j)
+	if err := d.inspect(j); err != nil {
+		return nil, err
+	}
+	j.state = retry.State{
+		Idempotent: row.Route.Idempotent, Resumable: j.generate != nil,
+		Retries: row.Route.Retries, Deadline: j.deadline,
+	}
+	d.budgets.First(r.Received, row.Route.Name, row.Route.RetryBudget)
+	return j, nil
 }
 
 // inspect checks the body of a request that goes to engines, before any of
@@ -139,34 +154,40 @@
 		if err == nil {
 			return a, nil
 		}
-		if !d.again(j, err) {
-			return nil, j.verdict(err)
+		if err := d.next(ctx, j, err); err != nil {
+			return nil, err
 		}
 	}
 }
 
-// again decides whether a failed attempt is followed by another.
-func (d *Dispatcher) again(j *job, err error) bool {
-	e := fault.As(err)
-	switch e.Kind {
-	case fault.Interrupted, fault.Timeout, fault.Unavailable, fault.Overload:
-	default:
-		return false
-	}
-	if j.retries >= j.route.Retries || !time.Now().Before(j.deadline) {
-		return false
-	}
-	j.retries++
-	return true
+// next decides what follows a failed attempt. It returns nil when another
+// attempt may start, and the request's error otherwise.
+func (d *Dispatcher) next(ctx context.Context, j *job, err error) error {
+	now := time.Now()
+	dec := retry.Next(now, j.state, err, func() bool { return d.budgets.Spend(now, j.route.Name) })
+	if dec.Action == retry.Fail {
+		return dec.Err
+	}
+	j.state.Made++
+	j.state.Exclude = dec.Exclude
+	j.state.Replica = ""
+	j.state.MayHaveRun = j.state.MayHaveRun || fault.As(err).Outcome != fault.NotRun
+	return wait(ctx, dec.After)
 }
 
-// verdict gives the error the outcome of all attempts together.
-func (j *job) verdict(err error) error {
-	e := fault.As(err)
-	if j.doubt && e.Outcome == fault.NotRun {
-		return e.WithOutcome(fault.Unknown)
+// wait waits for d, or returns a refusal when ctx ends first.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(fault.ShuttingDown, ctx.Err(), "send the request to another daemon", "daemon ended")
 	}
-	return e
 }
 
 // first makes an attempt up to the beginning of its answer, so that a failure
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -102,8 +102,9 @@
 	s.cur.fail(cause)
 	s.cur = nil
 	for {
-		if !s.d.again(s.j, cause) {
-			return fault.As(cause).WithOutcome(fault.Unknown)
+		s.j.state.Delivered = s.delivered
+		if err := s.d.next(s.ctx, s.j, cause); err != nil {
+			return err
 		}
 		t, err := s.d.attempt(s.ctx, s.j, s.delivered)
 		if err == nil {
--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -47,6 +47,9 @@
 	}
 	c, err := procs.Start(o)
 	t.Cleanup(func() {
+		if t.Failed() {
+			showStatus(t, c)
+		}
 		c.Close()
 		if t.Failed() {
 			showLogs(t, o.Dir)
@@ -56,6 +59,17 @@
 	return c
 }
 
+// showStatus prints what the running daemons know.
+func showStatus(t *testing.T, c *procs.Cluster) {
+	for _, d := range c.Daemons {
+		if !d.Running() {
+			continue
+		}
+		out, _ := c.Operate(context.Background(), d, "status")
+		t.Logf("--- status of %s\n%s", d.ID, out)
+	}
+}
+
 // logTail is how much of each log a failure shows.
 const logTail = 6 << 10
 
--- a/internal/integration/traffic_test.go
+++ b/internal/integration/traffic_test.go
@@ -118,6 +118,13 @@
 func (tr *traffic) more(t *testing.T, n int) {
 	t.Helper()
 	goal := tr.count() + n
+	defer func() {
+		if t.Failed() {
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			t.Logf("the last answers:\n%s", describe(tr.sent[max(0, len(tr.sent)-4):]))
+		}
+	}()
 	eventually(t, fmt.Sprintf("%d further answers", n), func() bool { return tr.count() >= goal })
 }
 
--- a/internal/target/api.go
+++ b/internal/target/api.go
@@ -96,5 +96,8 @@
 	OrderUnload OrderKind = "unload"
 )
 
+// reportPath is where a target reports on itself.
+const reportPath = "/v1/report"
+
 // HeaderNotRun on a target's refusal says that the request did not run.
 const HeaderNotRun = "X-Not-Run"
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -17,9 +17,13 @@
 const (
 	// DefaultDialTimeout bounds setting up a connection to a target.
 	DefaultDialTimeout = time.Second
-	// DefaultSilence is how long a target may send nothing on a connection
-	// that an idempotent request waits on.
-	DefaultSilence = 5 * time.Second
+	// DefaultFirstByte is how long an idempotent request waits for the first
+	// byte of its answer before the connection is doubted.
+	DefaultFirstByte = 5 * time.Second
+	// DefaultSilence is the same between two reads of an answer.
+	DefaultSilence = 1500 * time.Millisecond
+	// probeTimeout bounds the question whether a silent target is alive.
+	probeTimeout = 500 * time.Millisecond
 	// DefaultMaxAnswerBytes bounds a buffered answer.
 	DefaultMaxAnswerBytes = 8 << 20
 	// maxConnsPerTarget is far above any replica's concurrency limit, so that
@@ -32,6 +36,7 @@
 // Options are the settings of a Client.
 type Options struct {
 	DialTimeout    time.Duration
+	FirstByte      time.Duration
 	Silence        time.Duration
 	MaxAnswerBytes int
 }
@@ -40,6 +45,9 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.FirstByte <= 0 {
+		o.FirstByte = DefaultFirstByte
+	}
 	if o.Silence <= 0 {
 		o.Silence = DefaultSilence
 	}
@@ -94,7 +102,10 @@
 	var out *host
 	c.hosts.Update(addr, func(h *host, ok bool) (*host, bool) {
 		if !ok {
-			h = &host{kept: c.hostClient(addr, c.opts.Silence), fresh: c.hostClient(addr, 0)}
+			h = &host{
+				kept:  c.hostClient(addr, silence{first: c.opts.FirstByte, between: c.opts.Silence}),
+				fresh: c.hostClient(addr, silence{}),
+			}
 		}
 		out = h
 		return h, true
@@ -102,10 +113,10 @@
 	return out
 }
 
-func (c *Client) hostClient(addr string, silence time.Duration) *fasthttp.HostClient {
+func (c *Client) hostClient(addr string, bound silence) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      addr,
-		DialTimeout:               c.dial(silence),
+		DialTimeout:               c.dial(bound),
 		MaxConns:                  maxConnsPerTarget,
 		MaxIdleConnDuration:       maxIdleConn,
 		ConnPoolStrategy:          fasthttp.LIFO,
@@ -118,7 +129,7 @@
 	}
 }
 
-func (c *Client) dial(silence time.Duration) fasthttp.DialFuncWithTimeout {
+func (c *Client) dial(bound silence) fasthttp.DialFuncWithTimeout {
 	return func(addr string, timeout time.Duration) (net.Conn, error) {
 		if timeout <= 0 || timeout > c.opts.DialTimeout {
 			timeout = c.opts.DialTimeout
@@ -127,7 +138,7 @@
 		if err != nil {
 			return nil, &dialError{cause: err}
 		}
-		return &silenceConn{Conn: conn, silence: silence}, nil
+		return &silenceConn{Conn: conn, bound: bound}, nil
 	}
 }
 
@@ -142,6 +153,19 @@
 	h.kept.CloseIdleConnections()
 }
 
+// Alive asks the target for its report over a new connection. A target that
+// answers is not the cause of another connection's silence.
+func (c *Client) Alive(addr string) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + reportPath)
+	req.SetConnectionClose()
+	err := c.host(addr).fresh.DoTimeout(req, resp, probeTimeout)
+	_ = resp.CloseBodyStream()
+	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+}
+
 // Do performs one attempt. The error's outcome is NotRun if the target cannot
 // have seen the request or said that it did not run it, and Unknown otherwise.
 // The caller must Close the response.
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -11,13 +11,21 @@
 func (e *dialError) Error() string { return e.cause.Error() }
 func (e *dialError) Unwrap() error { return e.cause }
 
-// silenceConn is a connection on which each read waits at most for silence,
-// besides the deadline that the HTTP client sets for the whole exchange. One
-// goroutine uses a connection at a time.
+// silence bounds how long a target may send nothing.
+type silence struct {
+	// first bounds the wait for the first byte of an answer, between the wait
+	// for each later one. Zero means no bound.
+	first, between time.Duration
+}
+
+// silenceConn is a connection on which each read waits at most for the silence
+// bound, besides the deadline that the HTTP client sets for the whole
+// exchange. One goroutine uses a connection at a time.
 type silenceConn struct {
 	net.Conn
-	silence time.Duration
-	limit   time.Time // the client's read deadline; zero means none
+	bound    silence
+	answered bool      // since the last write
+	limit    time.Time // the client's read deadline; zero means none
 }
 
 // SetDeadline remembers the read part for Read.
@@ -32,18 +40,33 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write begins an exchange.
+func (c *silenceConn) Write(b []byte) (int, error) {
+	c.answered = false
+	return c.Conn.Write(b)
+}
+
 // Read reads within the silence bound and the client's deadline.
 func (c *silenceConn) Read(b []byte) (int, error) {
-	if c.silence > 0 {
-		if err := c.Conn.SetReadDeadline(c.next()); err != nil {
+	if d := c.patience(); d > 0 {
+		if err := c.Conn.SetReadDeadline(c.next(d)); err != nil {
 			return 0, err
 		}
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.answered = c.answered || n > 0
+	return n, err
+}
+
+func (c *silenceConn) patience() time.Duration {
+	if c.answered {
+		return c.bound.between
+	}
+	return c.bound.first
 }
 
-func (c *silenceConn) next() time.Time {
-	t := time.Now().Add(c.silence)
+func (c *silenceConn) next(d time.Duration) time.Time {
+	t := time.Now().Add(d)
 	if !c.limit.IsZero() && c.limit.Before(t) {
 		return c.limit
 	}
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -59,7 +59,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + "/v1/report")
+	req.SetRequestURI("http://" + addr + reportPath)
 	if err := c.do(ctx, req, resp, ReportTimeout); err != nil {
 		return Report{}, err
 	}
