Mend three races that showed on a busy machine

A call whose deadline had just passed, before the context's timer fired, came back unknown although nothing was sent: it now says not-run. Two tests expected one order of events: a caller sees the reset before its run is journaled as cut, and a reset may reach a dial before it returns.

--- a/internal/faultproxy/tcp_test.go
+++ b/internal/faultproxy/tcp_test.go
@@ -238,5 +238,11 @@
 	e := newEcho(t)
 	l := newTCPLink(t, e)
 	must.NoError(t, e.ln.Close())
-	dial(t, l).hearReset(t)
+	c, err := net.Dial("tcp", l.Addr())
+	if err == nil {
+		_, err = io.Copy(io.Discard, c)
+		must.NoError(t, c.Close())
+	}
+	// The reset may arrive before the dial has returned or after it.
+	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -104,13 +105,15 @@
 // The exchange runs in a goroutine of its own, which the timeout ends, because
 // the library does not heed a context.
 func (c *caller) call(ctx context.Context, method, path string, body []byte) (answer, error) {
-	if err := ctx.Err(); err != nil {
-		return answer{}, ended(err).WithOutcome(fault.NotRun)
-	}
-	deadline := time.Now().Add(c.timeout)
+	now := time.Now()
+	deadline := now.Add(c.timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	// The context's own timer may fire later than its deadline.
+	if ctx.Err() != nil || !now.Before(deadline) {
+		return answer{}, ended(cmp.Or(ctx.Err(), context.DeadlineExceeded)).WithOutcome(fault.NotRun)
+	}
 	done := make(chan answer, 1)
 	go func() { done <- c.exchange(method, path, body, deadline) }()
 	select {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -148,7 +148,8 @@
 	}
 	wg.Wait()
 	must.Eq(t, 1, count(f, journal.FellOver))
-	must.Eq(t, 2, count(f, journal.Cut))
+	// A caller sees the reset before its run has noted that it was cut.
+	waitFor(t, func() bool { return count(f, journal.Cut) == 2 })
 }
 
 func TestKillCutsWhatRuns(t *testing.T) {
