--- a/internal/load/drive/operators_test.go
+++ b/internal/load/drive/operators_test.go
@@ -32,7 +32,7 @@
 	case "/v1/status":
 		_ = enc.Encode(operate.Status{Daemon: "d1", Pools: []operate.Pool{
 			{
-				Home:   "d1",
+				Home: "d1",
 				Groups: []operate.Group{
 					{Fence: "5", Members: []string{"a"}}, {Fence: "6", Members: []string{"b"}}, {Fence: "7", Members: []string{"d"}},
 				},
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -12,7 +13,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/ragwortquay/ragwortquay/internal/auth"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/tablefile"
 )
 
 const samplePlan = `
@@ -141,7 +144,7 @@
 	}
 }
 
-func TestShippedPlansAreValid(t *testing.T) {
+func TestShippedPlansGoWithTheirTablesAndTokens(t *testing.T) {
 	files, err := filepath.Glob("../../plans/*.toml")
 	must.NoError(t, err)
 	must.Len(t, 2, files)
@@ -149,9 +152,29 @@
 		p, err := ReadPlan(f)
 		must.NoError(t, err)
 		must.Positive(t, len(slices.Collect(p.Arrivals())))
+		tokens, err := auth.OpenTokens(sibling(f, "tokens"))
+		must.NoError(t, err)
+		for _, w := range p.Workspaces {
+			name, ok := tokens.Workspace(w.Token)
+			must.True(t, ok)
+			must.Eq(t, w.Name, name)
+		}
+		data, err := os.ReadFile(sibling(f, "tables"))
+		must.NoError(t, err)
+		tables, err := tablefile.Parse(f, data)
+		must.NoError(t, err)
+		for _, k := range p.Kinds {
+			i := slices.IndexFunc(tables.Routes, func(r tablefile.Route) bool { return slices.Contains(r.Kinds, k.Kind) })
+			must.NonNegative(t, i, must.Sprint(k.Name))
+			must.Eq(t, k.Keyed == 0, tables.Routes[i].Idempotent)
+		}
 	}
 }
 
+func sibling(plan, dir string) string {
+	return filepath.Join(filepath.Dir(plan), dir, filepath.Base(plan))
+}
+
 func TestTimesCountFromThePlannedArrival(t *testing.T) {
 	p := parse(t, samplePlan)
 	r := NewRecorder(p)
