--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -1,6 +1,7 @@
 package operate
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -46,8 +47,7 @@
 	BootID        string `json:"boot_id,omitempty"`
 	Joined        bool   `json:"joined"`
 	Live          bool   `json:"live"`
-	// Position, Digest and LogAge are what the member last said; empty if it
-	// has said nothing.
+	// Position, Digest and LogAge are the member's answer; empty if it gave none.
 	Position string            `json:"position,omitempty"`
 	Digest   string            `json:"digest,omitempty"`
 	LogAge   tomlfile.Duration `json:"log_age,omitempty"`
@@ -96,15 +96,16 @@
 	Daemon string `json:"daemon"`
 }
 
-// Status returns the system as this daemon sees it.
-func (s *Service) Status() Status {
+// Status returns the system as this daemon sees it, and the replicas as the
+// homes of their pools do.
+func (s *Service) Status(ctx context.Context) Status {
 	now := s.opts.Now()
 	pos, digest := s.opts.View.Mark()
 	age := s.opts.Control.LogAge(now)
 	out := Status{
 		Daemon: s.opts.Self, At: now.UTC(), Position: pos.String(), Digest: hex(digest),
 		LogRead: age < maxAge, Standing: standingOf(s.opts.Control.Standing()),
-		Members: s.members(pos, digest, age),
+		Members: s.members(ctx, pos, digest, age),
 		Homes:   []Home{{Key: "snapshot", Daemon: s.home("snapshot")}},
 	}
 	if out.LogRead {
@@ -118,6 +119,7 @@
 		out.Pools = append(out.Pools, p)
 		out.Homes = append(out.Homes, Home{Key: "pool/" + p.Name, Daemon: p.Home})
 	}
+	s.fillReplicas(ctx, out.Pools)
 	return out
 }
 
@@ -140,8 +142,10 @@
 	return Standing{Mode: q.Mode.String(), Reason: q.Reason, Majority: q.Majority, MayUseCold: q.MayUseCold}
 }
 
-func (s *Service) members(pos state.Position, digest uint64, age time.Duration) []Member {
-	reports := append(s.opts.Reports(), quorum.Report{
+func (s *Service) members(ctx context.Context, pos state.Position, digest uint64, age time.Duration) []Member {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reports := append(s.opts.Control.Positions(ctx), quorum.Report{
 		Daemon: s.opts.Self, Started: s.opts.View.Started(), Pos: pos, Digest: digest, LogAge: age,
 	})
 	var out []Member
@@ -183,9 +187,6 @@
 	for _, g := range s.opts.View.Groups(p.Name) {
 		out.Groups = append(out.Groups, groupOf(g))
 	}
-	for _, r := range s.opts.Replicas(p.Name) {
-		out.Replicas = append(out.Replicas, replicaOf(r))
-	}
 	for vm, r := range s.opts.View.Reservations(p.Name) {
 		if r.Ended {
 			out.Awaiting = append(out.Awaiting, vm)
