Add keyed: claims of keys at soft homes

A home per stream batches intents, reads its own records back and answers by the fold. Nothing rests on who is home: a claim goes to the rendezvous owner, and to the next one when that does not answer; claims repeat under the same attempt id.

A claim that ends without an answer is withdrawn in the background for as long as the log is down; until then its key answers unknown to others. Results stay in the log, the state keeps only their offset, so that memory per key is constant. While the log is down known keys still answer from the state, and the rest is refused with not-run at once, tested for a log that refuses, hangs, or takes no writes.

Settled now needs the attempt to be known or the batch's own offsets to have been read.

Tests in process over loopback: home killed in mid claim, two homes at once, paused home, paused and restarted author, lost and vanished appends, outages, trims, a new epoch, other numbers of streams.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -76,6 +76,7 @@
 // peerView is what readers see of a live member.
 type peerView struct {
 	addr string
+	boot string
 	meta Meta
 }
 
@@ -133,6 +134,15 @@
 	return v.addr
 }
 
+// Boot returns the name of the process that runs as a live daemon; "" for others.
+func (m *Manager) Boot(id string) string {
+	if id == m.opt.ID {
+		return m.opt.Boot
+	}
+	v, _ := m.peers.Get(id)
+	return v.boot
+}
+
 // Owner returns the live daemon with the highest rendezvous weight for key.
 func (m *Manager) Owner(key string) string { return ids.Owner(key, m.Live()) }
 
@@ -190,7 +200,7 @@
 		}
 		list = append(list, n.ID)
 		meta, _ := m.detector.Meta(n.ID)
-		m.peers.Set(n.ID, peerView{addr: n.Addr, meta: meta})
+		m.peers.Set(n.ID, peerView{addr: n.Addr, boot: n.Boot, meta: meta})
 	}
 	slices.Sort(list)
 	if slices.Equal(list, m.Live()) {
--- /dev/null
+++ b/internal/keyed/fake_test.go
@@ -0,0 +1,329 @@
+package keyed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/ids"
+	"github.com/ragwortquay/ragwortquay/internal/once"
+	"github.com/ragwortquay/ragwortquay/internal/peer"
+	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// fakeLog is an in-process log with a switch for each of its faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	epoch   uint32
+	streams map[string]*fakeStream
+	// ahead moves the log's clock.
+	ahead   time.Duration
+	latency time.Duration
+	appends int
+	// lose is the number of appends that take effect and then fail; vanish the
+	// number that fail with an unknown outcome and did not take effect.
+	lose, vanish int
+	// refuse fails every call at once; hang makes every call wait for its context.
+	refuse, hang bool
+	refuseWrites bool
+}
+
+type fakeStream struct {
+	oldest  uint64
+	records []platform.Record
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{epoch: 1, streams: map[string]*fakeStream{}} }
+
+func (l *fakeLog) set(change func(*fakeLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (l *fakeLog) stream(name string) *fakeStream {
+	if l.streams[name] == nil {
+		l.streams[name] = &fakeStream{}
+	}
+	return l.streams[name]
+}
+
+func (s *fakeStream) next() uint64 { return s.oldest + uint64(len(s.records)) }
+
+var errRefused = fault.Refuse(fault.LogDown, "", "refused")
+
+func (l *fakeLog) enter(ctx context.Context, write bool) error {
+	l.mu.Lock()
+	latency, hang, refuse := l.latency, l.hang, l.refuse || (write && l.refuseWrites)
+	l.mu.Unlock()
+	if refuse {
+		return errRefused
+	}
+	if hang {
+		<-ctx.Done()
+		return fault.Wrap(fault.LogDown, ctx.Err(), "", "no answer")
+	}
+	if latency > 0 {
+		pause(ctx, latency)
+	}
+	return nil
+}
+
+func (l *fakeLog) Append(ctx context.Context, name string, records [][]byte) (platform.AppendAnswer, error) {
+	if err := l.enter(ctx, true); err != nil {
+		return platform.AppendAnswer{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.vanish > 0 {
+		l.vanish--
+		return platform.AppendAnswer{}, fault.New(fault.LogDown, "", "no answer")
+	}
+	l.appends++
+	first := l.put(name, records...)
+	if l.lose > 0 {
+		l.lose--
+		return platform.AppendAnswer{}, fault.New(fault.LogDown, "", "answer lost")
+	}
+	return platform.AppendAnswer{Epoch: l.epoch, First: first}, nil
+}
+
+func (l *fakeLog) put(name string, records ...[]byte) uint64 {
+	s := l.stream(name)
+	first := s.next()
+	for _, r := range records {
+		s.records = append(s.records, platform.Record{Offset: s.next(), AtMs: time.Now().Add(l.ahead).UnixMilli(), Data: r})
+	}
+	return first
+}
+
+func (l *fakeLog) Read(ctx context.Context, name string, from uint64, limit int) (platform.ReadAnswer, error) {
+	if err := l.enter(ctx, false); err != nil {
+		return platform.ReadAnswer{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	if from < s.oldest {
+		return platform.ReadAnswer{}, &platform.Trimmed{
+			Stream: name, From: from,
+			TrimmedAnswer: platform.TrimmedAnswer{Epoch: l.epoch, Oldest: s.oldest, Next: s.next()},
+		}
+	}
+	out := platform.ReadAnswer{Epoch: l.epoch, Oldest: s.oldest, Next: s.next()}
+	if from < s.next() {
+		rest := s.records[from-s.oldest:]
+		out.Records = slices.Clone(rest[:min(limit, len(rest))])
+	}
+	return out, nil
+}
+
+// trim drops records older than age by the log's clock.
+func (l *fakeLog) trim(age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := time.Now().Add(l.ahead - age).UnixMilli()
+	for _, s := range l.streams {
+		for len(s.records) > 0 && s.records[0].AtMs < limit {
+			s.records = s.records[1:]
+			s.oldest++
+		}
+	}
+}
+
+// cluster is a set of in-process daemons that call each other over loopback.
+type cluster struct {
+	t       testing.TB
+	log     *fakeLog
+	mu      sync.Mutex
+	changed chan struct{}
+	nodes   map[string]*node
+	adjust  func(*Options)
+}
+
+// node is one daemon. A partitioned or paused one is simulated by its gate.
+type node struct {
+	*Manager
+	c       *cluster
+	id      string
+	boot    string
+	addr    string
+	client  *peer.Client
+	stop    context.CancelFunc
+	stopped chan struct{}
+	// gate, if set, holds every message that reaches this daemon.
+	gate atomic.Pointer[chan struct{}]
+	// view, if set, is what this daemon takes for the live ones.
+	view []string
+	live bool
+}
+
+var clusterKeys = peer.StaticKeys{[]byte("0123456789abcdef")}
+
+func newCluster(t testing.TB, n int, adjust func(*Options)) *cluster {
+	c := &cluster{t: t, log: newFakeLog(), changed: make(chan struct{}), nodes: map[string]*node{}, adjust: adjust}
+	for i := range n {
+		c.start(fmt.Sprintf("d%d", i))
+	}
+	return c
+}
+
+func (c *cluster) start(id string) *node {
+	c.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(c.t, err)
+	n := &node{c: c, id: id, boot: ids.New(), addr: ln.Addr().String(), live: true, stopped: make(chan struct{})}
+	n.client = peer.NewClient(peer.ClientOptions{ID: id, Keys: clusterKeys, Silence: 100 * time.Millisecond, Probe: 100 * time.Millisecond})
+	o := Options{
+		Members: n, Caller: n.client, Log: c.log, Boot: n.boot, Shards: 2, Retention: 24 * time.Hour,
+		LogTimeout: 200 * time.Millisecond, AppendSpacing: time.Millisecond, Linger: 5 * time.Millisecond,
+		ClaimTimeout: 300 * time.Millisecond, ProbeInterval: 20 * time.Millisecond, DrainTimeout: time.Second,
+	}
+	if c.adjust != nil {
+		c.adjust(&o)
+	}
+	n.Manager, err = New(o)
+	must.NoError(c.t, err)
+	server := peer.NewServer(peer.ServerOptions{Listener: ln, ID: id, Keys: clusterKeys, DrainTimeout: 50 * time.Millisecond})
+	for _, h := range n.Handlers() {
+		server.Handle(h.Type, n.gated(h.Func))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go func() {
+		defer close(n.stopped)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = server.Run(ctx) })
+		wg.Go(func() { _ = n.Run(ctx) })
+		wg.Wait()
+	}()
+	c.mu.Lock()
+	c.nodes[id] = n
+	c.mu.Unlock()
+	c.notify()
+	c.t.Cleanup(func() {
+		n.open()
+		stop()
+		<-n.stopped
+		n.client.Close()
+	})
+	return n
+}
+
+func (n *node) gated(f func(context.Context, string, []byte) (wire.Message, error)) peer.Handler {
+	return func(ctx context.Context, from string, body []byte) (wire.Message, error) {
+		if g := n.gate.Load(); g != nil {
+			select {
+			case <-*g:
+			case <-ctx.Done():
+			}
+		}
+		return f(ctx, from, body)
+	}
+}
+
+// shut makes the daemon hold what reaches it, as if it were paused.
+func (n *node) shut() {
+	g := make(chan struct{})
+	n.gate.Store(&g)
+}
+
+func (n *node) open() {
+	if g := n.gate.Swap(nil); g != nil {
+		close(*g)
+	}
+}
+
+func (c *cluster) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// lose makes the others take the daemon for dead.
+func (c *cluster) lose(n *node) {
+	c.mu.Lock()
+	n.live = false
+	c.mu.Unlock()
+	c.notify()
+}
+
+func (c *cluster) setView(n *node, ids ...string) {
+	c.mu.Lock()
+	n.view = ids
+	c.mu.Unlock()
+	c.notify()
+}
+
+// The methods of Members.
+
+func (n *node) Self() string { return n.id }
+
+func (n *node) Live() []string {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if n.view != nil {
+		return n.view
+	}
+	var live []string
+	for id, o := range n.c.nodes {
+		if o.live || o == n {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (n *node) Addr(id string) string {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.c.nodes[id].addr
+}
+
+func (n *node) Boot(id string) string {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	if o := n.c.nodes[id]; o != nil && (o.live || o == n) {
+		return o.boot
+	}
+	return ""
+}
+
+func (n *node) Changed() <-chan struct{} {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.c.changed
+}
+
+func (n *node) Check(string) {}
+
+// homeOf returns the home of a key and a daemon that is not.
+func (c *cluster) homeOf(key string) (home, other *node) {
+	all := c.nodes["d0"].Live()
+	owner := ids.Owner(homeKey(once.ShardOf("w", key, c.nodes["d0"].Home.opt.Shards)), all)
+	for _, id := range all {
+		if id != owner {
+			return c.nodes[owner], c.nodes[id]
+		}
+	}
+	return c.nodes[owner], nil
+}
+
+func order(key string) once.Intent {
+	return once.Intent{Key: key, Workspace: "w", Route: "orders", IssuedAt: time.Now(), Fingerprint: once.FingerprintOf([]byte(key))}
+}
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
--- /dev/null
+++ b/internal/keyed/handle.go
@@ -0,0 +1,48 @@
+package keyed
+
+import (
+	"context"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// Handler answers one type of message from another daemon.
+type Handler struct {
+	Type wire.Type
+	Func func(ctx context.Context, from string, body []byte) (wire.Message, error)
+}
+
+// Handlers lists the messages that the manager answers.
+func (m *Manager) Handlers() []Handler {
+	return []Handler{
+		{wire.TypeOnceClaim, m.Home.handleClaim},
+		{wire.TypeOnceRecord, m.Home.handleRecord},
+	}
+}
+
+func (h *Home) handleClaim(ctx context.Context, from string, body []byte) (wire.Message, error) {
+	var c wire.OnceClaim
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return nil, fault.As(err).WithOutcome(fault.NotRun)
+	}
+	if c.Intent.Author != from {
+		return nil, fault.Refuse(fault.Forbidden, "run the same release on all daemons", "%s claims for %s", from, c.Intent.Author)
+	}
+	d, err := h.claim(ctx, &c)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.OnceDecision{Decision: d}, nil
+}
+
+func (h *Home) handleRecord(ctx context.Context, _ string, body []byte) (wire.Message, error) {
+	var r wire.OnceRecord
+	if err := wire.Unmarshal(body, &r); err != nil {
+		return nil, fault.As(err).WithOutcome(fault.NotRun)
+	}
+	if err := h.record(ctx, &r); err != nil {
+		return nil, err
+	}
+	return &wire.OnceRecorded{}, nil
+}
--- a/internal/once/fold.go
+++ b/internal/once/fold.go
@@ -213,13 +213,16 @@
 }
 
 // Settled reports whether r has been folded, or would change nothing any more.
+// A result of an attempt that the state does not know is not settled: the state
+// may lag behind the log.
 func (s *State) Settled(r Record) bool {
 	switch {
 	case r.Intent != nil:
 		_, known := s.attempts[attemptOf(r.Intent.Attempt)]
 		return known
 	case r.Done != nil:
-		return !s.holds(r.Done.Attempt)
+		_, known := s.attempts[attemptOf(r.Done.Attempt)]
+		return known && !s.holds(r.Done.Attempt)
 	case r.Abandon != nil:
 		_, known := s.attempts[attemptOf(r.Abandon.Attempt)]
 		return known && !s.holds(r.Abandon.Attempt)
--- a/internal/once/layout.go
+++ b/internal/once/layout.go
@@ -12,6 +12,8 @@
 	shards int
 	at     time.Time
 	next   uint64
+	// joined is set while a stream is read whose beginning was trimmed.
+	joined bool
 }
 
 // renewals is the number of times that the layout is renewed per MaxKeyAge.
@@ -26,8 +28,17 @@
 // Next returns the offset of the next record to fold.
 func (l *Layout) Next() uint64 { return l.next }
 
-// Start sets the offset of the first record that will be folded.
-func (l *Layout) Start(offset uint64) { l.next = offset }
+// At returns the log's time of the latest accepted record.
+func (l *Layout) At() time.Time { return l.at }
+
+// Join begins in a stream whose records before offset were trimmed. Until
+// Joined, each record replaces the number: the last ones are renewals by
+// daemons that have read the beginning, while the oldest one may be a Begin
+// that lost a race.
+func (l *Layout) Join(offset uint64) { l.next, l.joined = offset, true }
+
+// Joined ends what Join began, once the end of the stream was read.
+func (l *Layout) Joined() { l.joined = false }
 
 // Fold takes in the record at p.
 func (l *Layout) Fold(p Place, b Begin) {
@@ -36,7 +47,7 @@
 	}
 	l.next = p.Offset + 1
 	quiet := p.At.Sub(l.at) > 2*l.limits.Horizon()
-	if b.Shards < 1 || (l.shards != 0 && l.shards != b.Shards && !quiet) {
+	if b.Shards < 1 || (l.shards != 0 && l.shards != b.Shards && !quiet && !l.joined) {
 		return
 	}
 	l.shards = b.Shards
