--- a/internal/group/judge.go
+++ b/internal/group/judge.go
@@ -23,7 +23,7 @@
 // serves only while every member freshly reports it: right group, fencing
 // number, boot id, rank and weights, and ready.
 func Judge(s Snapshot, p Policy) []Judged {
-	v := &view{Snapshot: s, policy: p}
+	v := newView(s, p)
 	if s.Exists && s.Pool.Kind == table.Services {
 		return v.services()
 	}
@@ -44,7 +44,7 @@
 		Leader: lead.VM, Addr: v.VMs[lead.VM].Addr, FailureDomain: lead.FailureDomain,
 		Inflight: leader.Report.Inflight, ReportedAt: leader.At,
 	}}
-	j.Status, j.Reason = v.health(g)
+	j.Status, j.Reason = v.status[g.ID], v.reason[g.ID]
 	if j.Status == replica.Serving {
 		j.Status, j.Reason = v.withdrawal(g, rolling)
 	}
@@ -126,11 +126,10 @@
 	var old []state.Group
 	busy := 0
 	for _, g := range v.Groups {
-		status, _ := v.health(g)
 		switch {
 		case v.outdated(g):
 			old = append(old, g)
-		case status == replica.Loading:
+		case v.status[g.ID] == replica.Loading:
 			busy++
 		}
 	}
@@ -138,9 +137,7 @@
 		return nil
 	}
 	slices.SortFunc(old, func(a, b state.Group) int {
-		sa, _ := v.health(a)
-		sb, _ := v.health(b)
-		return cmp.Or(cmp.Compare(sa, sb), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(v.status[a.ID], v.status[b.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	turn := max(1, int(v.policy.RollingShare*float64(len(v.Groups)))) - busy
 	if size := len(old[0].Members); size < v.Pool.GroupSize && busy == 0 {
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/replica"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
@@ -33,10 +34,30 @@
 	return [...]string{"not observed yet", "ready", "loading", "off its group", "rebooted", "lost", "gone"}[c]
 }
 
-// view is a snapshot with its policy.
+// view is a snapshot with its policy and what follows from both.
 type view struct {
 	Snapshot
 	policy Policy
+	// status and reason say how each group stands by its reports alone.
+	status map[uint64]replica.Status
+	reason map[uint64]string
+	slow   slowMember
+}
+
+func newView(s Snapshot, p Policy) view {
+	v := view{
+		Snapshot: s, policy: p,
+		status: make(map[uint64]replica.Status, len(s.Groups)), reason: make(map[uint64]string),
+	}
+	for _, g := range s.Groups {
+		status, reason := v.health(g)
+		v.status[g.ID] = status
+		if reason != "" {
+			v.reason[g.ID] = reason
+		}
+	}
+	v.slow = v.findSlow()
+	return v
 }
 
 func (v *view) member(g state.Group, rank int) condition {
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	pl := &planner{
-		view:  view{Snapshot: s, policy: p},
+		view:  newView(s, p),
 		taken: make(map[string]bool),
 		ended: make(map[uint64]bool),
 	}
@@ -156,7 +156,7 @@
 // drained reports whether the group's requests have ended or had their time; a
 // group that cannot serve holds none. The time is when to look again.
 func (pl *planner) drained(g state.Group) (bool, time.Time) {
-	if status, _ := pl.health(g); status != replica.Serving {
+	if pl.status[g.ID] != replica.Serving {
 		return true, time.Time{}
 	}
 	since, draining := pl.DrainingSince[g.ID]
--- a/internal/group/property_test.go
+++ b/internal/group/property_test.go
@@ -7,6 +7,9 @@
 	"pgregory.net/rapid"
 )
 
+// maxLag is the greatest age of a home's view, in ticks.
+const maxLag = 30
+
 // TestNoVMInTwoGroups runs several homes at once, with views that lag, records
 // and orders that are late and duplicated, restarts and faults. At every tick
 // no VM is in two groups, and what a home lets serve was whole a moment ago.
@@ -16,6 +19,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(1, 4).Draw(t, "size")
 		w := newWorld(testPool(size, rapid.IntRange(size, 3*size+2).Draw(t, "vms")), rapid.IntRange(1, 2).Draw(t, "fabrics"))
+		w.keep = maxLag
 		w.fetch, w.slots = 3*time.Second, rapid.IntRange(1, 4).Draw(t, "slots")
 		homes := []*home{newHome(w, "a", DefaultPolicy()), newHome(w, "b", DefaultPolicy()), newHome(w, "c", DefaultPolicy())}
 		for i := range 400 {
@@ -49,7 +53,7 @@
 	case 4:
 		homes[h] = newHome(w, homes[h].name+"'", DefaultPolicy())
 	case 5:
-		homes[h].lag = rapid.IntRange(0, 30).Draw(t, "lag")
+		homes[h].lag = rapid.IntRange(0, maxLag).Draw(t, "lag")
 		homes[h].delay = rapid.IntRange(0, 50).Draw(t, "delay")
 	case 6:
 		w.records = append(w.records, w.records...)
--- /dev/null
+++ b/internal/group/repair_bench_test.go
@@ -0,0 +1,204 @@
+package group
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The experiment's site: 50 VMs in two fabric domains, 12 groups of 4 and two
+// spares; an hour with a fault every 20 s in the mean.
+const (
+	benchVMs    = 50
+	benchSize   = 4
+	benchHour   = time.Hour
+	benchFaults = 20 * time.Second
+)
+
+// figures of one run: the time in which groups that the VMs would allow did not
+// serve, and, summed over VMs that are up, the time in which they were held by
+// a group that did not serve, and in which they were in no serving group.
+type figures struct{ down, stranded, idle time.Duration }
+
+func (f *figures) add(o figures) {
+	f.down += o.down
+	f.stranded += o.stranded
+	f.idle += o.idle
+}
+
+func (f *figures) count(w *world, groups int, serving []uint64) {
+	f.down += tick * time.Duration(groups-len(serving))
+	for vm, m := range w.vms {
+		r, held := w.state.VMs[vm]
+		if !m.up || m.paused || held && !r.Ended && slices.Contains(serving, r.Group) {
+			continue
+		}
+		f.idle += tick
+		if held {
+			f.stranded += tick
+		}
+	}
+}
+
+func (f *figures) report(b *testing.B, runs int) {
+	n := float64(runs)
+	b.ReportMetric(f.down.Seconds()/n, "down-s")
+	b.ReportMetric(f.stranded.Seconds()/n, "stranded-s")
+	b.ReportMetric(f.idle.Seconds()/n, "idle-s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkRepair compares repair policies over the same faults. The seeds are
+// fixed; run it with -benchtime 1x.
+func BenchmarkRepair(b *testing.B) {
+	change := func(fn func(*Policy)) Policy {
+		p := DefaultPolicy()
+		fn(&p)
+		return p
+	}
+	cases := []struct {
+		name    string
+		policy  Policy
+		unqueue bool
+	}{
+		{"scored", DefaultPolicy(), false},
+		{"own-member", change(func(p *Policy) { p.Repair = OwnMember }), false},
+		{"spare-at-once", change(func(p *Policy) { p.Repair = SpareAtOnce }), false},
+		{"silent-grace=0s", change(func(p *Policy) { p.SilentGrace = 0 }), false},
+		{"silent-grace=3s", change(func(p *Policy) { p.SilentGrace = 3 * time.Second }), false},
+		{"silent-grace=10s", change(func(p *Policy) { p.SilentGrace = 10 * time.Second }), false},
+		{"silent-grace=20s", change(func(p *Policy) { p.SilentGrace = 20 * time.Second }), false},
+		{"refused-grace=10s", change(func(p *Policy) { p.RefusedGrace = 10 * time.Second }), false},
+		{"refused-grace=30s", change(func(p *Policy) { p.RefusedGrace = 30 * time.Second }), false},
+		{"merge-grace=0s", change(func(p *Policy) { p.MergeGrace = 0 }), false},
+		{"merge-grace=10s", change(func(p *Policy) { p.MergeGrace = 10 * time.Second }), false},
+		{"merge-grace=30s", change(func(p *Policy) { p.MergeGrace = 30 * time.Second }), false},
+		{"merge-never", change(func(p *Policy) { p.MergeGrace = time.Hour }), false},
+		{"backoff-never", change(func(p *Policy) { p.FlapBackoff = 0 }), false},
+		{"loads-unqueued", DefaultPolicy(), true},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			var sum figures
+			const seeds = 5
+			for range b.N {
+				sum.add(runHours(c.policy, c.unqueue, seeds))
+			}
+			sum.report(b, b.N*seeds)
+		})
+	}
+}
+
+// runHours runs one hour for each seed, side by side.
+func runHours(p Policy, unqueue bool, seeds int) figures {
+	out := make([]figures, seeds)
+	var wg sync.WaitGroup
+	for i := range out {
+		wg.Go(func() { out[i] = runHour(p, unqueue, uint64(i+1)) })
+	}
+	wg.Wait()
+	var sum figures
+	for _, f := range out {
+		sum.add(f)
+	}
+	return sum
+}
+
+func runHour(p Policy, unqueue bool, seed uint64) figures {
+	w := newWorld(testPool(benchSize, benchVMs), 2)
+	w.fetch, w.reload, w.slots = 20*time.Second, 2*time.Second, 4
+	h := newHome(w, "a", p)
+	h.delay, h.unqueue = 1, unqueue
+	for len(h.serving()) < benchVMs/benchSize {
+		w.advance()
+		h.act()
+	}
+	faults := schedule(seed, w.now)
+	end := w.now.Add(benchHour)
+	var f figures
+	for w.now.Before(end) {
+		w.advance()
+		faults = dueNow(w.now, faults, func(fn func(*world)) { fn(w) })
+		h.act()
+		f.count(w, benchVMs/benchSize, h.serving())
+	}
+	return f
+}
+
+// schedule draws faults: short and long pauses, crashes of a process that
+// starts again, and VMs that fall silent and come back booted.
+func schedule(seed uint64, from time.Time) []pending[func(*world)] {
+	r := rand.New(rand.NewPCG(seed, 0))
+	mean := func(d time.Duration) time.Duration { return time.Duration(r.ExpFloat64() * float64(d)) }
+	pool := testPool(benchSize, benchVMs)
+	var out []pending[func(*world)]
+	add := func(at time.Time, fn func(*world)) { out = append(out, pending[func(*world)]{at, fn}) }
+	for at := from; at.Before(from.Add(benchHour)); at = at.Add(mean(benchFaults)) {
+		vm := pool.VMs[r.IntN(benchVMs)]
+		switch n := r.IntN(10); {
+		case n < 4:
+			pause(add, vm, at, mean(3*time.Second))
+		case n < 5:
+			pause(add, vm, at, mean(time.Minute))
+		case n < 8:
+			add(at, func(w *world) { w.kill(vm) })
+			add(at.Add(mean(20*time.Second)), func(w *world) { w.reboot(vm) })
+		default:
+			add(at, func(w *world) { w.vms[vm].paused = true })
+			add(at.Add(mean(5*time.Minute)), func(w *world) { w.reboot(vm) })
+		}
+	}
+	return out
+}
+
+func pause(add func(time.Time, func(*world)), vm string, at time.Time, d time.Duration) {
+	add(at, func(w *world) { w.vms[vm].paused = true })
+	add(at.Add(d), func(w *world) { w.vms[vm].paused = false })
+}
+
+// BenchmarkTwoBroken measures two groups of one fabric domain that lose a
+// member each for five minutes, with no spare.
+func BenchmarkTwoBroken(b *testing.B) {
+	for _, r := range []Repair{OwnMember, SpareAtOnce, Scored} {
+		b.Run(r.String(), func(b *testing.B) {
+			var f figures
+			for range b.N {
+				f = runTwoBroken(r)
+			}
+			f.report(b, 1)
+		})
+	}
+}
+
+func runTwoBroken(r Repair) figures {
+	p := DefaultPolicy()
+	p.Repair = r
+	w := newWorld(testPool(benchSize, 2*benchSize), 1)
+	w.fetch, w.reload = 20*time.Second, 2*time.Second
+	h := newHome(w, "a", p)
+	for len(h.serving()) < 2 {
+		w.advance()
+		h.act()
+	}
+	var lost []string
+	for _, g := range w.state.Groups {
+		lost = append(lost, g.Members[len(lost)].VM)
+	}
+	for _, vm := range lost {
+		w.kill(vm)
+	}
+	var f figures
+	for start := w.now; len(h.serving()) < 2 || w.now.Sub(start) < 5*time.Minute; {
+		w.advance()
+		if w.now.Sub(start) == 5*time.Minute {
+			for _, vm := range lost {
+				w.reboot(vm)
+			}
+		}
+		h.act()
+		f.count(w, 2, h.serving())
+	}
+	return f
+}
--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -14,85 +13,102 @@
 // its speed and keeps what is known of it.
 func stragglers(groups []state.Group, obs map[string]Observation, now time.Time, p Policy) map[string]time.Time {
 	out := make(map[string]time.Time)
+	byRank := rankSteps(groups, obs)
 	for _, g := range groups {
 		for rank, m := range g.Members {
 			o := obs[m.VM]
 			out[m.VM] = o.SlowSince
-			median := peerStep(groups, g, rank, obs)
-			if o.Report.Step == 0 || median == 0 {
+			if o.Report.Step == 0 {
 				continue
 			}
-			if float64(o.Report.Step) < p.SlowFactor*float64(median) {
-				out[m.VM] = time.Time{}
-			} else if o.SlowSince.IsZero() {
-				out[m.VM] = now
+			peers := peerSteps(g, rank, obs)
+			if len(peers) == 0 && len(byRank[rank]) > 1 {
+				// Only this member reports a step: compare it with those that
+				// have its rank in the pool's other groups.
+				peers = byRank[rank]
 			}
+			out[m.VM] = slowSince(o, median(peers), now, p)
 		}
 	}
 	return out
 }
 
-// peerStep is the median step time of the other members of the group. Where
-// only leaders report one, it is that of the same rank in the other groups.
-func peerStep(groups []state.Group, g state.Group, rank int, obs map[string]Observation) time.Duration {
-	var own, others []time.Duration
-	for _, o := range groups {
-		for i, m := range o.Members {
-			step := obs[m.VM].Report.Step
-			switch {
-			case step == 0 || o.ID == g.ID && i == rank:
-			case o.ID == g.ID:
-				own = append(own, step)
-			case i == rank:
-				others = append(others, step)
-			}
+func slowSince(o Observation, peers time.Duration, now time.Time, p Policy) time.Time {
+	switch {
+	case peers == 0:
+		return o.SlowSince
+	case float64(o.Report.Step) < p.SlowFactor*float64(peers):
+		return time.Time{}
+	case o.SlowSince.IsZero():
+		return now
+	default:
+		return o.SlowSince
+	}
+}
+
+// peerSteps are the step times of the other members of the group.
+func peerSteps(g state.Group, rank int, obs map[string]Observation) []time.Duration {
+	var out []time.Duration
+	for i, m := range g.Members {
+		if step := obs[m.VM].Report.Step; i != rank && step > 0 {
+			out = append(out, step)
 		}
 	}
-	if len(own) == 0 {
-		return median(others)
+	return out
+}
+
+func rankSteps(groups []state.Group, obs map[string]Observation) map[int][]time.Duration {
+	out := make(map[int][]time.Duration)
+	for _, g := range groups {
+		for rank, m := range g.Members {
+			if step := obs[m.VM].Report.Step; step > 0 {
+				out[rank] = append(out[rank], step)
+			}
+		}
 	}
-	return median(own)
+	return out
 }
 
+// median returns the lower median; steps may be in any order and stay so.
 func median(steps []time.Duration) time.Duration {
 	if len(steps) == 0 {
 		return 0
 	}
-	slices.Sort(steps)
-	return steps[(len(steps)-1)/2]
+	sorted := slices.Sorted(slices.Values(steps))
+	return sorted[(len(sorted)-1)/2]
 }
 
-// straggler returns the group's slow member if it is to be replaced now: a
-// spare stands by, and no other group of the pool is worse off or before it.
+// straggler returns the group's slow member if it is to be replaced now.
 func (v *view) straggler(g state.Group) (string, bool) {
+	return v.slow.vm, v.slow.vm != "" && v.slow.group == g.ID
+}
+
+// slowMember is a straggler that is to be replaced.
+type slowMember struct {
+	group uint64
+	vm    string
+}
+
+// findSlow picks the straggler to be replaced: of the oldest group that has one
+// and a spare beside it, provided that no group of the pool is worse off.
+func (v *view) findSlow() slowMember {
 	if v.policy.Repair == OwnMember {
-		return "", false
+		return slowMember{}
 	}
-	for _, o := range v.Groups {
-		if status, _ := v.health(o); status != replica.Serving {
-			return "", false
+	for _, g := range v.Groups {
+		if v.status[g.ID] != replica.Serving {
+			return slowMember{}
 		}
 	}
-	first := slices.MinFunc(v.slowGroups(g), func(a, b state.Group) int { return cmp.Compare(a.ID, b.ID) })
-	vm := v.slowMember(first)
-	if first.ID != g.ID || vm == "" || !v.spareFor(g) {
-		return "", false
-	}
-	return vm, true
-}
-
-// slowGroups are the groups with a slow member, and g.
-func (v *view) slowGroups(g state.Group) []state.Group {
-	out := []state.Group{g}
-	for _, o := range v.Groups {
-		if v.slowMember(o) != "" {
-			out = append(out, o)
+	for _, g := range v.Groups {
+		if vm := v.slowIn(g); vm != "" && v.spareFor(g) {
+			return slowMember{group: g.ID, vm: vm}
 		}
 	}
-	return out
+	return slowMember{}
 }
 
-func (v *view) slowMember(g state.Group) string {
+func (v *view) slowIn(g state.Group) string {
 	for _, m := range g.Members {
 		if v.Observations[m.VM].slow(v.Now, v.policy) {
 			return m.VM
--- a/internal/group/world_test.go
+++ b/internal/group/world_test.go
@@ -44,6 +44,7 @@
 	list     map[string]VM
 	state    *state.State
 	past     []*state.State // one per tick, for lagging views
+	keep     int            // ticks of past to keep
 	offset   uint64
 	slots    int
 	fetch    time.Duration
@@ -102,7 +103,9 @@
 
 // advance moves the world by one tick.
 func (w *world) advance() {
-	w.past = append(w.past, w.state.Clone())
+	if w.keep > 0 {
+		w.past = append(w.past[max(0, len(w.past)-w.keep):], w.state.Clone())
+	}
 	w.now = w.now.Add(tick)
 	w.records = dueNow(w.now, w.records, w.fold)
 	w.orders = dueNow(w.now, w.orders, func(o SendOrder) { w.vms[o.VM].take(o.Order) })
@@ -199,10 +202,12 @@
 	history *History
 	// lag is the age of its view in ticks, delay that of what it sends.
 	lag, delay int
-	records    int
-	busyUntil  time.Time
-	name       string
-	judged     []Judged
+	// unqueue hides the weight store's limit from the plan.
+	unqueue   bool
+	records   int
+	busyUntil time.Time
+	name      string
+	judged    []Judged
 }
 
 func newHome(w *world, name string, p Policy) *home {
@@ -226,6 +231,7 @@
 
 func (h *home) view() *state.State {
 	if h.lag == 0 || len(h.w.past) < h.lag {
+		// Nothing older is kept: the view is current.
 		return h.w.state
 	}
 	return h.w.past[len(h.w.past)-h.lag]
@@ -238,6 +244,9 @@
 		Now: h.w.now, Seen: st.Pos.Fence(), Pool: row.Pool, Exists: ok, Reservations: st.VMs, VMs: h.w.list,
 		Listed: true, Observations: make(map[string]Observation), Store: Store{Concurrent: h.w.slots, Active: h.w.fetches()},
 	}
+	if h.unqueue {
+		s.Store = Store{}
+	}
 	for _, g := range st.Groups {
 		s.Groups = append(s.Groups, g)
 	}
