--- a/internal/fleet/fake_test.go
+++ b/internal/fleet/fake_test.go
@@ -25,8 +25,8 @@
 	cacheTime = time.Second
 )
 
-// engine is one VM with an engine that ignores fencing numbers.
-type engine struct {
+// fakeEngine is one VM with an engine that ignores fencing numbers.
+type fakeEngine struct {
 	report   target.Report
 	boots    int
 	readyAt  time.Time
@@ -39,7 +39,7 @@
 // world is all that surrounds a Manager: VMs, their list and the stream.
 type world struct {
 	mu      sync.Mutex
-	engines map[string]*engine
+	engines map[string]*fakeEngine
 	vms     []platform.VM
 	state   *state.State
 	offset  uint64
@@ -48,9 +48,9 @@
 }
 
 func newWorld(pool table.Pool) *world {
-	w := &world{engines: make(map[string]*engine), state: state.New(), owner: "d1"}
+	w := &world{engines: make(map[string]*fakeEngine), state: state.New(), owner: "d1"}
 	for _, vm := range pool.VMs {
-		w.engines[vm] = &engine{}
+		w.engines[vm] = &fakeEngine{}
 		w.boot(vm)
 		w.vms = append(w.vms, platform.VM{ID: vm, Addr: vm, FailureDomain: "plateau", FabricDomain: "f", State: platform.VMLive})
 	}
@@ -117,7 +117,7 @@
 	return nil
 }
 
-func (e *engine) take(o target.Order) {
+func (e *fakeEngine) take(o target.Order) {
 	e.orders = append(e.orders, o)
 	r := &e.report
 	r.Group, r.Fence, r.Rank, r.Model, r.Version = 0, o.Fence, 0, "", ""
--- a/internal/fleet/home.go
+++ b/internal/fleet/home.go
@@ -40,7 +40,8 @@
 }
 
 // homePools returns the pools to care for. A pool that was dropped still has
-// groups to end as long as it holds VMs that another pool lists.
+// groups to end and VMs to release; a new home learns of it when another pool
+// lists one of them.
 func (m *Manager) homePools() map[string]struct{} {
 	want := make(map[string]struct{})
 	for _, row := range m.opts.View.Pools() {
@@ -52,7 +53,7 @@
 		}
 	}
 	m.pools.Range(func(pool string, _ published) bool {
-		if len(m.opts.View.Groups(pool)) > 0 {
+		if _, exists := want[pool]; !exists && len(m.opts.View.Reservations(pool)) > 0 {
 			m.claim(want, pool)
 		}
 		return true
--- a/internal/fleet/lists.go
+++ b/internal/fleet/lists.go
@@ -10,6 +10,9 @@
 	"github.com/ragwortquay/ragwortquay/internal/platform"
 )
 
+// keepMissing is how long a VM is remembered after it dropped out of the list.
+const keepMissing = time.Hour
+
 // followVMs reads the VM list at an interval while this daemon is any pool's
 // home. A list that cannot be read stays as it was.
 func (m *Manager) followVMs(ctx context.Context) error {
@@ -88,6 +91,10 @@
 	}
 	m.listed.Store(true)
 	for _, entry := range m.missing(seen) {
+		if !entry.MissingSince.IsZero() {
+			m.forget(entry, now)
+			continue
+		}
 		entry.MissingSince = now
 		changed = m.note(entry) || changed
 	}
@@ -104,11 +111,18 @@
 	return true
 }
 
-// missing returns the entries that have just dropped out of the list.
+// forget drops an entry that has been off the list for long.
+func (m *Manager) forget(entry group.VM, now time.Time) {
+	if now.Sub(entry.MissingSince) > keepMissing {
+		m.vms.Delete(entry.ID)
+	}
+}
+
+// missing returns the entries that the list lacks.
 func (m *Manager) missing(seen map[string]struct{}) []group.VM {
 	var out []group.VM
 	m.vms.Range(func(id string, entry group.VM) bool {
-		if _, ok := seen[id]; !ok && entry.MissingSince.IsZero() {
+		if _, ok := seen[id]; !ok {
 			out = append(out, entry)
 		}
 		return true
--- a/internal/group/judge.go
+++ b/internal/group/judge.go
@@ -119,38 +119,49 @@
 	return v.Exists && (g.Model != p.Model || g.Version != p.Version || len(g.Members) != p.GroupSize)
 }
 
-// rolling picks the outdated groups whose turn it is: a share of the pool, less
-// the groups that are already at work on the new row. Broken ones go first, as
-// replacing them costs no service.
+// rolling picks the outdated groups whose turn it is. Those that do not serve
+// cost nothing and go at once; of the others a share of the pool goes at a time,
+// less the groups that are already at work on the new row. Groups of withdrawn
+// domains wait for the domain's return.
 func (v *view) rolling() map[uint64]bool {
-	var old []state.Group
+	picked := make(map[uint64]bool)
+	var serving []state.Group
 	busy := 0
 	for _, g := range v.Groups {
+		status := v.status[g.ID]
 		switch {
-		case v.outdated(g):
-			old = append(old, g)
-		case v.status[g.ID] == replica.Loading:
-			busy++
+		case !v.outdated(g):
+			if status == replica.Loading {
+				busy++
+			}
+		case status != replica.Serving:
+			picked[g.ID] = true
+		case !v.withdrawnGroup(g):
+			serving = append(serving, g)
 		}
 	}
-	if len(old) == 0 {
-		return nil
-	}
-	slices.SortFunc(old, func(a, b state.Group) int {
-		return cmp.Or(cmp.Compare(v.status[a.ID], v.status[b.ID]), cmp.Compare(a.ID, b.ID))
-	})
-	turn := max(1, int(v.policy.RollingShare*float64(len(v.Groups)))) - busy
-	if size := len(old[0].Members); size < v.Pool.GroupSize && busy == 0 {
-		// A larger group needs the VMs of several old ones.
-		turn = max(turn, (v.Pool.GroupSize+size-1)/size)
-	}
-	picked := make(map[uint64]bool, max(0, turn))
-	for _, g := range old[:max(0, min(turn, len(old)))] {
+	turn := v.turn(busy, serving)
+	for _, g := range serving[:max(0, min(turn, len(serving)))] {
 		picked[g.ID] = true
 	}
 	return picked
 }
 
+// turn is the number of serving groups that may be taken out of service now.
+func (v *view) turn(busy int, serving []state.Group) int {
+	n := max(1, int(v.policy.RollingShare*float64(len(v.Groups)))) - busy
+	if len(serving) == 0 || busy > 0 {
+		return n
+	}
+	// A larger group needs the VMs of several old ones.
+	size := len(serving[0].Members)
+	return max(n, (v.Pool.GroupSize+size-1)/size)
+}
+
+func (v *view) withdrawnGroup(g state.Group) bool {
+	return slices.ContainsFunc(g.Members, func(m state.Member) bool { return v.Pool.IsWithdrawn(m.FailureDomain) })
+}
+
 // services judges each VM of a plain service by its own report.
 func (v *view) services() []Judged {
 	out := make([]Judged, 0, len(v.Pool.VMs))
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -26,7 +26,7 @@
 		if held && !r.Ended || pl.ahead(o) {
 			continue
 		}
-		if held && pl.unloaded(vm, r) || !held && o.Report.State == Free {
+		if held && pl.unloaded(vm, r) || !held && (o.Report.State == Free || !pl.serves()) {
 			continue
 		}
 		pl.send(vm, Order{Fence: max(r.Group, o.Report.Fence, o.Report.Group)})
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -21,9 +21,6 @@
 // Plan returns what to do now about one pool of engines. The order of the
 // actions is the order in which they are to be carried out.
 func Plan(s Snapshot, p Policy) []Action {
-	if s.Exists && s.Pool.Kind != table.Engines && len(s.Groups) == 0 {
-		return nil
-	}
 	pl := &planner{
 		view:  newView(s, p),
 		taken: make(map[string]bool),
--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
 )
 
 // digest writes actions, but not waits, on a line each.
@@ -127,6 +128,22 @@
 			s.Pool.Version = "2"
 			s.DrainingSince[100] = testNow.Add(-long)
 		}, []string{"form v00 v01 replaces [100]"}},
+		{"a withdrawn group does not hold up a new version", 2, 2, 4, func(s *Snapshot) {
+			s.Pool.Version, s.Pool.Withdrawn = "2", []string{"e"}
+			for i := range s.Groups[0].Members {
+				s.Groups[0].Members[i].FailureDomain = "e"
+			}
+			s.DrainingSince[101] = testNow.Add(-long)
+		}, []string{"form v02 v03 replaces [101]"}},
+		{"nor does a broken one", 2, 2, 4, func(s *Snapshot) {
+			s.Pool.Version = "2"
+			s.missed("v00", long, true)
+			s.DrainingSince[101] = testNow.Add(-long)
+		}, []string{"form v02 v03 replaces [101]"}},
+		{"a service's VMs get no orders", 0, 1, 1, func(s *Snapshot) {
+			s.Pool.Kind = table.Services
+			s.observe("v00", func(o *Observation) { o.Report.State, o.Report.Group = Ready, 7 })
+		}, nil},
 		{"a larger size takes several groups", 2, 2, 4, func(s *Snapshot) {
 			s.Pool.GroupSize = 3
 			s.DrainingSince[100] = testNow.Add(-long)
@@ -249,10 +266,10 @@
 	}
 	must.Eq(t, []string{}, with(OwnMember))
 	must.Eq(t, []string{"form v00 v02 v06 replaces [100]"}, with(SpareAtOnce))
-	must.Eq(t, []string{"form v00 v02 v06 replaces [100]"}, with(Scored))
+	must.Eq(t, []string{"form v00 v02 v06 replaces [100]"}, with(SpareOrMerge))
 	delete(s.Observations, "v06")
 	must.Eq(t, []string{}, with(SpareAtOnce))
-	must.Eq(t, []string{"form v00 v02 v03 replaces [100 101]"}, with(Scored))
+	must.Eq(t, []string{"form v00 v02 v03 replaces [100 101]"}, with(SpareOrMerge))
 }
 
 func TestStragglers(t *testing.T) {
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -7,8 +7,9 @@
 
 // The ways to mend a broken group.
 const (
-	// Scored weighs waiting, spares and merging by expected downtime.
-	Scored Repair = iota
+	// SpareOrMerge takes a spare, or else makes one group of several broken
+	// ones, so that as few VMs as possible wait for those that are missing.
+	SpareOrMerge Repair = iota
 	// OwnMember waits for the lost member, however long that takes.
 	OwnMember
 	// SpareAtOnce takes a spare as soon as a member is missing, never merges.
@@ -23,7 +24,7 @@
 	case SpareAtOnce:
 		return "spare-at-once"
 	default:
-		return "scored"
+		return "spare-or-merge"
 	}
 }
 
@@ -73,7 +74,7 @@
 // DefaultPolicy returns the policy that daemons use.
 func DefaultPolicy() Policy {
 	return Policy{
-		Repair:         Scored,
+		Repair:         SpareOrMerge,
 		FreshFor:       2 * time.Second,
 		ObserveWindow:  3 * time.Second,
 		RefusedGrace:   200 * time.Millisecond,
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -222,7 +222,7 @@
 // fewest members left first.
 func (pl *planner) merge(p patient, vms []string, all []patient) ([]string, []uint64) {
 	replaces := []uint64{p.g.ID}
-	if pl.policy.Repair != Scored || !p.merge {
+	if pl.policy.Repair != SpareOrMerge || !p.merge {
 		return vms, replaces
 	}
 	for _, donor := range slices.Backward(all) {
@@ -243,7 +243,3 @@
 func (pl *planner) dismissed(g state.Group) bool {
 	return slices.ContainsFunc(g.Members, func(m state.Member) bool { return !pl.Pool.HasVM(m.VM) })
 }
-
-func (pl *planner) withdrawnGroup(g state.Group) bool {
-	return slices.ContainsFunc(g.Members, func(m state.Member) bool { return pl.Pool.IsWithdrawn(m.FailureDomain) })
-}
--- a/internal/group/repair_bench_test.go
+++ b/internal/group/repair_bench_test.go
@@ -63,7 +63,7 @@
 		policy  Policy
 		unqueue bool
 	}{
-		{"scored", DefaultPolicy(), false},
+		{"spare-or-merge", DefaultPolicy(), false},
 		{"own-member", change(func(p *Policy) { p.Repair = OwnMember }), false},
 		{"spare-at-once", change(func(p *Policy) { p.Repair = SpareAtOnce }), false},
 		{"silent-grace=0s", change(func(p *Policy) { p.SilentGrace = 0 }), false},
@@ -161,7 +161,7 @@
 // BenchmarkTwoBroken measures two groups of one fabric domain that lose a
 // member each for five minutes, with no spare.
 func BenchmarkTwoBroken(b *testing.B) {
-	for _, r := range []Repair{OwnMember, SpareAtOnce, Scored} {
+	for _, r := range []Repair{OwnMember, SpareAtOnce, SpareOrMerge} {
 		b.Run(r.String(), func(b *testing.B) {
 			var f figures
 			for range b.N {
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -42,6 +42,7 @@
 		MaxConnsPerHost:           controlConns,
 		MaxIdleConnDuration:       controlIdle,
 		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false },
 		MaxResponseBodySize:       MaxReportBytes,
 		ReadTimeout:               OrderTimeout,
 		WriteTimeout:              OrderTimeout,
