--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -21,11 +21,8 @@
 // Plan returns what to do now about one pool of engines. The order of the
 // actions is the order in which they are to be carried out.
 func Plan(s Snapshot, p Policy) []Action {
-	if s.Exists && s.Pool.Kind != table.Engines && len(s.Groups) == 0 {
-		return nil
-	}
 	pl := &planner{
-		view:  view{Snapshot: s, policy: p},
+		view:  newView(s, p),
 		taken: make(map[string]bool),
 		ended: make(map[uint64]bool),
 	}
@@ -156,7 +153,7 @@
 // drained reports whether the group's requests have ended or had their time; a
 // group that cannot serve holds none. The time is when to look again.
 func (pl *planner) drained(g state.Group) (bool, time.Time) {
-	if status, _ := pl.health(g); status != replica.Serving {
+	if pl.status[g.ID] != replica.Serving {
 		return true, time.Time{}
 	}
 	since, draining := pl.DrainingSince[g.ID]
