--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	if s.Digest() != answer.Digest {
+	if state.DigestsDiffer(s.Digest(), answer.Digest) {
 		return fault.New(fault.BadInput, "run the same release on all daemons", "peer's state does not have the digest that it names")
 	}
 	if m.tail.load(s) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -343,7 +343,11 @@
 	pos, digest := m.opts.View.Mark()
 	m.decideStanding()
 	must.True(t, m.Standing().MayServe())
-	reports = []quorum.Report{{Daemon: "b", Started: true, Pos: pos, Digest: digest + 1}}
+	reports = []quorum.Report{{Daemon: "b", Started: true, Pos: pos, Digest: digest}}
+	m.decideStanding()
+	must.False(t, m.Diverged())
+	own := quorum.Report{Daemon: "a", Started: true, Pos: pos, Digest: digest}
+	reports = []quorum.Report{own, {Daemon: "b", Started: true, Pos: pos, Digest: digest ^ 1<<60}}
 	m.decideStanding()
 	must.True(t, m.Diverged())
 	must.False(t, m.Standing().MayServe())
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -115,10 +115,10 @@
 // Spread asks the joined daemons until all have folded pos, or ctx ends.
 func (m *Manager) Spread(ctx context.Context, pos state.Position) Spread {
 	reached := make(map[string]struct{})
-	if !m.behind(pos) {
-		reached[m.opts.Self] = struct{}{}
-	}
 	for {
+		if !m.behind(pos) {
+			reached[m.opts.Self] = struct{}{}
+		}
 		missing := m.notIn(reached)
 		if len(missing) == 0 || m.opts.Peers == nil || ctx.Err() != nil {
 			return m.spread(reached)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,8 +14,9 @@
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
-// Unknown is the log's age when it was never read.
-const Unknown = time.Duration(math.MaxInt64)
+// Unknown is the log's age when it was never read: longer than any other, and
+// short enough for ages to be added to it without overflow.
+const Unknown = 100 * 365 * 24 * time.Hour
 
 // Manager follows the control stream. Its methods are safe for concurrent use.
 type Manager struct {
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 }
 
 func (m *Manager) decideStanding() {
-	reports := m.opts.Reports()
+	reports := m.others()
 	m.takeHint(reports)
 	pos, digest := m.opts.View.Mark()
 	m.setDiverged(quorum.Diverged(pos, digest, reports))
@@ -82,6 +83,12 @@
 	}))
 }
 
+// others returns the reports of the other daemons: counted twice, this one
+// would tip the balance between diverged states.
+func (m *Manager) others() []quorum.Report {
+	return slices.DeleteFunc(slices.Clone(m.opts.Reports()), func(r quorum.Report) bool { return r.Daemon == m.opts.Self })
+}
+
 // takeHint catches up from a peer that reports a later position.
 func (m *Manager) takeHint(reports []quorum.Report) {
 	best, found := quorum.Highest(reports)
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -185,17 +185,17 @@
 }
 
 // Diverged reports whether most of those who stand at pos, this daemon among
-// them, do not share its digest. A tie counts as diverged: neither side can
+// them, provably hold another state. A tie counts as diverged: neither side can
 // know that it is the right one.
 func Diverged(pos state.Position, digest uint64, reports []Report) bool {
 	same, other := 1, 0
 	for _, r := range reports {
 		switch {
 		case !r.Started || r.Pos != pos:
-		case r.Digest == digest:
-			same++
-		default:
+		case state.DigestsDiffer(r.Digest, digest):
 			other++
+		default:
+			same++
 		}
 	}
 	return other >= same
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -96,11 +96,14 @@
 		}
 		return out
 	}
-	must.False(t, Diverged(here, 1, nil))
-	must.False(t, Diverged(here, 1, at(ahead, 2, 2)), must.Sprint("another position proves nothing"))
-	must.False(t, Diverged(here, 1, at(here, 1, 2)))
-	must.True(t, Diverged(here, 1, at(here, 2)), must.Sprint("a tie has no right side"))
-	must.True(t, Diverged(here, 1, at(here, 1, 2, 2)))
+	const mine, other = 0x1_01, 0x2_01 // the low byte is the digest's version
+	const later = 0x1_02
+	must.False(t, Diverged(here, mine, nil))
+	must.False(t, Diverged(here, mine, at(ahead, other, other)), must.Sprint("another position proves nothing"))
+	must.False(t, Diverged(here, mine, at(here, later, later)), must.Sprint("another version proves nothing"))
+	must.False(t, Diverged(here, mine, at(here, mine, other)))
+	must.True(t, Diverged(here, mine, at(here, other)), must.Sprint("a tie has no right side"))
+	must.True(t, Diverged(here, mine, at(here, mine, other, other)))
 }
 
 // Whatever a partition looks like, only one side may use cold targets.
--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"hash"
 	"maps"
@@ -10,12 +11,26 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// digestVersion changes with what is hashed, or how. It is the low byte of a
+// digest, so that releases which hash differently, side by side during an
+// upgrade, do not take each other for diverged.
+const (
+	digestVersion = 1
+	versionMask   = 0xff
+)
+
+// DigestsDiffer reports whether two digests at the same position prove that
+// the states differ. Digests of different versions prove nothing.
+func DigestsDiffer(a, b uint64) bool {
+	return a&versionMask == b&versionMask && a != b
+}
+
 // Digest returns a hash of the whole state. Two readers at the same position
-// must have the same digest. The recent verdicts count: they decide what is
-// taken for a duplicate.
+// must have the same digest. The verdicts count, through History: they decide
+// what is taken for a duplicate.
 func (s *State) Digest() uint64 {
 	h := xxhash.New()
-	fmt.Fprintf(h, "%v %v\n", s.Pos, s.Started)
+	fmt.Fprintf(h, "%v %v %d\n", s.Pos, s.Started, s.History)
 	for _, k := range sortedKeys(s.Routes) {
 		r := s.Routes[k]
 		fmt.Fprintf(h, "r %+v ", r.Route)
@@ -33,10 +48,18 @@
 	writeMap(h, "v", s.VMs)
 	writeMap(h, "d", s.Daemons)
 	writeMap(h, "n", s.Revisions)
-	for _, v := range s.Recent {
-		fmt.Fprintf(h, "t %s %t %v\n", v.RecordID, v.Accepted, v.Pos)
+	return h.Sum64()&^versionMask | digestVersion
+}
+
+// chain hashes a verdict onto the hash of those before it.
+func chain(before uint64, v Verdict) uint64 {
+	b := binary.BigEndian.AppendUint64(nil, before)
+	b = binary.BigEndian.AppendUint64(b, v.Pos.Fence())
+	b = append(b, v.RecordID...)
+	if v.Accepted {
+		b = append(b, 1)
 	}
-	return h.Sum64()
+	return xxhash.Sum64(b)
 }
 
 func writeStamp(h hash.Hash, st Stamp) {
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -18,6 +18,9 @@
 	if rec == nil {
 		return Verdict{Pos: pos, Reason: "record cannot be decoded"}
 	}
+	if rec.ID == "" {
+		return Verdict{Pos: pos, Reason: "record has no id"}
+	}
 	if v, ok := s.decided(rec.ID); ok {
 		v.Duplicate = true
 		return v
@@ -28,19 +31,26 @@
 	return v
 }
 
+// decided returns the verdict on a recent record. The index is made again after
+// a decoder or Clone has left it out.
 func (s *State) decided(id string) (Verdict, bool) {
-	for i := len(s.Recent) - 1; i >= 0; i-- {
-		if s.Recent[i].RecordID == id {
-			return s.Recent[i], true
+	if s.index == nil {
+		s.index = make(map[string]Verdict, len(s.Recent))
+		for _, v := range s.Recent {
+			s.index[v.RecordID] = v
 		}
 	}
-	return Verdict{}, false
+	v, ok := s.index[id]
+	return v, ok
 }
 
 func (s *State) remember(v Verdict) {
 	s.Recent = append(s.Recent, v)
+	s.index[v.RecordID] = v
+	s.History = chain(s.History, v)
 	if len(s.Recent) > RecentLimit {
 		s.Recent = append(s.Recent[:0:0], s.Recent[len(s.Recent)-RecentLimit/2:]...)
+		s.index = nil
 	}
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -92,6 +92,10 @@
 	Revisions map[string]uint64
 	// Recent are the verdicts on the last records, oldest first.
 	Recent []Verdict
+	// History hashes all verdicts so far, in order.
+	History uint64
+	// index finds the verdicts of Recent by record id; nil until it is needed.
+	index map[string]Verdict
 }
 
 // RecentLimit is the number of verdicts kept to recognise duplicated appends.
@@ -138,6 +142,7 @@
 	c.Daemons = maps.Clone(s.Daemons)
 	c.Revisions = maps.Clone(s.Revisions)
 	c.Recent = slices.Clone(s.Recent)
+	c.index = nil
 	return &c
 }
 
--- a/internal/view/fold.go
+++ b/internal/view/fold.go
@@ -23,8 +23,8 @@
 		t.form(pos, rec)
 		v.publish(t)
 	}
-	v.remember(verdict)
 	v.advance()
+	v.remember(verdict)
 	return verdict
 }
 
@@ -40,10 +40,10 @@
 	t.add(everything(s))
 	v.state = s
 	v.publish(t)
+	v.advance()
 	for _, verdict := range s.Recent {
 		v.remember(verdict)
 	}
-	v.advance()
 	return true
 }
 
@@ -53,7 +53,8 @@
 }
 
 // remember keeps as many verdicts as the fold itself does. The first verdict
-// on a record stands.
+// on a record stands. It comes after advance: whoever learns of a verdict finds
+// the view at the record's position or beyond.
 func (v *View) remember(verdict state.Verdict) {
 	if verdict.RecordID == "" {
 		return
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -116,7 +116,8 @@
 			if rec == nil {
 				return
 			}
-			if got, err := v.WaitVerdict(t.Context(), rec.ID); err != nil || got.Pos != at(uint64(i)) {
+			got, err := v.WaitVerdict(t.Context(), rec.ID)
+			if err != nil || got.Pos != at(uint64(i)) || v.Position().Before(got.Pos) {
 				t.Errorf("record %s: %v, %v", rec.ID, got.Pos, err)
 			}
 		})
--- a/internal/wire/snapshot.go
+++ b/internal/wire/snapshot.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.Pos != head.Pos || s.Digest() != head.Digest {
+	if s.Pos != head.Pos || state.DigestsDiffer(s.Digest(), head.Digest) {
 		return nil, badSnapshot("snapshot %s does not hold the state that it names", head.ID)
 	}
 	return s, nil
