Show a pool's replicas from any daemon

Only a pool's home watches its VMs, so status on another daemon showed the formed groups without their state. The home is asked now. Following and catching up are apart: a log that hangs for one daemon no longer delays what it can take from a peer. The reason why the log cannot be followed is logged when it changes, so that a log that went back is named even if it was down before.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -48,8 +48,8 @@
 	return reply(r, s.opts.Service.Tables())
 }
 
-func (s *Server) status(_ context.Context, r *fasthttp.RequestCtx, _ string) error {
-	return reply(r, s.opts.Service.Status())
+func (s *Server) status(ctx context.Context, r *fasthttp.RequestCtx, _ string) error {
+	return reply(r, s.opts.Service.Status(ctx))
 }
 
 // audit answers with JSON lines: a header, then one line per entry.
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -131,7 +131,7 @@
 }
 
 func (m *Manager) proposeLeaves(ctx context.Context, silent map[string]time.Time) {
-	if !m.Standing().Majority || m.LogAge(m.opts.Now()) > m.opts.Limits.Fresh {
+	if !m.Standing().Majority || !m.readsLog() {
 		return
 	}
 	live := m.opts.LiveIDs()
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -77,6 +77,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return m.followLoop(ctx) })
+	g.Go(func() error { return m.hintLoop(ctx) })
 	g.Go(func() error { return m.announceLoop(ctx) })
 	g.Go(func() error { return m.standLoop(ctx) })
 	g.Go(func() error { return m.snapshotLoop(ctx) })
@@ -86,59 +87,72 @@
 }
 
 func (m *Manager) followLoop(ctx context.Context) error {
-	failing := false
+	var t trouble
 	for ctx.Err() == nil {
 		err := m.follow(ctx)
 		if err != nil {
 			m.catchUp(ctx)
 		}
-		m.report(err, &failing)
+		m.report(err, &t)
 		m.pause(ctx)
 	}
 	return nil
 }
 
-// report logs the change between reading and not reading, not each attempt.
-func (m *Manager) report(err error, failing *bool) {
+// trouble is the last error that was logged; empty while all is well.
+type trouble struct {
+	text string
+	at   time.Time
+}
+
+// troubleInterval is the least time between two lines about a log that cannot
+// be followed.
+const troubleInterval = 10 * time.Second
+
+// report logs when the log can no longer be followed, when the reason changes,
+// and when it can be followed again, but not each attempt.
+func (m *Manager) report(err error, t *trouble) {
+	pos, now := m.opts.View.Position().String(), m.opts.Now()
 	switch {
-	case err != nil && !*failing:
-		klog.ErrorS(err, "control stream cannot be followed", "position", m.opts.View.Position().String())
-	case err == nil && *failing:
-		klog.InfoS("control stream is followed again", "position", m.opts.View.Position().String())
+	case err == nil && t.text != "":
+		klog.InfoS("control stream is followed again", "position", pos)
+		*t = trouble{}
+	case err != nil && err.Error() != t.text && now.Sub(t.at) >= troubleInterval:
+		klog.ErrorS(err, "control stream cannot be followed", "position", pos)
+		*t = trouble{text: err.Error(), at: now}
 	}
-	*failing = err != nil
 }
 
 // pause waits for the next read: a prompt, or the interval with some jitter
-// that keeps daemons from reading in step. Meanwhile it catches up from peers
-// that are known to be ahead.
+// that keeps daemons from reading in step.
 func (m *Manager) pause(ctx context.Context) {
 	interval := m.opts.readInterval()
 	jitter := time.Duration(rand.Int64N(int64(interval)/4 + 1))
 	timer := time.NewTimer(interval - jitter)
 	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.prompt:
+	case <-ctx.Done():
+	}
+}
+
+// hintLoop catches up from peers that are known to be ahead. It does not wait
+// for the log, which may hang for this daemon alone.
+func (m *Manager) hintLoop(ctx context.Context) error {
 	for {
 		select {
-		case <-timer.C:
-			return
-		case <-m.prompt:
-			return
 		case addr := <-m.hints:
-			m.followPeer(ctx, addr)
+			if err := m.pull(ctx, addr); err != nil {
+				klog.V(1).InfoS("peer that is ahead did not give its records", "addr", addr, "reason", err.Error())
+				m.readNow()
+			}
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
 }
 
-// followPeer catches up from one peer and reads the log if that fails.
-func (m *Manager) followPeer(ctx context.Context, addr string) {
-	if err := m.pull(ctx, addr); err != nil {
-		klog.V(1).InfoS("peer that announced a record did not give it", "addr", addr, "reason", err.Error())
-		m.readNow()
-	}
-}
-
 // readNow prompts a read of the log.
 func (m *Manager) readNow() {
 	select {
@@ -151,18 +165,20 @@
 // view is behind and the allowance for prompted reads permits it.
 func (m *Manager) Nudge(pos state.Position) { m.nudgeFrom(pos, "") }
 
-// nudgeFrom prompts a read of the log, or, beyond the allowance, takes the
-// records from the peer that announced them: a burst of edits in a large fleet
-// must not become a burst of reads.
+// nudgeFrom prompts a read of the log or, in a large fleet and beyond the
+// allowance, takes the records from the peer that announced them: an edit must
+// not become a read by each of hundreds of daemons at once.
 func (m *Manager) nudgeFrom(pos state.Position, addr string) {
 	if !m.behind(pos) {
 		return
 	}
-	if m.reads.Allow() {
+	canAsk := addr != "" && m.opts.Peers != nil
+	small := len(m.opts.LiveIDs()) <= m.opts.ReadsPerSecond
+	if (small || !canAsk) && m.reads.Allow() {
 		m.readNow()
 		return
 	}
-	if addr == "" || m.opts.Peers == nil {
+	if !canAsk {
 		return
 	}
 	select {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -132,12 +132,17 @@
 // isSnapshotHome reports whether this daemon writes snapshots: it must have
 // read the log freshly and agree with most daemons on the state.
 func (m *Manager) isSnapshotHome() bool {
-	if !m.opts.View.Started() || m.Diverged() || m.LogAge(m.opts.Now()) > m.opts.Limits.Fresh+m.opts.readInterval() {
+	if !m.opts.View.Started() || m.Diverged() || !m.readsLog() {
 		return false
 	}
 	return ids.Owner("snapshot", m.opts.LiveIDs()) == m.opts.Self
 }
 
+// readsLog reports whether this daemon reads the log at its interval.
+func (m *Manager) readsLog() bool {
+	return m.LogAge(m.opts.Now()) <= m.opts.Limits.Fresh+m.opts.readInterval()
+}
+
 // writeSnapshot appends a snapshot of the view and returns its position. An
 // append whose answer is lost is not repeated at once: the next look finds
 // what became of it.
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -14,6 +14,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/replica"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/view"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
 // Control is the part of control.Manager that operators use.
@@ -47,6 +48,8 @@
 	// Replicas returns the pool's replicas as far as this daemon knows them;
 	// nil means that it knows none.
 	Replicas func(pool string) []replica.Replica
+	// Ask asks another daemon; nil means that it cannot be asked.
+	Ask func(ctx context.Context, daemon string, req, resp wire.Message) error
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
--- /dev/null
+++ b/internal/operate/operate_test.go
@@ -0,0 +1,98 @@
+package operate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/audit"
+	"github.com/ragwortquay/ragwortquay/internal/control"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/ids"
+	"github.com/ragwortquay/ragwortquay/internal/quorum"
+	"github.com/ragwortquay/ragwortquay/internal/replica"
+	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/table"
+	"github.com/ragwortquay/ragwortquay/internal/view"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// fakeControl folds what is submitted without a log.
+type fakeControl struct {
+	view     *view.View
+	standing quorum.Standing
+	caught   bool
+	next     uint64
+}
+
+func (c *fakeControl) Submit(_ context.Context, rec *state.Record) (state.Verdict, error) {
+	v := c.view.Fold(state.Position{Epoch: 1, Offset: c.next}, rec)
+	c.next++
+	return v, nil
+}
+
+func (c *fakeControl) Spread(context.Context, state.Position) control.Spread { return control.Spread{} }
+
+func (c *fakeControl) History(context.Context) (audit.Trail, error) { return audit.Trail{}, nil }
+func (c *fakeControl) Standing() quorum.Standing                    { return c.standing }
+func (c *fakeControl) LogAge(time.Time) time.Duration               { return 0 }
+func (c *fakeControl) Caught() bool                                 { return c.caught }
+
+func TestEditsNeedAMajorityInSight(t *testing.T) {
+	cases := []struct {
+		name             string
+		caught, majority bool
+		minority         bool // the operator's word that the others are gone
+		ok               bool
+	}{
+		{"majority", true, true, false, true},
+		{"no majority", true, false, false, false},
+		{"no majority, the others are gone", true, false, true, true},
+		{"not caught up", false, true, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := view.New()
+			s := New(Options{View: v, Control: &fakeControl{view: v, caught: c.caught, standing: quorum.Standing{Majority: c.majority}}})
+			_, err := s.Apply(t.Context(), "awa", ApplyRequest{Minority: c.minority, Changes: []Change{{Base: "0", DropPool: "p"}}})
+			must.Eq(t, c.ok, err == nil)
+			if err != nil {
+				must.True(t, fault.Is(err, fault.Isolated))
+				must.Eq(t, fault.NotRun, fault.As(err).Outcome)
+			}
+		})
+	}
+}
+
+func TestStatusAsksThePoolsHome(t *testing.T) {
+	v := view.New()
+	ctl := &fakeControl{view: v, caught: true, standing: quorum.Standing{Mode: quorum.Serve, Majority: true}}
+	live := func() []string { return []string{"a", "b"} }
+	known := func(string) []replica.Replica { return []replica.Replica{{ID: "vm-x", Status: replica.Serving}} }
+	home := New(Options{Self: "b", View: v, Control: ctl, Live: live, Replicas: known})
+	asked := New(Options{Self: "a", View: v, Control: ctl, Live: live, Ask: func(ctx context.Context, daemon string, req, resp wire.Message) error {
+		must.Eq(t, "b", daemon)
+		body, err := wire.Marshal(req)
+		must.NoError(t, err)
+		answer, err := home.Handlers()[req.WireType()](ctx, "a", body)
+		must.NoError(t, err)
+		out, err := wire.Marshal(answer)
+		must.NoError(t, err)
+		return wire.Unmarshal(out, resp)
+	}})
+
+	name := "p"
+	for ids.Owner("pool/"+name, live()) != "b" {
+		name += "p"
+	}
+	row := table.Pool{Name: name, Kind: table.Services, GroupSize: 1, Limit: 1, ColdLimit: 1}
+	_, err := ctl.Submit(t.Context(), &state.Record{ID: "1", Edit: &state.Edit{Changes: []state.Change{{SetPool: &row}}}})
+	must.NoError(t, err)
+	for _, s := range []*Service{home, asked} {
+		st := s.Status(t.Context())
+		must.Eq(t, "b", st.Pools[0].Home)
+		must.Eq(t, []Replica{{ID: "vm-x", Status: "serving"}}, st.Pools[0].Replicas)
+	}
+}
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -1,6 +1,7 @@
 package operate
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -96,8 +97,9 @@
 	Daemon string `json:"daemon"`
 }
 
-// Status returns the system as this daemon sees it.
-func (s *Service) Status() Status {
+// Status returns the system as this daemon sees it, and the replicas as the
+// homes of their pools do.
+func (s *Service) Status(ctx context.Context) Status {
 	now := s.opts.Now()
 	pos, digest := s.opts.View.Mark()
 	age := s.opts.Control.LogAge(now)
@@ -118,6 +120,7 @@
 		out.Pools = append(out.Pools, p)
 		out.Homes = append(out.Homes, Home{Key: "pool/" + p.Name, Daemon: p.Home})
 	}
+	s.fillReplicas(ctx, out.Pools)
 	return out
 }
 
@@ -183,9 +186,6 @@
 	for _, g := range s.opts.View.Groups(p.Name) {
 		out.Groups = append(out.Groups, groupOf(g))
 	}
-	for _, r := range s.opts.Replicas(p.Name) {
-		out.Replicas = append(out.Replicas, replicaOf(r))
-	}
 	for vm, r := range s.opts.View.Reservations(p.Name) {
 		if r.Ended {
 			out.Awaiting = append(out.Awaiting, vm)
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/replica"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
@@ -15,6 +16,8 @@
 	TypeRecordsAnswer
 	TypeStateAsk
 	TypeStateAnswer
+	TypeReplicasAsk
+	TypeReplicasAnswer
 )
 
 // Nudge says that the control stream has reached Pos. The answer is a
@@ -89,3 +92,20 @@
 
 // WireType returns TypeStateAnswer.
 func (*StateAnswer) WireType() Type { return TypeStateAnswer }
+
+// ReplicasAsk asks a pool's home for the pool's replicas, to show them to
+// operators.
+type ReplicasAsk struct {
+	Pool string `msgpack:"p"`
+}
+
+// WireType returns TypeReplicasAsk.
+func (*ReplicasAsk) WireType() Type { return TypeReplicasAsk }
+
+// ReplicasAnswer gives a pool's replicas as its home sees them.
+type ReplicasAnswer struct {
+	Replicas []replica.Replica `msgpack:"r"`
+}
+
+// WireType returns TypeReplicasAnswer.
+func (*ReplicasAnswer) WireType() Type { return TypeReplicasAnswer }
