--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/platform"
 	"github.com/ragwortquay/ragwortquay/internal/quorum"
 	"github.com/ragwortquay/ragwortquay/internal/target"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
 // build makes the parts in the order in which they depend on each other.
@@ -153,19 +154,23 @@
 }
 
 func (d *Daemon) buildAdmin() {
+	d.operate = operate.New(operate.Options{
+		Self:      d.settings.Daemon.ID,
+		View:      d.view,
+		Control:   d.control,
+		Readiness: d.standing,
+		Live:      d.members.Live,
+		Reports:   func() []quorum.Report { return reports(d.members) },
+		Replicas:  d.fleet.Replicas,
+		Ask: func(ctx context.Context, daemon string, req, resp wire.Message) error {
+			return d.client.Call(ctx, d.members.Addr(daemon), req, resp)
+		},
+	})
 	d.admin = admin.New(admin.Options{
 		Listener: d.sockets.operators,
 		Auth:     d.tokens,
 		Metrics:  d.metrics.Page,
-		Service: operate.New(operate.Options{
-			Self:      d.settings.Daemon.ID,
-			View:      d.view,
-			Control:   d.control,
-			Readiness: d.standing,
-			Live:      d.members.Live,
-			Reports:   func() []quorum.Report { return reports(d.members) },
-			Replicas:  d.fleet.Replicas,
-		}),
+		Service:  d.operate,
 	})
 }
 
@@ -174,6 +179,9 @@
 	for t, h := range d.control.Handlers() {
 		d.server.Handle(t, h)
 	}
+	for t, h := range d.operate.Handlers() {
+		d.server.Handle(t, h)
+	}
 	for _, h := range d.grants.Handlers() {
 		d.server.Handle(h.Type, h.Func)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/grant"
 	"github.com/ragwortquay/ragwortquay/internal/ids"
 	"github.com/ragwortquay/ragwortquay/internal/metrics"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
 	"github.com/ragwortquay/ragwortquay/internal/peer"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
 	"github.com/ragwortquay/ragwortquay/internal/target"
@@ -44,6 +45,7 @@
 	grants  *grant.Manager
 	targets *target.Client
 	front   *front.Server
+	operate *operate.Service
 	admin   *admin.Server
 
 	life     *life
