--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"net"
 	"time"
 
