Count live daemons too when an edit's spread is told

Cause: an edit made before all daemons had joined was told to be in force on one of one while others served already. Submit now reads a log that was not read for some time before it appends: in an outage the answer is then a true not-run instead of unknown.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -105,7 +105,7 @@
 	must.NoError(t, err)
 	must.True(t, first.Accepted)
 	must.Eq(t, []operate.RowRevision{{Row: "pool/orders", Revision: 1}}, first.Rows)
-	must.Eq(t, first.Spread.Joined, first.Spread.InForce)
+	must.Eq(t, first.Spread.Daemons, first.Spread.InForce)
 
 	again, err := awa.Apply(ctx, operate.ApplyRequest{Record: "r1", Changes: []operate.Change{setPool("0", 8)}})
 	must.NoError(t, err)
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -43,6 +43,9 @@
 	}, nil
 }
 
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Apply sends an edit. A refused edit is an answer, not an error. An error with
 // outcome Unknown leaves open whether the edit was accepted; its record id
 // finds it in the audit.
@@ -57,21 +60,25 @@
 		return out, err
 	}
 	if status == fasthttp.StatusConflict {
-		return out, decode(answer, &out)
+		err = decode(answer, &out)
+		return out, err
 	}
-	return out, c.result(status, answer, &out)
+	err = c.result(status, answer, &out)
+	return out, err
 }
 
 // Tables returns both tables.
 func (c *Client) Tables(ctx context.Context) (operate.Tables, error) {
 	var out operate.Tables
-	return out, c.get(ctx, "/v1/tables", &out)
+	err := c.get(ctx, "/v1/tables", &out)
+	return out, err
 }
 
 // Status returns the system as the server's daemon sees it.
 func (c *Client) Status(ctx context.Context) (operate.Status, error) {
 	var out operate.Status
-	return out, c.get(ctx, "/v1/status", &out)
+	err := c.get(ctx, "/v1/status", &out)
+	return out, err
 }
 
 // Audit returns the selected entries, oldest first.
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -22,7 +22,7 @@
 	serverFlags
 	Note     string        `long:"note" description:"reason, kept in the audit"`
 	Prune    bool          `long:"prune" description:"drop the rows that the file lacks"`
-	Wait     bool          `long:"wait" description:"wait until the edit is in force on all joined daemons"`
+	Wait     bool          `long:"wait" description:"wait until the edit is in force on all daemons"`
 	Timeout  time.Duration `long:"timeout" default:"10s" description:"how long to wait"`
 	Minority bool          `long:"minority" description:"edit through a daemon that does not see most of the others, because they are gone for good"`
 }
@@ -87,7 +87,7 @@
 		return refused(answer)
 	}
 	printAccepted(c.env.out, answer)
-	if s := answer.Spread; c.Wait && s != nil && s.InForce < s.Joined {
+	if s := answer.Spread; c.Wait && s != nil && s.InForce < s.Daemons {
 		return fault.New(fault.Timeout, "see status for these daemons", "after %s the edit is not yet in force on: %s", c.Timeout, strings.Join(s.Missing, ", "))
 	}
 	return nil
@@ -111,7 +111,7 @@
 		fmt.Fprintf(out, "  %s revision %d\n", r.Row, r.Revision)
 	}
 	if s := a.Spread; s != nil {
-		fmt.Fprintf(out, "in force on %d of %d daemons\n", s.InForce, s.Joined)
+		fmt.Fprintf(out, "in force on %d of %d daemons\n", s.InForce, s.Daemons)
 	}
 }
 
--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -100,6 +100,9 @@
 
 // ask asks each peer for its position; those that do not answer are left out.
 func (m *Manager) ask(ctx context.Context, addrs []string) []source {
+	if m.opts.Peers == nil {
+		return nil
+	}
 	var mu sync.Mutex
 	var heard []source
 	var g errgroup.Group
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/audit"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
-	"github.com/ragwortquay/ragwortquay/internal/quorum"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
@@ -102,72 +100,3 @@
 	}
 	return nil, nil
 }
-
-// Positions asks the other joined daemons how far they are. Those that do not
-// answer are left out.
-func (m *Manager) Positions(ctx context.Context) []quorum.Report {
-	if m.opts.Peers == nil {
-		return nil
-	}
-	var out []quorum.Report
-	for _, s := range m.ask(ctx, m.notIn(nil)) {
-		out = append(out, s.report)
-	}
-	return out
-}
-
-// Spread is how far a position has got among the joined daemons.
-type Spread struct {
-	Joined  int      `json:"joined"`
-	InForce int      `json:"in_force"`
-	Missing []string `json:"missing,omitempty"`
-}
-
-// spreadPause is the time between two questions to the daemons that are behind.
-const spreadPause = 50 * time.Millisecond
-
-// Spread asks the joined daemons until all have folded pos, or ctx ends.
-func (m *Manager) Spread(ctx context.Context, pos state.Position) Spread {
-	reached := make(map[string]struct{})
-	for {
-		if !m.behind(pos) {
-			reached[m.opts.Self] = struct{}{}
-		}
-		missing := m.notIn(reached)
-		if len(missing) == 0 || m.opts.Peers == nil || ctx.Err() != nil {
-			return m.spread(reached)
-		}
-		for _, s := range m.ask(ctx, missing) {
-			if s.report.Started && !s.report.Pos.Before(pos) {
-				reached[s.report.Daemon] = struct{}{}
-			}
-		}
-		if len(m.notIn(reached)) == 0 || !waitFor(ctx, spreadPause) {
-			return m.spread(reached)
-		}
-	}
-}
-
-func (m *Manager) notIn(reached map[string]struct{}) []string {
-	var addrs []string
-	for _, d := range m.opts.View.Daemons() {
-		if _, ok := reached[d.ID]; !ok && d.ID != m.opts.Self {
-			addrs = append(addrs, d.Addr)
-		}
-	}
-	return addrs
-}
-
-func (m *Manager) spread(reached map[string]struct{}) Spread {
-	var s Spread
-	for _, d := range m.opts.View.Daemons() {
-		s.Joined++
-		if _, ok := reached[d.ID]; ok {
-			s.InForce++
-		} else {
-			s.Missing = append(s.Missing, d.ID)
-		}
-	}
-	slices.Sort(s.Missing)
-	return s
-}
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -64,7 +64,7 @@
 }
 
 func (m *Manager) decideStanding() {
-	reports := m.others()
+	reports := m.reports()
 	m.takeHint(reports)
 	pos, digest := m.opts.View.Mark()
 	m.setDiverged(quorum.Diverged(pos, digest, reports))
@@ -83,9 +83,9 @@
 	}))
 }
 
-// others returns the reports of the other daemons: counted twice, this one
+// reports returns the reports of the other daemons: counted twice, this one
 // would tip the balance between diverged states.
-func (m *Manager) others() []quorum.Report {
+func (m *Manager) reports() []quorum.Report {
 	return slices.DeleteFunc(slices.Clone(m.opts.Reports()), func(r quorum.Report) bool { return r.Daemon == m.opts.Self })
 }
 
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -28,6 +28,9 @@
 	if len(data) > wire.MaxRecordBytes {
 		return state.Verdict{}, fault.Refuse(fault.TooLarge, "split the edit", "record of %d bytes exceeds %d", len(data), wire.MaxRecordBytes)
 	}
+	if err := m.logAnswers(ctx); err != nil {
+		return state.Verdict{}, err
+	}
 	verdict, err := m.append(ctx, rec.ID, data)
 	if err != nil {
 		return verdict, err
@@ -48,6 +51,19 @@
 	}
 }
 
+// logAnswers reads a log that was not read for some time before anything is
+// appended: in an outage the record is then surely not in the log, where a
+// failed append would have left that open.
+func (m *Manager) logAnswers(ctx context.Context) error {
+	if m.readsLog() {
+		return nil
+	}
+	if err := m.follow(ctx); err != nil {
+		return appendFailed(err, false)
+	}
+	return nil
+}
+
 // append appends until the record is read back or the log is known not to hold
 // it. A second append after an unknown answer carries the same id, which the
 // fold recognises, so it cannot act twice.
@@ -86,10 +102,10 @@
 // appendFailed gives the outcome of the whole submission: one append of
 // unknown outcome makes it unknown, whatever came after.
 func appendFailed(err error, unknown bool) error {
-	e := fault.Wrap(fault.LogDown, err, remedyLog, "record was not read back from the log")
 	if unknown {
-		return e
+		return fault.Wrap(fault.LogDown, err, remedyLog, "record was not read back from the log")
 	}
+	e := fault.Wrap(fault.LogDown, err, "try again once the platform's log is back", "record was not appended")
 	return e.WithOutcome(fault.NotRun)
 }
 
--- a/internal/load/drive/operators_test.go
+++ b/internal/load/drive/operators_test.go
@@ -32,7 +32,7 @@
 	case "/v1/status":
 		_ = enc.Encode(operate.Status{Daemon: "d1", Pools: []operate.Pool{
 			{
-				Home:   "d1",
+				Home: "d1",
 				Groups: []operate.Group{
 					{Fence: "5", Members: []string{"a"}}, {Fence: "6", Members: []string{"b"}}, {Fence: "7", Members: []string{"d"}},
 				},
@@ -51,7 +51,7 @@
 		if !o.accept {
 			w.WriteHeader(http.StatusConflict)
 		}
-		_ = enc.Encode(operate.ApplyAnswer{Accepted: o.accept, Reason: "why", Position: "1/2", Spread: &control.Spread{InForce: 3, Joined: 4}})
+		_ = enc.Encode(operate.ApplyAnswer{Accepted: o.accept, Reason: "why", Position: "1/2", Spread: &control.Spread{InForce: 3, Daemons: 4}})
 	}
 }
 
--- a/internal/operate/apply.go
+++ b/internal/operate/apply.go
@@ -35,7 +35,7 @@
 	Record  string   `json:"record,omitempty"`
 	Note    string   `json:"note,omitempty"`
 	Changes []Change `json:"changes"`
-	// Wait is how long to wait until the edit is in force on all joined daemons.
+	// Wait is how long to wait until the edit is in force on all daemons.
 	Wait tomlfile.Duration `json:"wait,omitempty"`
 	// Minority lets the edit through on a daemon that does not see most of the
 	// others. Daemons on the other side may not follow it.
@@ -63,7 +63,7 @@
 	Reason    string        `json:"reason,omitempty"`
 	WonBy     *audit.Winner `json:"won_by,omitempty"`
 	Rows      []RowRevision `json:"rows,omitempty"`
-	// Spread says on how many joined daemons the edit is in force; only set
+	// Spread says on how many daemons the edit is in force; only set
 	// for an accepted edit.
 	Spread *control.Spread `json:"spread,omitempty"`
 }
--- a/internal/procs/apply.go
+++ b/internal/procs/apply.go
@@ -24,7 +24,7 @@
 // Operate runs an operator's command against the daemon.
 func (c *Cluster) Operate(ctx context.Context, d *Daemon, command string, args ...string) (string, error) {
 	token := c.path("operator.token")
-	if err := os.WriteFile(token, []byte(operatorToken+"\n"), 0o600); err != nil {
+	if err := os.WriteFile(token, []byte(OperatorToken+"\n"), 0o600); err != nil {
 		return "", err
 	}
 	full := append([]string{command, "--server", "http://" + d.Operators, "--token-file", token}, args...)
--- a/internal/procs/cluster.go
+++ b/internal/procs/cluster.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[[operator]]\nname = \"awa\"\ntoken = %q\n", operatorToken)
+	fmt.Fprintf(&b, "[[operator]]\nname = \"awa\"\ntoken = %q\n", OperatorToken)
 	for _, w := range c.opts.Workspaces {
 		fmt.Fprintf(&b, "[[caller]]\nworkspace = %q\ntoken = %q\n", w, callerToken(w))
 	}
--- a/internal/procs/options.go
+++ b/internal/procs/options.go
@@ -31,8 +31,9 @@
 type Args []string
 
 const (
-	clusterKey    = "loopback-cluster-key-0123456789"
-	operatorToken = "operator-token-0123456789"
+	clusterKey = "loopback-cluster-key-0123456789"
+	// OperatorToken is the token of the cluster's one operator.
+	OperatorToken = "operator-token-0123456789"
 	// readyTimeout bounds the wait for daemons to be ready.
 	readyTimeout = 30 * time.Second
 )
