--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -130,14 +130,3 @@
 	}
 	return out
 }
-
-// starts counts the runs per request id.
-func starts(es []journal.Entry) map[string]int {
-	out := map[string]int{}
-	for _, e := range es {
-		if e.Event == journal.Start {
-			out[e.RequestID]++
-		}
-	}
-	return out
-}
