--- a/internal/procs/daemon.go
+++ b/internal/procs/daemon.go
@@ -17,10 +17,9 @@
 	ID string
 	// IP is the daemon's own loopback address.
 	IP string
-	// Callers, Operators and Peers are the bound addresses.
-	Callers   string `json:"callers"`
-	Operators string `json:"operators"`
-	Peers     string `json:"peers"`
+	// Callers, Operators and Peers are the bound addresses; they outlive the
+	// process, so that others may use them while it is restarted.
+	Callers, Operators, Peers string
 	// LogLink is the daemon's way to the log, LinkTCP and LinkUDP the other
 	// daemons' way to it; the last two are nil without Options.Partitions.
 	LogLink          *faultproxy.Link
@@ -50,8 +49,11 @@
 // Restart starts a daemon that has ended again, with the same settings.
 func (c *Cluster) Restart(d *Daemon) error { return c.run(d) }
 
+// bound is the line that a daemon prints once its sockets are bound.
+type bound struct{}
+
 func (c *Cluster) run(d *Daemon) error {
-	p, err := startProc(c.opts.Binary, c.opts.Dir, d.ID, d, "serve", "-c", d.config)
+	p, err := startProc(c.opts.Binary, c.opts.Dir, d.ID, &bound{}, "serve", "-c", d.config)
 	if err != nil {
 		return err
 	}
@@ -66,8 +68,10 @@
 	if d.LogLink, err = c.proxy(d.ID+"-log", faultproxy.TCP, "127.0.0.1:0", c.Log.Addr); err != nil {
 		return err
 	}
-	if d.Peers, err = freePort(d.IP); err != nil {
-		return err
+	for _, addr := range []*string{&d.Callers, &d.Operators, &d.Peers} {
+		if *addr, err = freePort(d.IP); err != nil {
+			return err
+		}
 	}
 	d.advertise = d.Peers
 	if !c.opts.Partitions {
@@ -101,8 +105,8 @@
 id = %q
 failure_domain = %q
 [listen]
-callers = "%s:0"
-operators = "%s:0"
+callers = %q
+operators = %q
 peers = %q
 advertise_peers = %q
 [secrets]
@@ -115,7 +119,7 @@
 [members]
 seeds = [%s]
 %s
-`, d.ID, c.opts.Domains[n%len(c.opts.Domains)], d.IP, d.IP, d.Peers, d.advertise,
+`, d.ID, c.opts.Domains[n%len(c.opts.Domains)], d.Callers, d.Operators, d.Peers, d.advertise,
 		c.path("cluster.key"), c.path("tokens.toml"),
 		d.LogLink.Addr(), c.VMs.URL(), c.Weights.URL(), strings.Join(seeds, ", "), c.opts.Settings)
 }
