Begin each epoch of the log with a record that names its state

Weighed: taking the highest state of the peers at the change, as before; peers are not known yet at a start, and two sides can differ for good. An operator's confirmation for every new epoch, which makes an outage out of each repair of the log; it is kept for the case that nobody holds the state.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -22,6 +22,8 @@
 	Release Kind = "release"
 	Join    Kind = "join"
 	Leave   Kind = "leave"
+	// Open is the first record that counts after the log was set up anew.
+	Open Kind = "open"
 	// Garbled is a record that cannot be decoded.
 	Garbled Kind = "garbled"
 )
@@ -185,6 +187,8 @@
 	case r.Leave != nil:
 		e.Kind, e.Note, e.Subject = Leave, r.Leave.Reason, "daemon/"+r.Leave.Daemon
 		e.Detail = "boot " + r.Leave.BootID
+	case r.Open != nil:
+		e.Kind, e.Detail = Open, "builds on position "+r.Open.Base.String()
 	}
 }
 
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -25,6 +25,7 @@
 	Wait     bool          `long:"wait" description:"wait until the edit is in force on all daemons"`
 	Timeout  time.Duration `long:"timeout" default:"10s" description:"how long to wait"`
 	Minority bool          `long:"minority" description:"edit through a daemon that does not see most of the others, because they are gone for good"`
+	NewLog   bool          `long:"new-log" description:"open a log that was set up anew while no daemon that held the tables is left"`
 }
 
 func applyEntry(e env) entry {
@@ -60,7 +61,7 @@
 		return err
 	}
 	return c.submit(ctx, client, operate.ApplyRequest{
-		Record: ids.New(), Note: c.Note, Changes: changes, Minority: c.Minority, Wait: tomlfile.Duration(c.wait()),
+		Record: ids.New(), Note: c.Note, Changes: changes, Minority: c.Minority, NewLog: c.NewLog, Wait: tomlfile.Duration(c.wait()),
 	})
 }
 
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -21,7 +21,7 @@
 type auditFlags struct {
 	Row    string `long:"row" value-name:"NAME" description:"a row, group, VM or daemon, such as pool/assistant or vm/a1"`
 	Author string `long:"author" description:"an operator or a daemon"`
-	Kind   string `long:"kind" choice:"edit" choice:"form" choice:"retire" choice:"release" choice:"join" choice:"leave" choice:"garbled" description:"kind of record"`
+	Kind   string `long:"kind" choice:"edit" choice:"form" choice:"retire" choice:"release" choice:"join" choice:"leave" choice:"open" choice:"garbled" description:"kind of record"`
 	JSON   bool   `long:"json" description:"print JSON lines"`
 }
 
--- a/internal/control/catchup.go
+++ b/internal/control/catchup.go
@@ -159,7 +159,10 @@
 // without a gap: a gap would give this daemon another state for good.
 func (m *Manager) foldPeer(ask *wire.RecordsAsk, records []wire.RawRecord) error {
 	last, started := ask.After, ask.Started
-	for _, r := range records {
+	for i, r := range records {
+		if r.Pos.Epoch > max(last.Epoch, state.FirstEpoch) && !m.mayEnter(records[i:]) {
+			return fault.New(fault.BadInput, remedyEpoch, "peer's epoch %d builds on another state than this daemon's at %s", r.Pos.Epoch, last)
+		}
 		if !follows(last, started, r.Pos) {
 			return fault.New(fault.BadInput, "run the same release on all daemons", "peer gave position %s after %s", r.Pos, last)
 		}
@@ -169,6 +172,17 @@
 	return nil
 }
 
+// mayEnter reports whether the records, the first of an epoch, open it on the
+// state that the view holds.
+func (m *Manager) mayEnter(records []wire.RawRecord) bool {
+	for _, r := range records {
+		if rec, err := wire.DecodeRecord(r.Data); err == nil && rec.Open != nil {
+			return r.Pos.Epoch == records[0].Pos.Epoch && m.holds(rec.Open)
+		}
+	}
+	return false
+}
+
 func follows(last state.Position, started bool, next state.Position) bool {
 	if !started || next.Epoch > last.Epoch {
 		return next.Offset == 0
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -55,7 +55,7 @@
 	case answer.Epoch < cursor.Epoch:
 		return cursor, wentBack("log shows epoch %d, but this daemon is at %s", answer.Epoch, cursor)
 	case answer.Epoch > cursor.Epoch:
-		return m.enterEpoch(ctx, answer.Epoch), nil
+		return m.enterEpoch(ctx, answer.Epoch)
 	case answer.Next < cursor.Offset:
 		return cursor, wentBack("log ends at offset %d, but this daemon is at %s", answer.Next, cursor)
 	case trimmed:
@@ -68,30 +68,6 @@
 	}
 }
 
-// firstEpoch is the epoch of a log that was never set up anew.
-const firstEpoch = 1
-
-// enterEpoch returns where to read an epoch that the view has not seen. The
-// records of the epoch before it are gone from the log, so what peers and
-// snapshots still hold of them is taken first: once the view has moved on to
-// the new epoch they can no longer be folded.
-func (m *Manager) enterEpoch(ctx context.Context, epoch uint32) state.Position {
-	v := m.opts.View
-	if m.enter(epoch) && (v.Started() || epoch > firstEpoch) {
-		klog.InfoS("log was set up anew", "epoch", epoch, "position", v.Position().String())
-		if m.opts.Peers != nil {
-			m.pullFromBest(ctx, m.ask(ctx, m.opts.Peers.Peers()))
-		}
-		if err := m.loadSnapshot(ctx, anySnapshot); err != nil {
-			klog.ErrorS(err, "snapshots cannot be read", "epoch", epoch)
-		}
-	}
-	if next := v.Next(); v.Started() && next.Epoch >= epoch {
-		return next
-	}
-	return state.Position{Epoch: epoch}
-}
-
 // foldAll folds records that must follow one another from cursor on.
 func (m *Manager) foldAll(cursor state.Position, records []platform.Record) (state.Position, error) {
 	for _, r := range records {
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -25,10 +25,12 @@
 	prompt chan struct{} // holds a token when the log must be read now
 	hints  chan string   // holds the address of a peer that is ahead
 	moved  chan struct{} // holds a token when peers must be told of a new tail
-	status status
-	kept   kept
-	stand  standing
-	reads  *rate.Limiter // bounds the reads that peers prompt
+	// unopened holds an epoch of the log that lacks its Open record.
+	unopened chan uint32
+	status   status
+	kept     kept
+	stand    standing
+	reads    *rate.Limiter // bounds the reads that peers prompt
 	// leaving keeps a daemon that has left from joining again.
 	leaving atomic.Bool
 }
@@ -38,7 +40,6 @@
 	mu       sync.RWMutex
 	lastRead time.Time // zero until the log's tail was first reached
 	caught   bool
-	entered  uint32 // the last epoch that was prepared for
 }
 
 // kept is where the log's control stream begins.
@@ -64,12 +65,13 @@
 	opts = opts.withDefaults()
 	const burst = 3
 	return &Manager{
-		opts:   opts,
-		tail:   &tail{view: opts.View},
-		prompt: make(chan struct{}, 1),
-		hints:  make(chan string, 1),
-		moved:  make(chan struct{}, 1),
-		reads:  rate.NewLimiter(rate.Every(opts.ReadInterval), burst),
+		opts:     opts,
+		tail:     &tail{view: opts.View},
+		prompt:   make(chan struct{}, 1),
+		hints:    make(chan string, 1),
+		moved:    make(chan struct{}, 1),
+		unopened: make(chan uint32, 1),
+		reads:    rate.NewLimiter(rate.Every(opts.ReadInterval), burst),
 	}
 }
 
@@ -79,6 +81,7 @@
 	g.Go(func() error { return m.followLoop(ctx) })
 	g.Go(func() error { return m.hintLoop(ctx) })
 	g.Go(func() error { return m.announceLoop(ctx) })
+	g.Go(func() error { return m.openLoop(ctx) })
 	g.Go(func() error { return m.standLoop(ctx) })
 	g.Go(func() error { return m.snapshotLoop(ctx) })
 	g.Go(func() error { return m.joinLoop(ctx) })
@@ -215,14 +218,3 @@
 	defer m.status.mu.Unlock()
 	m.status.lastRead, m.status.caught = start, true
 }
-
-// enter notes an epoch and reports whether it is new to this daemon.
-func (m *Manager) enter(epoch uint32) bool {
-	m.status.mu.Lock()
-	defer m.status.mu.Unlock()
-	if epoch <= m.status.entered {
-		return false
-	}
-	m.status.entered = epoch
-	return true
-}
--- a/internal/control/restore.go
+++ b/internal/control/restore.go
@@ -32,9 +32,7 @@
 	if m.reaches(gap) {
 		return nil
 	}
-	if m.opts.Peers != nil {
-		m.pullFromBest(ctx, m.ask(ctx, m.opts.Peers.Peers()))
-	}
+	m.pullFromPeers(ctx)
 	if m.reaches(gap) {
 		return nil
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -135,6 +135,10 @@
 	if !m.opts.View.Started() || m.Diverged() || !m.readsLog() {
 		return false
 	}
+	return m.ownsSnapshots()
+}
+
+func (m *Manager) ownsSnapshots() bool {
 	return ids.Owner("snapshot", m.opts.LiveIDs()) == m.opts.Self
 }
 
@@ -143,23 +147,27 @@
 	return m.LogAge(m.opts.Now()) <= m.opts.Limits.Fresh+m.opts.readInterval()
 }
 
-// writeSnapshot appends a snapshot of the view and returns its position. An
-// append whose answer is lost is not repeated at once: the next look finds
-// what became of it.
+// writeSnapshot appends a snapshot of the view and returns its position.
 func (m *Manager) writeSnapshot(ctx context.Context) (state.Position, error) {
 	s := m.opts.View.Snapshot()
+	return s.Pos, m.appendSnapshot(ctx, s)
+}
+
+// appendSnapshot appends the chunks of a snapshot. An append whose answer is
+// lost is not repeated at once: the next look finds what became of it.
+func (m *Manager) appendSnapshot(ctx context.Context, s *state.State) error {
 	chunks, err := wire.SplitSnapshot(ids.New(), s)
 	if err != nil {
-		return s.Pos, err
+		return err
 	}
 	// Few chunks at a time keep each append below the log's limit of a request.
 	const batch = 4
 	for from := 0; from < len(chunks); from += batch {
 		part := chunks[from:min(from+batch, len(chunks))]
 		if _, err := m.opts.Log.Append(ctx, platform.StreamSnapshots, part); err != nil {
-			return s.Pos, err
+			return err
 		}
 	}
 	klog.InfoS("wrote a snapshot", "position", s.Pos.String(), "chunks", len(chunks))
-	return s.Pos, nil
+	return nil
 }
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -68,11 +68,13 @@
 	m.takeHint(reports)
 	pos, digest := m.opts.View.Mark()
 	m.setDiverged(quorum.Diverged(pos, digest, reports))
+	opened, _ := m.opts.View.Opened()
 	now := m.opts.Now()
 	m.setStanding(quorum.Decide(quorum.Input{
 		Self:       m.opts.Self,
 		Caught:     m.Caught(),
 		Diverged:   m.Diverged(),
+		Unopened:   pos.Epoch > opened,
 		Superseded: m.superseded(),
 		Pos:        pos,
 		LogAge:     m.LogAge(now),
--- a/internal/control/tail.go
+++ b/internal/control/tail.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 
+	"k8s.io/klog/v2"
+
 	"github.com/ragwortquay/ragwortquay/internal/state"
 	"github.com/ragwortquay/ragwortquay/internal/view"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -53,11 +55,17 @@
 	t.records = t.records[1:]
 }
 
-// load replaces the view by s if s is ahead of it.
+// load replaces the view by s if s is ahead of it. A state of a later epoch
+// that builds on less than the view holds would take records back: it is
+// refused, and the daemon stays where it is.
 func (t *tail) load(s *state.State) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	pos := s.Pos
+	if opened, _ := t.view.Opened(); t.view.Started() && s.Opened > opened && s.Base.Before(t.view.Position()) {
+		klog.ErrorS(nil, "a state of a new epoch lacks records that this daemon holds", "position", t.view.Position().String(), "base", s.Base.String())
+		return false
+	}
 	if !t.view.Load(s) {
 		return false
 	}
--- a/internal/operate/apply.go
+++ b/internal/operate/apply.go
@@ -40,6 +40,9 @@
 	// Minority lets the edit through on a daemon that does not see most of the
 	// others. Daemons on the other side may not follow it.
 	Minority bool `json:"minority,omitempty"`
+	// NewLog opens a log that was set up anew without any state, because no
+	// daemon holds one any more.
+	NewLog bool `json:"new_log,omitempty"`
 }
 
 // Change sets or drops one row. Exactly one of the row fields is set.
@@ -76,6 +79,9 @@
 
 // Apply submits the edit under the author's name and returns the verdict.
 func (s *Service) Apply(ctx context.Context, author string, req ApplyRequest) (ApplyAnswer, error) {
+	if err := s.openLog(ctx, req); err != nil {
+		return ApplyAnswer{}, err
+	}
 	if err := s.mayEdit(req); err != nil {
 		return ApplyAnswer{}, err
 	}
@@ -96,6 +102,20 @@
 	return s.answer(ctx, verdict, rec, time.Duration(req.Wait)), nil
 }
 
+// openLog opens an empty log if the operator asks for it, and waits until this
+// daemon has taken it over.
+func (s *Service) openLog(ctx context.Context, req ApplyRequest) error {
+	if !req.NewLog {
+		return nil
+	}
+	if err := s.opts.Control.OpenEmpty(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return s.opts.View.WaitPosition(ctx, state.Position{Epoch: state.FirstEpoch + 1})
+}
+
 // mayEdit keeps edits on the side of the majority: the daemons of a majority
 // that lost the log go on serving, because no edit can have been accepted.
 func (s *Service) mayEdit(req ApplyRequest) error {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 // Control is the part of control.Manager that operators use.
 type Control interface {
 	Submit(ctx context.Context, rec *state.Record) (state.Verdict, error)
+	OpenEmpty(ctx context.Context) error
 	Spread(ctx context.Context, pos state.Position) control.Spread
 	Positions(ctx context.Context) []quorum.Report
 	History(ctx context.Context) (audit.Trail, error)
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -33,6 +33,7 @@
 	return v, nil
 }
 
+func (c *fakeControl) OpenEmpty(context.Context) error                       { return nil }
 func (c *fakeControl) Spread(context.Context, state.Position) control.Spread { return control.Spread{} }
 
 func (c *fakeControl) Positions(context.Context) []quorum.Report    { return nil }
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -72,6 +72,9 @@
 	Caught bool
 	// Diverged means that most daemons hold another state at the same position.
 	Diverged bool
+	// Unopened means that the view has entered an epoch of the log which was not
+	// opened on its state.
+	Unopened bool
 	// Superseded means that another incarnation joined under this daemon's id.
 	Superseded bool
 	Pos        state.Position
@@ -115,6 +118,8 @@
 		return refuse("another daemon has joined with the id %q: give each its own", in.Self)
 	case in.Diverged:
 		return refuse("most daemons hold another state at position %s: restart this daemon", in.Pos)
+	case in.Unopened:
+		return refuse("the view at %s is not what the log's epoch builds on: restart this daemon", in.Pos)
 	case !in.Caught:
 		return refuse("the configuration in force has not been reached yet")
 	case in.BehindFor > in.Limits.Lag:
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -60,6 +60,7 @@
 		{"not caught up", 5, 4, fresh, fresh, func(in *Input) { in.Caught = false }, Refuse, false},
 		{"new fleet, not caught up", 0, 0, stale, stale, func(in *Input) { in.Caught = false }, Refuse, false},
 		{"diverged", 5, 4, fresh, fresh, func(in *Input) { in.Diverged = true }, Refuse, false},
+		{"in an epoch that builds on another state", 5, 4, fresh, fresh, func(in *Input) { in.Unopened = true }, Refuse, false},
 		{"superseded", 5, 4, fresh, fresh, func(in *Input) { in.Superseded = true }, Refuse, false},
 		{"behind for a moment", 5, 4, fresh, fresh, func(in *Input) { in.BehindFor = fresh }, ServeStale, true},
 		{"behind for too long", 5, 4, fresh, fresh, func(in *Input) { in.BehindFor = stale }, Refuse, false},
--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -30,7 +30,7 @@
 // what is taken for a duplicate.
 func (s *State) Digest() uint64 {
 	h := xxhash.New()
-	fmt.Fprintf(h, "%v %v %d\n", s.Pos, s.Started, s.History)
+	fmt.Fprintf(h, "%v %v %d %v %d\n", s.Pos, s.Started, s.Opened, s.Base, s.History)
 	for _, k := range sortedKeys(s.Routes) {
 		r := s.Routes[k]
 		fmt.Fprintf(h, "r %+v ", r.Route)
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -14,6 +14,9 @@
 	if s.Started && !s.Pos.Before(pos) {
 		return Verdict{Pos: pos, Reason: "position was already folded"}
 	}
+	if pos.Epoch > s.Pos.Epoch {
+		s.Base = s.Pos
+	}
 	s.Pos, s.Started = pos, true
 	if rec == nil {
 		return Verdict{Pos: pos, Reason: "record cannot be decoded"}
@@ -56,6 +59,10 @@
 
 func (s *State) decide(pos Position, rec *Record) Verdict {
 	switch {
+	case rec.Open != nil:
+		return s.open(pos, rec.Open)
+	case pos.Epoch > s.Opened:
+		return refuse("epoch %d is not open yet", pos.Epoch)
 	case rec.Edit != nil:
 		return s.edit(pos, rec)
 	case rec.Form != nil:
@@ -73,6 +80,19 @@
 	}
 }
 
+// open opens the epoch of pos. That the digest fits is checked before the
+// epoch's first record is folded, since nothing can be taken back afterwards.
+func (s *State) open(pos Position, o *Open) Verdict {
+	if pos.Epoch <= s.Opened {
+		return refuse("epoch %d is open already", pos.Epoch)
+	}
+	if o.Base != s.Base {
+		return refuse("epoch %d builds on position %s, but this state stood at %s", pos.Epoch, o.Base, s.Base)
+	}
+	s.Opened = pos.Epoch
+	return accept()
+}
+
 func accept() Verdict { return Verdict{Accepted: true} }
 
 func refuse(format string, args ...any) Verdict {
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -60,6 +60,7 @@
 	Release *Release
 	Join    *Join
 	Leave   *Leave
+	Open    *Open
 }
 
 // Edit changes rows of both tables: all of its changes take effect, or none.
@@ -146,3 +147,13 @@
 	BootID string
 	Reason string
 }
+
+// Open is the first record of an epoch that counts: it names the state that the
+// epoch builds on. The records of the epochs before are gone with the old log,
+// and daemons may have read different numbers of them.
+type Open struct {
+	// Base is the last position folded before the epoch; zero for no state.
+	Base Position
+	// Digest is the digest of the state at Base.
+	Digest uint64
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -92,6 +92,11 @@
 	Revisions map[string]uint64
 	// Recent are the verdicts on the last records, oldest first.
 	Recent []Verdict
+	// Opened is the epoch whose records count; those of a later one are refused
+	// until its Open.
+	Opened uint32
+	// Base is the last position before the epoch of Pos.
+	Base Position
 	// History hashes all verdicts so far, in order.
 	History uint64
 	// index finds the verdicts of Recent by record id; nil until it is needed.
@@ -101,9 +106,13 @@
 // RecentLimit is the number of verdicts kept to recognise duplicated appends.
 const RecentLimit = 4096
 
+// FirstEpoch is the epoch of a log that was never set up anew. It needs no Open.
+const FirstEpoch = 1
+
 // New returns the empty state.
 func New() *State {
 	return &State{
+		Opened:    FirstEpoch,
 		Routes:    make(map[string]RouteRow),
 		Pools:     make(map[string]PoolRow),
 		Groups:    make(map[uint64]Group),
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -65,6 +65,7 @@
 
 func TestPositionsNeverGoBack(t *testing.T) {
 	s := New()
+	s.Opened = 2
 	s.Apply(Position{Epoch: 2, Offset: 5}, editPool("1", 0, testPool(1, "a")))
 	for _, pos := range []Position{{2, 5}, {2, 4}, {1, 9}} {
 		must.False(t, s.Apply(pos, editPool("x"+pos.String(), 1, testPool(1))).Accepted)
@@ -88,3 +89,18 @@
 	must.True(t, f.apply(formRecord("7", nil, "a", "d")).Accepted)
 	must.MapLen(t, 2, f.s.Groups)
 }
+
+func TestEpochBeginsWithItsOpen(t *testing.T) {
+	f := &folder{s: New()}
+	must.True(t, f.apply(editPool("1", 0, testPool(1, "a"))).Accepted)
+	base := f.s.Pos
+	at := func(o uint64) Position { return Position{Epoch: 2, Offset: o} }
+	open := func(id string, base Position) *Record { return &Record{ID: id, Open: &Open{Base: base}} }
+
+	must.False(t, f.s.Apply(at(0), editPool("2", 1, testPool(1, "b"))).Accepted, must.Sprint("before the Open"))
+	must.False(t, f.s.Apply(at(1), open("3", Position{Epoch: 1, Offset: 9})).Accepted, must.Sprint("another base"))
+	must.True(t, f.s.Apply(at(2), open("4", base)).Accepted)
+	must.False(t, f.s.Apply(at(3), open("5", base)).Accepted, must.Sprint("the first counts"))
+	must.True(t, f.s.Apply(at(4), editPool("6", 1, testPool(1, "b"))).Accepted)
+	must.True(t, f.s.Apply(at(5), editPool("2", 1, testPool(1, "b"))).Duplicate, must.Sprint("a refused record stays refused"))
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -150,6 +150,14 @@
 	return v.state.Pos, v.digest
 }
 
+// Opened returns the epoch whose records count, and the last position before
+// the epoch of Position.
+func (v *View) Opened() (epoch uint32, base state.Position) {
+	v.fold.Lock()
+	defer v.fold.Unlock()
+	return v.state.Opened, v.state.Base
+}
+
 // Snapshot returns a copy of the whole state.
 func (v *View) Snapshot() *state.State {
 	v.fold.Lock()
