--- a/internal/state/property_test.go
+++ b/internal/state/property_test.go
@@ -142,24 +142,44 @@
 	})
 }
 
+// drawPositions gives each record its position: from some record on in a new
+// epoch, which may be opened on the state before it.
+func drawPositions(t *rapid.T, log []*state.Record) []state.Position {
+	change := rapid.IntRange(1, len(log)).Draw(t, "epoch change")
+	var out []state.Position
+	for i := range log {
+		if i < change {
+			out = append(out, at(i))
+		} else {
+			out = append(out, state.Position{Epoch: 2, Offset: uint64(i - change)})
+		}
+	}
+	if opened := rapid.IntRange(change, len(log)+2).Draw(t, "opened"); opened < len(log) {
+		log[opened] = &state.Record{ID: "open", Open: &state.Open{Base: at(change - 1)}}
+	}
+	return out
+}
+
 // A reader that starts from a snapshot, taken anywhere and passed through its
 // encoding, reaches the same verdicts and the same state as one that replays
 // everything.
 func TestSnapshotAndReplayEqualsReplay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		log := drawLog(t)
+		positions := drawPositions(t, log)
 		cut := rapid.IntRange(0, len(log)-1).Draw(t, "cut")
 		straight, resumed := state.New(), state.New()
 		for i, rec := range log {
-			want := straight.Apply(at(i), rec)
-			if i <= cut {
-				resumed.Apply(at(i), rec)
-			} else {
-				got := resumed.Apply(at(i), rec)
-				must.Eq(t, want.Accepted, got.Accepted)
-				must.Eq(t, want.Duplicate, got.Duplicate)
-				must.Eq(t, want.Reason, got.Reason)
+			closed := positions[i].Epoch > straight.Opened
+			want := straight.Apply(positions[i], rec)
+			got := resumed.Apply(positions[i], rec)
+			must.Eq(t, want.Accepted, got.Accepted)
+			must.Eq(t, want.Duplicate, got.Duplicate)
+			must.Eq(t, want.Reason, got.Reason)
+			if closed && !want.Duplicate {
+				must.Eq(t, want.Accepted, rec != nil && rec.Open != nil, must.Sprint("only an Open counts in a closed epoch"))
 			}
+			checkInvariants(t, straight)
 			if i == cut {
 				data, err := wire.EncodeState(resumed)
 				must.NoError(t, err)
