keyed: say not-run only of keys that no attempt can have used

A refused claim said not-run because its own attempt was not sent. For a caller that sends a key again, that is not enough: an earlier attempt may have run.

Now a home vouches for not-run only if it has read its stream since the claim came, or if the request was issued after the log went down; homes read their streams each second, so that they notice an outage, and what another home wrote, before a claim does. Everything else is unknown, with the same remedy: send the same key again. Ruled out: unknown for every refusal, which would leave callers in doubt about each fresh order in an outage. What remains: a home that alone can't reach the log, when no other home answers either.

--- /dev/null
+++ b/internal/keyed/bench_test.go
@@ -0,0 +1,75 @@
+package keyed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/once"
+)
+
+const (
+	benchDaemons = 15
+	benchRate    = 100 // keyed requests per second
+	benchSeconds = 10
+	benchLatency = 3 * time.Millisecond // of one call to the log
+	microsecond  = int64(time.Microsecond)
+)
+
+// BenchmarkKeyedRate sends keyed requests in open loop through 15 daemons with
+// default settings: appends used, and the time that a claim adds.
+func BenchmarkKeyedRate(b *testing.B) {
+	c := newCluster(b, benchDaemons, func(o *Options) {
+		*o = Options{
+			Members: o.Members, Caller: o.Caller, Log: o.Log, Boot: o.Boot, Retention: o.Retention,
+		}
+	})
+	c.log.set(func(l *fakeLog) { l.latency = benchLatency })
+	c.nodes["d0"].mustFirst(b, order("warm"))
+	for b.Loop() {
+		benchRound(b, c)
+	}
+}
+
+func benchRound(b *testing.B, c *cluster) {
+	var mu sync.Mutex
+	hist := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	before := c.log.count()
+	r := rand.New(rand.NewPCG(1, 1))
+	var wg sync.WaitGroup
+	tick := time.NewTicker(time.Second / benchRate)
+	defer tick.Stop()
+	for i := range benchRate * benchSeconds {
+		<-tick.C
+		n := c.nodes[fmt.Sprintf("d%d", r.IntN(benchDaemons))]
+		in := order(fmt.Sprint(i, time.Now().UnixNano()))
+		wg.Go(func() {
+			begin := time.Now()
+			d, err := n.claim(b, in, long)
+			took := time.Since(begin)
+			must.NoError(b, err)
+			must.Eq(b, once.First, d.Verdict)
+			n.Client.Finish(d.Attempt, paid)
+			mu.Lock()
+			defer mu.Unlock()
+			must.NoError(b, hist.RecordValue(took.Nanoseconds()/microsecond))
+		})
+	}
+	wg.Wait()
+	appends := c.log.count() - before
+	b.ReportMetric(float64(appends)/benchSeconds, "appends/s")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(float64(hist.Max()), "max-µs")
+}
+
+func (l *fakeLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
--- a/internal/keyed/client.go
+++ b/internal/keyed/client.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -152,7 +153,10 @@
 	asked  string // the last one asked
 	// logDown counts the homes that could not use the log: another may.
 	logDown int
-	doubt   bool
+	// doubt means that the intent may be in the log.
+	doubt bool
+	// clear is the refusal of a home that knew of no other attempt.
+	clear error
 }
 
 // overloadPause is the least time before a home that is overloaded is asked again.
@@ -171,15 +175,28 @@
 		req := &wire.OnceClaim{Shard: a.shard, Shards: o.Shards, WaitMs: wait.Milliseconds(), Intent: in}
 		var resp wire.OnceDecision
 		err := a.try(ctx, o.ClaimTimeout+wait, req, &resp, func(ctx context.Context) error {
-			d, err := a.client.home.claim(ctx, req)
-			resp.Decision = d
+			d, tried, err := a.client.home.claim(ctx, req)
+			resp.Decision, resp.Tried = d, tried
 			return err
 		})
+		if err != nil && a.asked != o.Members.Self() {
+			// No home answered: it may have got the intent, and nothing is
+			// known of other attempts at the key.
+			resp.Tried = fault.As(err).Outcome != fault.NotRun
+			err = fault.As(err).WithOutcome(fault.Unknown)
+		}
+		a.doubt = a.doubt || resp.Tried
+		if resp.Refused != nil {
+			err = resp.Refused.Fault()
+		}
 		if err == nil {
 			return resp.Decision, nil
 		}
+		if a.clear == nil && fault.As(err).Outcome == fault.NotRun {
+			a.clear = err
+		}
 		if !a.again(ctx, err) {
-			return once.Decision{}, a.failed(err)
+			return once.Decision{}, cmp.Or(a.clear, err)
 		}
 	}
 }
@@ -193,19 +210,6 @@
 	return min(limit, max(0, time.Until(deadline)-waitMargin))
 }
 
-// failed is the end of an attempt without an answer: it was not sent and never
-// will be.
-func (a *asking) failed(err error) error {
-	e := fault.As(err)
-	switch e.Kind {
-	case fault.Timeout, fault.Unavailable, fault.ShuttingDown, fault.LogDown, fault.Overload:
-		if e.Outcome == fault.Unknown {
-			return e.WithOutcome(fault.NotRun)
-		}
-	}
-	return e
-}
-
 // try asks the present first choice.
 func (a *asking) try(ctx context.Context, limit time.Duration, req, resp wire.Message, local func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -230,14 +234,10 @@
 
 // again decides whether the question is put once more after an error, and to whom.
 func (a *asking) again(ctx context.Context, err error) bool {
-	e := fault.As(err)
-	if e.Outcome != fault.NotRun {
-		a.doubt = true
-	}
 	if ctx.Err() != nil {
 		return false
 	}
-	switch e.Kind {
+	switch e := fault.As(err); e.Kind {
 	case fault.Overload:
 		return pause(ctx, max(e.RetryAfter, overloadPause))
 	case fault.Timeout, fault.Unavailable, fault.ShuttingDown:
--- a/internal/keyed/decide.go
+++ b/internal/keyed/decide.go
@@ -12,27 +12,58 @@
 // decide answers an intent from the state if it can, and else from the intent's
 // own record, once that was read back. An Undecided answer asks the caller to
 // try again with the stream that now runs.
-func (s *stream) decide(ctx context.Context, in *once.Intent) (once.Decision, error) {
+func (s *stream) decide(ctx context.Context, in *once.Intent) (d once.Decision, tried bool, err error) {
 	if d := s.look(in); d.Verdict != once.Undecided {
-		return d, nil
+		return d, false, nil
 	}
-	if s.opt().logStale() {
-		return once.Decision{}, refusal(errStale, false)
+	arrived := time.Now()
+	if age, stale := s.opt().logStale(); stale {
+		return d, false, s.refused(in, arrived, arrived.Add(-age), refusal(errStale))
 	}
 	if err := s.waitReady(ctx); err != nil {
-		return once.Decision{}, err
+		return d, false, s.refused(in, arrived, time.Time{}, err)
 	}
 	if d := s.look(in); d.Verdict != once.Undecided {
-		return d, nil
+		return d, false, nil
 	}
 	e, err := s.enqueue(once.Record{Intent: in})
 	if err != nil {
-		return once.Decision{}, err
+		return d, false, s.refused(in, arrived, time.Time{}, err)
 	}
 	if err := s.wait(ctx, e); err != nil {
-		return once.Decision{}, err
+		return d, s.wasTried(e), s.refused(in, arrived, time.Time{}, err)
 	}
-	return s.look(in), nil
+	return s.look(in), true, nil
+}
+
+// refused gives an error the outcome that the home can vouch for: NotRun if
+// nobody has used the key as far as the stream was read, and either that was
+// since the claim arrived, or the request was issued when the log was down
+// (downAt is zero if it is not).
+func (s *stream) refused(in *once.Intent, arrived, downAt time.Time, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := fault.As(err)
+	if s.down != nil {
+		downAt = s.downAt
+	}
+	issuedDown := !downAt.IsZero() && !in.IssuedAt.Before(downAt)
+	current := !s.readAt.Before(arrived) || issuedDown
+	if !s.ready || s.state == nil || !current {
+		return e.WithOutcome(fault.Unknown)
+	}
+	switch s.state.Decide(in).Verdict {
+	case once.Undecided, once.Abandoned:
+		return e.WithOutcome(fault.NotRun)
+	default:
+		return e.WithOutcome(fault.Unknown)
+	}
+}
+
+func (s *stream) wasTried(e *entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.tried
 }
 
 var errStale = fault.New(fault.LogDown, "", "this daemon has not read the log for a while")
@@ -59,7 +90,7 @@
 		ready, down, moved := s.ready || s.closed, s.down, s.changed
 		s.mu.Unlock()
 		if down != nil {
-			return refusal(down, false)
+			return refusal(down)
 		}
 		if ready {
 			return nil
@@ -67,9 +98,9 @@
 		select {
 		case <-moved:
 		case <-t.C:
-			return fault.Refuse(fault.Overload, "try again with the same key", "home still reads its stream").WithRetryAfter(readyWait)
+			return fault.New(fault.Overload, "try again with the same key", "home still reads its stream").WithRetryAfter(readyWait)
 		case <-ctx.Done():
-			return fault.Wrap(fault.Timeout, ctx.Err(), "try again with the same key", "home still reads its stream").WithOutcome(fault.NotRun)
+			return fault.Wrap(fault.Timeout, ctx.Err(), "try again with the same key", "home still reads its stream")
 		}
 	}
 }
@@ -78,7 +109,7 @@
 func (s *stream) enqueue(rec once.Record) (*entry, error) {
 	data, err := wire.EncodeOnce(&rec)
 	if err != nil {
-		return nil, fault.As(err).WithOutcome(fault.NotRun)
+		return nil, err
 	}
 	e := &entry{record: rec, data: data, since: time.Now(), done: make(chan struct{})}
 	s.mu.Lock()
@@ -86,11 +117,11 @@
 	s.used = e.since
 	switch {
 	case s.closed:
-		return nil, fault.Refuse(fault.ShuttingDown, "try again with the same key", "home ends")
+		return nil, fault.New(fault.ShuttingDown, "try again with the same key", "home ends")
 	case s.down != nil:
-		return nil, refusal(s.down, false)
+		return nil, refusal(s.down)
 	case len(s.queue) >= maxQueue:
-		return nil, fault.Refuse(fault.Overload, "try again with the same key", "%d records wait for the log", len(s.queue))
+		return nil, fault.New(fault.Overload, "try again with the same key", "%d records wait for the log", len(s.queue))
 	}
 	s.queue = append(s.queue, e)
 	s.poke()
@@ -108,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.dropped = true
-	return fault.Wrap(fault.Timeout, ctx.Err(), "try again with the same key", "log did not answer in time").WithOutcome(outcomeOf(e.tried))
+	return fault.Wrap(fault.Timeout, ctx.Err(), "try again with the same key", "log did not answer in time")
 }
 
 func (s *stream) watch(n int) {
--- a/internal/keyed/follow.go
+++ b/internal/keyed/follow.go
@@ -22,6 +22,7 @@
 // follow folds the stream up to its end as it is now. Only the stream's
 // goroutine calls it.
 func (s *stream) follow(ctx context.Context) error {
+	begun := time.Now()
 	if s.fold() == nil {
 		if err := s.begin(ctx); err != nil {
 			return err
@@ -39,6 +40,9 @@
 			return err
 		}
 		if s.fold().Next() >= a.Next {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.readAt = begun
 			return nil
 		}
 		if len(a.Records) == 0 {
--- a/internal/keyed/handle.go
+++ b/internal/keyed/handle.go
@@ -29,11 +29,12 @@
 	if c.Intent.Author != from {
 		return nil, fault.Refuse(fault.Forbidden, "run the same release on all daemons", "%s claims for %s", from, c.Intent.Author)
 	}
-	d, err := h.claim(ctx, &c)
+	d, tried, err := h.claim(ctx, &c)
+	a := &wire.OnceDecision{Decision: d, Tried: tried}
 	if err != nil {
-		return nil, err
+		a.Refused = wire.FromFault(err)
 	}
-	return &wire.OnceDecision{Decision: d}, nil
+	return a, nil
 }
 
 func (h *Home) handleRecord(ctx context.Context, _ string, body []byte) (wire.Message, error) {
--- a/internal/keyed/home.go
+++ b/internal/keyed/home.go
@@ -72,7 +72,7 @@
 	ctx := h.ctx
 	h.mu.Unlock()
 	if ctx == nil || ctx.Err() != nil {
-		return nil, fault.Refuse(fault.ShuttingDown, "ask another daemon", "this daemon serves no keys now")
+		return nil, fault.New(fault.ShuttingDown, "ask another daemon", "this daemon serves no keys now")
 	}
 	var s *stream
 	h.streams.Update(streamName(n), func(old *stream, ok bool) (*stream, bool) {
@@ -93,9 +93,10 @@
 }
 
 // claim decides on an intent. While another attempt holds the key it waits.
-func (h *Home) claim(ctx context.Context, c *wire.OnceClaim) (once.Decision, error) {
+// tried says, with an error, that the intent may be in the log.
+func (h *Home) claim(ctx context.Context, c *wire.OnceClaim) (d once.Decision, tried bool, err error) {
 	if err := h.check(c); err != nil {
-		return once.Decision{}, err
+		return d, false, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.opt.ClaimTimeout+time.Duration(c.WaitMs)*time.Millisecond)
 	defer cancel()
@@ -103,11 +104,12 @@
 	for {
 		s, err := h.stream(c.Shard)
 		if err != nil {
-			return once.Decision{}, err
+			return d, tried, err
 		}
-		d, err := s.decide(ctx, &c.Intent)
+		d, wrote, err := s.decide(ctx, &c.Intent)
+		tried = tried || wrote
 		if err != nil {
-			return d, err
+			return d, tried, err
 		}
 		if d.Verdict == once.Held {
 			d = h.await(ctx, s, &c.Intent, end)
@@ -116,9 +118,10 @@
 		case once.Undecided: // the holder withdrew, or the stream was dropped
 			continue
 		case once.Finished:
-			return h.withResult(ctx, s, d)
+			d, err = h.withResult(ctx, s, d)
+			return d, false, err
 		default:
-			return d, nil
+			return d, false, nil
 		}
 	}
 }
@@ -138,7 +141,7 @@
 
 func (h *Home) sameLayout(shard, shards int) error {
 	if shards != h.opt.Shards || shard < 0 || shard >= shards {
-		return fault.Refuse(fault.Conflict, "set once.shards to the same number on all daemons",
+		return fault.New(fault.Conflict, "set once.shards to the same number on all daemons",
 			"stream %d of %d, but this daemon has %d", shard, shards, h.opt.Shards)
 	}
 	return nil
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -18,8 +18,11 @@
 // key are told "unknown", not "not run", since they can't tell a withdrawn
 // attempt from one under way; if the daemon dies before, they are told so for
 // ever. That errs on the side of a question to a person instead of a second
-// payout. "Not run" is said of the refused attempt alone: a caller that was
-// told "unknown" before keeps its doubt until the same key is answered.
+// payout. A refusal says "not run" only of a key that no attempt can have used:
+// the home has read its stream since the claim came and found none, or the
+// request was issued after the log went down. Other refusals, and a claim that
+// no home answered, say "unknown", for an earlier attempt may have run. All of
+// them may be sent again with the same key.
 //
 // Claims are repeated at another home when one does not answer: the attempt's
 // id makes a repeated claim get the same answer.
@@ -87,6 +90,9 @@
 	ClaimTimeout time.Duration
 	// WaitLimit bounds the wait for another attempt's result in one call.
 	WaitLimit time.Duration
+	// FollowInterval spaces the reads of a stream at its home while nobody
+	// claims, so that it notices an outage, or what another home wrote, early.
+	FollowInterval time.Duration
 	// ProbeInterval spaces the attempts to reach a log that is down, and the
 	// reads for those that wait for a result.
 	ProbeInterval time.Duration
@@ -105,6 +111,7 @@
 	defaultClaimTimeout  = time.Second
 	defaultWaitLimit     = 5 * time.Second
 	defaultProbeInterval = 500 * time.Millisecond
+	defaultFollow        = time.Second
 	defaultIdleAfter     = 2 * time.Minute
 	defaultDrainTimeout  = 5 * time.Second
 	// maxQueue bounds the records that wait for an append to one stream.
@@ -122,6 +129,7 @@
 	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 	setDefault(&o.WaitLimit, defaultWaitLimit)
 	setDefault(&o.ProbeInterval, defaultProbeInterval)
+	setDefault(&o.FollowInterval, defaultFollow)
 	setDefault(&o.IdleAfter, defaultIdleAfter)
 	setDefault(&o.DrainTimeout, defaultDrainTimeout)
 	return o.Limits.Check(o.Retention)
@@ -134,8 +142,15 @@
 	}
 }
 
-// logStale reports whether the log is known to be out of reach.
-func (o *Options) logStale() bool { return o.LogAge != nil && o.LogAge() > o.LogAgeLimit }
+// logStale returns the time since the log was read, and whether it is so long
+// that the log must be out of reach.
+func (o *Options) logStale() (time.Duration, bool) {
+	if o.LogAge == nil {
+		return 0, false
+	}
+	age := o.LogAge()
+	return age, age > o.LogAgeLimit
+}
 
 // Manager holds a daemon's Home and Client.
 type Manager struct {
@@ -168,17 +183,9 @@
 }
 
 // refusal is the answer to what waits when the log can't be used.
-func refusal(cause error, tried bool) error {
+func refusal(cause error) error {
 	if fault.Is(cause, fault.Conflict) { // a setting that differs from the others'
-		return fault.As(cause).WithOutcome(outcomeOf(tried))
-	}
-	e := fault.Wrap(fault.LogDown, cause, "try again with the same key once the platform's log answers", "keyed request refused")
-	return e.WithOutcome(outcomeOf(tried))
-}
-
-func outcomeOf(tried bool) fault.Outcome {
-	if tried {
-		return fault.Unknown
+		return cause
 	}
-	return fault.NotRun
+	return fault.Wrap(fault.LogDown, cause, "try again with the same key once the platform's log answers", "keyed request refused")
 }
--- a/internal/keyed/layout.go
+++ b/internal/keyed/layout.go
@@ -83,7 +83,7 @@
 
 func (l *layout) verify() error {
 	if n := l.fold.Shards(); n != 0 && n != l.opt.Shards {
-		return fault.Refuse(fault.Conflict, "set once.shards to the number in force on all daemons",
+		return fault.New(fault.Conflict, "set once.shards to the number in force on all daemons",
 			"keys are spread over %d streams, but once.shards is %d", n, l.opt.Shards)
 	}
 	return nil
--- a/internal/keyed/queue.go
+++ b/internal/keyed/queue.go
@@ -15,7 +15,7 @@
 	since  time.Time
 	done   chan struct{} // closed once err is set or the record was read back
 	err    error
-	// tried means that an append with the record may have taken effect.
+	// tried means that the record may be in the log.
 	tried bool
 	// dropped means that nobody waits any more.
 	dropped bool
--- a/internal/keyed/stream.go
+++ b/internal/keyed/stream.go
@@ -31,6 +31,8 @@
 	state   *once.State // nil before the stream was found
 	ready   bool        // the state was read to the end once
 	down    error       // why the log can't be used; nil if it can
+	downAt  time.Time   // since when
+	readAt  time.Time   // when the last complete read began
 	queue   []*entry
 	waiting int           // those that wait for another attempt's result
 	changed chan struct{} // closed when the state or readiness moved on
@@ -78,13 +80,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			s.shut(ctx.Err())
+			s.shut()
 			return
 		case <-s.wake:
 		case <-t.C:
 		}
 		if s.idle() {
-			s.shut(nil)
+			s.shut()
 			return
 		}
 		t.Reset(s.step(ctx, time.Now()))
@@ -147,11 +149,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down == nil {
+		s.downAt = time.Now()
 		klog.ErrorS(err, "Log does not serve keys", "stream", s.name)
 	}
 	s.down = err
 	for _, e := range s.queue {
-		e.finish(refusal(err, e.tried))
+		e.finish(refusal(err))
 	}
 	s.queue = nil
 	s.notify()
@@ -245,11 +248,11 @@
 }
 
 // shut ends the stream at this home.
-func (s *stream) shut(err error) {
+func (s *stream) shut() {
 	s.mu.Lock()
 	s.closed = true
 	for _, e := range s.queue {
-		e.finish(fault.Wrap(fault.ShuttingDown, err, "ask another daemon", "home ends").WithOutcome(outcomeOf(e.tried)))
+		e.finish(fault.New(fault.ShuttingDown, "ask another daemon", "home ends"))
 	}
 	s.queue = nil
 	s.notify()
@@ -257,26 +260,34 @@
 	s.home.release(s)
 }
 
-// poll reads on behalf of those that wait for a result that another home may
-// have written.
+// poll reads what other homes may have written, on behalf of those that wait
+// for a result and to notice early that the log is down.
 func (s *stream) poll(ctx context.Context, now time.Time) time.Duration {
-	s.mu.Lock()
-	waiting := s.waiting
-	s.mu.Unlock()
-	if waiting == 0 {
-		return s.opt().IdleAfter
-	}
-	interval := s.opt().ProbeInterval
+	interval := s.pollInterval()
 	if left := interval - now.Sub(s.polled); left > 0 {
 		return left
 	}
 	s.polled = now
 	if err := s.follow(ctx); err != nil {
 		s.fail(err)
-		return interval
+		return s.opt().ProbeInterval
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notify()
 	return interval
 }
+
+func (s *stream) pollInterval() time.Duration {
+	s.mu.Lock()
+	waiting := s.waiting
+	s.mu.Unlock()
+	switch {
+	case waiting > 0:
+		return s.opt().ProbeInterval
+	case s.home.owns(s.shard):
+		return s.opt().FollowInterval
+	default:
+		return s.opt().IdleAfter
+	}
+}
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -25,9 +25,12 @@
 // WireType returns TypeOnceClaim.
 func (*OnceClaim) WireType() Type { return TypeOnceClaim }
 
-// OnceDecision answers OnceClaim.
+// OnceDecision answers OnceClaim with a decision or a refusal.
 type OnceDecision struct {
 	Decision once.Decision `msgpack:"d"`
+	Refused  *Error        `msgpack:"e,omitempty"`
+	// Tried means that the refused intent may be in the log.
+	Tried bool `msgpack:"t,omitempty"`
 }
 
 // WireType returns TypeOnceDecision.
