Quarantine requests that crash their targets; tell a crash from a lost connection

Cause: a request that crashes each target it runs on was retried until its route's retries were used up, and again each time its caller sent it. Change: after a failed exchange the target is asked for its boot id over a new connection. Another boot id or no answer is a crash, which the quarantine tells all daemons; a suspect then runs alone, and after its second crash it is refused. The same boot id means that only the connection was lost. Before: no limit but the retries.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/operate"
 	"github.com/ragwortquay/ragwortquay/internal/peer"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/quarantine"
 	"github.com/ragwortquay/ragwortquay/internal/quorum"
 	"github.com/ragwortquay/ragwortquay/internal/target"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -40,6 +41,7 @@
 	if err := d.buildKeys(log); err != nil {
 		return err
 	}
+	d.quarantine = quarantine.New(d.members, d.client)
 	d.buildFront()
 	d.buildAdmin()
 	d.handle()
@@ -164,6 +166,7 @@
 		Listener: d.sockets.callers,
 		Dispatcher: dispatch.New(dispatch.Options{
 			Tables: d.view, Grants: d.grants.Client, Targets: d.targets, Keys: d.keyed.Client, Standing: d.standing,
+			Quarantine: d.quarantine,
 		}),
 		Auth:           d.tokens,
 		Readiness:      d.standing,
@@ -203,6 +206,7 @@
 	for t, h := range d.operate.Handlers() {
 		d.server.Handle(t, h)
 	}
+	d.server.Handle(wire.TypeQuarantine, d.quarantine.Handle)
 	for _, h := range d.keyed.Handlers() {
 		d.server.Handle(h.Type, h.Func)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/operate"
 	"github.com/ragwortquay/ragwortquay/internal/peer"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/quarantine"
 	"github.com/ragwortquay/ragwortquay/internal/target"
 	"github.com/ragwortquay/ragwortquay/internal/view"
 )
@@ -37,18 +38,19 @@
 	keys     *auth.ClusterKeys
 	metrics  *metrics.Registry
 
-	view    *view.View
-	control *control.Manager
-	members *gossip.Manager
-	server  *peer.Server
-	client  *peer.Client
-	fleet   *fleet.Manager
-	grants  *grant.Manager
-	keyed   *keyed.Manager
-	targets *target.Client
-	front   *front.Server
-	operate *operate.Service
-	admin   *admin.Server
+	view       *view.View
+	control    *control.Manager
+	members    *gossip.Manager
+	server     *peer.Server
+	client     *peer.Client
+	fleet      *fleet.Manager
+	grants     *grant.Manager
+	keyed      *keyed.Manager
+	quarantine *quarantine.Manager
+	targets    *target.Client
+	front      *front.Server
+	operate    *operate.Service
+	admin      *admin.Server
 
 	life     *life
 	standing *standing
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,12 +39,20 @@
 // Targets sends one attempt.
 type Targets interface {
 	Do(ctx context.Context, r *target.Request) (*target.Response, error)
-	// Alive asks the target for a sign of life over a new connection.
-	Alive(addr string) bool
+	// Probe asks the target for its boot id over a new connection.
+	Probe(addr string) (bootID string, alive bool)
 	// Forget drops the kept connections to the target.
 	Forget(addr string)
 }
 
+// Quarantine knows which requests crash the targets that run them.
+type Quarantine interface {
+	Judge(prints []retry.Print) retry.Verdict
+	Begin(g limit.Grant, prints []retry.Print)
+	End(g limit.Grant, whole bool)
+	Crashed(g limit.Grant)
+}
+
 // Standing tells whether this daemon may serve at all.
 type Standing interface {
 	// MayServe returns nil, or the refusal to give to callers.
@@ -58,6 +66,8 @@
 	Targets  Targets
 	Keys     Keys
 	Standing Standing
+	// Quarantine may be nil: then no request is suspected.
+	Quarantine Quarantine
 }
 
 // Dispatcher serves requests.
@@ -68,6 +78,9 @@
 
 // New returns a dispatcher.
 func New(opts Options) *Dispatcher {
+	if opts.Quarantine == nil {
+		opts.Quarantine = noQuarantine{}
+	}
 	return &Dispatcher{opts: opts, budgets: retry.NewBudgets()}
 }
 
@@ -79,6 +92,10 @@
 	prefix   uint64
 	// generate is the parsed body of a request to an engine pool.
 	generate *target.GenerateRequest
+	// prints identify the request to the quarantine; alone asks that it runs
+	// with no other beside it.
+	prints []retry.Print
+	alone  bool
 	// state is what the retry decision knows of the attempts so far.
 	state retry.State
 }
@@ -126,6 +143,9 @@
 		Idempotent: row.Route.Idempotent, Resumable: j.generate != nil,
 		Retries: row.Route.Retries, Deadline: j.deadline,
 	}
+	if err := d.judge(j); err != nil {
+		return nil, err
+	}
 	d.budgets.First(r.Received, row.Route.Name, row.Route.RetryBudget)
 	return j, nil
 }
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -12,7 +12,7 @@
 )
 
 // freshFor is the age up to which a keyed request is taken for the first with
-// its key, when the log could not be asked.
+// its key, when its key could not even be asked for.
 const freshFor = 2 * time.Second
 
 // Keys decides which attempt of a keyed request may run.
@@ -30,7 +30,7 @@
 	defer cancel()
 	dec, err := d.opts.Keys.Claim(ctx, j.intent())
 	if err != nil {
-		return nil, unclaimed(j.req, err)
+		return nil, err // keyed has found out whether not run is true of the key
 	}
 	if dec.Verdict == once.Finished {
 		return replay(j, dec.Result)
@@ -57,9 +57,9 @@
 	}
 }
 
-// unclaimed returns the error of a request whose key was not claimed. This
-// attempt did not run; but unless the request is fresh, an earlier attempt with
-// the same key may have, and "not run" might be false.
+// unclaimed returns the error of a request that was refused before its key could
+// be claimed. This attempt did not run; but unless the request is fresh, an
+// earlier attempt with the same key may have, and "not run" might be false.
 func unclaimed(r *Request, err error) error {
 	e := fault.As(err)
 	if e.Outcome != fault.NotRun || e.Kind == fault.Conflict || time.Since(r.IssuedAt) < freshFor {
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -61,7 +61,7 @@
 	id := ids.New()
 	g, err := d.opts.Grants.Acquire(ctx, limit.Request{
 		ID: id, Pool: pool, Workspace: j.req.Workspace, Priority: j.route.Priority,
-		Prefix: j.prefix, Deadline: j.deadline, Exclude: exclude,
+		Prefix: j.prefix, Deadline: j.deadline, Exclude: exclude, Alone: j.alone,
 	})
 	if err != nil {
 		return nil, err
@@ -94,6 +94,7 @@
 		return err
 	}
 	t.sent = time.Now()
+	t.d.opts.Quarantine.Begin(t.grant, t.j.prints)
 	resp, err := t.d.opts.Targets.Do(ctx, t.request(from, once))
 	if err != nil {
 		t.blame(err)
@@ -142,29 +143,43 @@
 	t.release(limit.Cancelled)
 }
 
-// blame releases the grant with what the error says of the replica, and keeps
-// the request away from it. A target that went silent on one connection and
-// answers on a new one is not to blame: its kept connections are given up.
+// blame releases the grant with what the error says of the replica.
 func (t *try) blame(err error) {
-	if t.connectionDied(err) {
-		t.d.opts.Targets.Forget(t.grant.Addr)
-		t.release(limit.Cancelled)
-		return
-	}
-	t.j.state.Replica = t.grant.Replica
-	t.release(outcomeOf(fault.KindOf(err)))
+	t.release(t.charge(fault.As(err)))
 }
 
-func (t *try) connectionDied(err error) bool {
-	return fault.Is(err, fault.Timeout) && time.Now().Before(t.j.deadline) && t.d.opts.Targets.Alive(t.grant.Addr)
+// charge finds out what an attempt's error says of the replica. One that may
+// have failed the request is left out of the next attempts; one that went
+// silent on one connection and answers on a new one is not to blame, but its
+// kept connections are given up.
+func (t *try) charge(e *fault.Error) limit.Outcome {
+	if e.Outcome == fault.NotRun {
+		t.j.state.Replica = t.grant.Replica
+		return refusalOf(e.Kind)
+	}
+	if time.Now().After(t.j.deadline) && e.Kind == fault.Timeout {
+		return limit.Failed // out of time, which proves nothing
+	}
+	switch t.examine() {
+	case gone:
+		t.d.opts.Quarantine.Crashed(t.grant)
+		t.j.state.Replica = t.grant.Replica
+		return limit.Crashed
+	default:
+		t.d.opts.Targets.Forget(t.grant.Addr)
+		if e.Kind != fault.Timeout {
+			t.j.state.Replica = t.grant.Replica
+		}
+		return limit.Failed
+	}
 }
 
-// outcomeOf maps an attempt's error to what it says of the replica.
-func outcomeOf(k fault.Kind) limit.Outcome {
+// refusalOf maps the error of an attempt that did not run.
+func refusalOf(k fault.Kind) limit.Outcome {
 	switch k {
 	case fault.Overload:
 		return limit.Overloaded
-	case fault.Interrupted, fault.Timeout, fault.Unavailable:
+	case fault.Unavailable:
 		return limit.Crashed
 	default:
 		return limit.Failed
@@ -175,6 +190,7 @@
 	r := limit.Result{Outcome: o, FirstToken: t.first}
 	if !t.sent.IsZero() {
 		r.Duration = time.Since(t.sent)
+		t.d.opts.Quarantine.End(t.grant, o == limit.OK)
 	}
 	t.d.opts.Grants.Release(t.grant, r)
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"strconv"
@@ -153,17 +154,29 @@
 	h.kept.CloseIdleConnections()
 }
 
-// Alive asks the target for its report over a new connection. A target that
-// answers is not the cause of another connection's silence.
-func (c *Client) Alive(addr string) bool {
+// Probe asks the target for its report over a new connection, and returns the
+// boot id that it gives; false if it does not answer. A target that answers
+// under the same boot id is not the cause of another connection's silence.
+func (c *Client) Probe(addr string) (bootID string, alive bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + reportPath)
 	req.SetConnectionClose()
-	err := c.host(addr).fresh.DoTimeout(req, resp, probeTimeout)
-	_ = resp.CloseBodyStream()
-	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+	if err := c.host(addr).fresh.DoTimeout(req, resp, probeTimeout); err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return "", false
+	}
+	answer := NewResponse(resp, MaxReportBytes)
+	defer func() { _ = answer.Close() }()
+	body, err := answer.ReadAll()
+	if err != nil {
+		return "", false
+	}
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return "", false
+	}
+	return r.BootID, true
 }
 
 // Do performs one attempt. The error's outcome is NotRun if the target cannot
