--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -146,7 +146,8 @@
 // Owner returns the live daemon with the highest rendezvous weight for key.
 func (m *Manager) Owner(key string) string { return ids.Owner(key, m.Live()) }
 
-// Changed returns a channel that is closed at the next change of Live.
+// Changed returns a channel that is closed at the next change of Live, or of a
+// live daemon's process or address.
 func (m *Manager) Changed() <-chan struct{} {
 	m.changeMu.Lock()
 	defer m.changeMu.Unlock()
@@ -190,26 +191,38 @@
 	m.do(func(d *member.Detector, now time.Time) []member.Action { return d.Check(id, now) })
 }
 
-// publish makes the detector's members visible; the caller holds mu.
+// publish makes what changed at the detector visible and reports whether other
+// members are live now, or live elsewhere; the caller holds mu.
 func (m *Manager) publish() bool {
-	list := []string{m.opt.ID}
-	for _, n := range m.detector.Members() {
-		if !n.Live() {
-			m.peers.Delete(n.ID)
-			continue
-		}
-		list = append(list, n.ID)
-		meta, _ := m.detector.Meta(n.ID)
-		m.peers.Set(n.ID, peerView{addr: n.Addr, boot: n.Boot, meta: meta})
+	changed := false
+	for _, id := range m.detector.Touched() {
+		changed = m.publishOne(id) || changed
 	}
-	slices.Sort(list)
-	if slices.Equal(list, m.Live()) {
+	if !changed {
 		return false
 	}
+	list := []string{m.opt.ID}
+	m.peers.Range(func(id string, _ peerView) bool {
+		list = append(list, id)
+		return true
+	})
+	slices.Sort(list)
 	m.list.Store(&list)
 	return true
 }
 
+func (m *Manager) publishOne(id string) bool {
+	n, ok := m.detector.Member(id)
+	if !ok || !n.Live() {
+		return m.peers.Delete(id)
+	}
+	meta, _ := m.detector.Meta(id)
+	next := peerView{addr: n.Addr, boot: n.Boot, meta: meta}
+	old, known := m.peers.Get(id)
+	m.peers.Set(id, next)
+	return !known || old.addr != next.addr || old.boot != next.boot
+}
+
 func (m *Manager) announce() {
 	m.changeMu.Lock()
 	defer m.changeMu.Unlock()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -31,7 +31,7 @@
 	ended chan error
 }
 
-func start(t *testing.T, id string, change func(*Options)) *testNode {
+func start(t testing.TB, id string, change func(*Options)) *testNode {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/internal/member/broadcast.go
+++ b/internal/member/broadcast.go
@@ -117,4 +117,5 @@
 	}
 	m.At = at
 	e.meta = m
+	d.touched[id] = struct{}{}
 }
--- a/internal/member/contact.go
+++ b/internal/member/contact.go
@@ -105,6 +105,7 @@
 	for id, e := range d.members {
 		if !e.node.Live() && now.Sub(e.since) >= d.opt.Keep {
 			delete(d.members, id)
+			d.touched[id] = struct{}{}
 			delete(d.broadcasts, id)
 		}
 	}
--- a/internal/member/detector.go
+++ b/internal/member/detector.go
@@ -41,7 +41,9 @@
 	// due is when Tick was last promised to be called; zero before the first call.
 	due time.Time
 
-	out []Action
+	// touched are the members whose record or meta changed since Touched.
+	touched map[string]struct{}
+	out     []Action
 }
 
 // entry is a member other than this daemon.
@@ -67,6 +69,7 @@
 		relays:     make(map[uint64]*relay),
 		broadcasts: make(map[string]*broadcast),
 		contacts:   make(map[string]int),
+		touched:    make(map[string]struct{}),
 	}
 	// A random start keeps answers to an earlier process from being taken for ours.
 	d.seq = d.rand.Uint64() >> 16
@@ -95,6 +98,25 @@
 	return nodes
 }
 
+// Member returns what is known of a member.
+func (d *Detector) Member(id string) (Node, bool) {
+	e, ok := d.members[id]
+	if !ok {
+		return Node{}, false
+	}
+	return e.node, true
+}
+
+// Touched returns the members whose record or meta changed since the last call.
+func (d *Detector) Touched() []string {
+	if len(d.touched) == 0 {
+		return nil
+	}
+	ids := sorted(d.touched)
+	clear(d.touched)
+	return ids
+}
+
 // Meta returns what the member last said of itself.
 func (d *Detector) Meta(id string) (Meta, bool) {
 	e, ok := d.members[id]
--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -73,6 +73,7 @@
 	}
 	e := &entry{node: u.Node, since: now}
 	d.members[u.Node.ID] = e
+	d.touched[u.Node.ID] = struct{}{}
 	if !u.Node.Live() {
 		return
 	}
@@ -102,6 +103,7 @@
 func (d *Detector) replace(now time.Time, e *entry, u Update) {
 	old := e.node
 	e.node, e.since, e.suspicion = u.Node, now, nil
+	d.touched[u.Node.ID] = struct{}{}
 	d.spread(u)
 	if old.Boot != u.Node.Boot {
 		e.meta = Meta{}
--- /dev/null
+++ b/internal/wire/messages_test.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/member"
+	"github.com/ragwortquay/ragwortquay/internal/once"
+)
+
+func onceRecords() []once.Record {
+	at := time.UnixMilli(1_800_000_000_123)
+	print := once.FingerprintOf([]byte("body"))
+	return []once.Record{
+		{Intent: &once.Intent{
+			Key: "k", Workspace: "w", Route: "r", Attempt: "a", Author: "d", Boot: "b", IssuedAt: at, Fingerprint: print,
+		}},
+		{Done: &once.Done{Attempt: "a", Result: once.Result{
+			Outcome: fault.Ran, Status: 200, ContentType: "text/plain", Body: []byte("x"), Omitted: true, Digest: print, Replica: "vm-1",
+		}}},
+		{Abandon: &once.Abandon{Attempt: "a", IssuedAt: at}},
+		{Begin: &once.Begin{Shards: 8}},
+	}
+}
+
+func TestOnceRecordsSurviveTheirEncoding(t *testing.T) {
+	for _, r := range onceRecords() {
+		b, err := EncodeOnce(&r)
+		must.NoError(t, err)
+		got, err := DecodeOnce(b)
+		must.NoError(t, err)
+		test.Eq(t, r, *got)
+	}
+	large := once.Record{Done: &once.Done{Result: once.Result{Body: make([]byte, MaxRecordBytes)}}}
+	_, err := EncodeOnce(&large)
+	test.Eq(t, fault.TooLarge, fault.KindOf(err))
+}
+
+func memberSample() *member.Message {
+	node := member.Node{ID: "d", Addr: "127.0.0.1:1", Boot: "b", Incarnation: 1 << 50, Status: member.Suspect}
+	meta := member.Meta{Epoch: 2, Offset: 3, Digest: 1 << 63, LogAge: time.Second, Stamp: 1 << 40}
+	return &member.Message{
+		Kind: member.PingRequest, Seq: 1 << 40, Sender: node, Meta: meta, Join: true, Target: "t", TargetAddr: "a",
+		Updates: []member.Update{{Node: node, By: "x"}},
+		Metas:   []member.MetaUpdate{{ID: "y", Age: time.Minute, Meta: meta}},
+	}
+}
+
+func TestMemberMessagesSurviveTheirEncoding(t *testing.T) {
+	m := memberSample()
+	b, err := EncodeMember(m, MaxDatagramBytes)
+	must.NoError(t, err)
+	got, err := DecodeMember(b)
+	must.NoError(t, err)
+	test.Eq(t, m, got)
+	_, err = EncodeMember(m, 20)
+	test.Eq(t, fault.TooLarge, fault.KindOf(err))
+	short, err := EncodeMember(m, len(b)-1)
+	must.NoError(t, err)
+	got, err = DecodeMember(short)
+	must.NoError(t, err)
+	test.SliceEmpty(t, got.Metas)
+}
+
+func TestErrorsSurviveTheWire(t *testing.T) {
+	in := fault.Invalid("pool", "name an existing pool", "no such pool").WithRetryAfter(time.Second)
+	out := FromFault(in).Fault()
+	test.Eq(t, in.Error(), out.Error())
+	test.Eq(t, in.Kind, out.Kind)
+	test.Eq(t, in.Outcome, out.Outcome)
+	test.Eq(t, in.RetryAfter, out.RetryAfter)
+}
+
+func FuzzDecodeOnce(f *testing.F) {
+	for _, r := range onceRecords() {
+		b, err := EncodeOnce(&r)
+		must.NoError(f, err)
+		f.Add(b)
+	}
+	s := once.NewState(once.Limits{MaxKeyAge: time.Hour, MaxSkew: time.Minute}, 1)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		r, err := DecodeOnce(b)
+		if err != nil {
+			return
+		}
+		s.Fold(once.Place{Offset: s.Next(), At: time.UnixMilli(1_800_000_000_123)}, *r)
+	})
+}
+
+func FuzzDecodeMember(f *testing.F) {
+	b, err := EncodeMember(memberSample(), MaxDatagramBytes)
+	must.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		m, err := DecodeMember(b)
+		if err != nil {
+			return
+		}
+		_, _ = EncodeMember(m, MaxDatagramBytes)
+	})
+}
