Warm spares; drop the graces that did not pay; do not restart fetches

Cause: most of a repair's downtime is the spare's fetch. A spare may fetch the pool's weights beforehand, one at a time, while no group needs the store: a load under the last folded fencing number, unloaded once it is cached. And a VM that is fetching the weights it is to load anyway is left to finish.

What remains is the life of a report, 2 s, which rides out short pauses.

--- a/internal/fleet/act.go
+++ b/internal/fleet/act.go
@@ -147,6 +147,9 @@
 	}
 	r, held := w.m.opts.View.Reservation(a.VM)
 	active := held && !r.Ended
+	if a.Warm {
+		return !held
+	}
 	if a.Order.Load {
 		return active && r.Group == a.Order.Fence
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -118,6 +118,9 @@
 	VM    string
 	Addr  string
 	Order Order
+	// Warm marks the load of a spare that is in no group: it fetches weights
+	// that a repair will need.
+	Warm bool
 }
 
 // Wait says that nothing is done about Subject for now, and until when. A zero
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -122,15 +122,6 @@
 	return !since.IsZero() && v.Now.Sub(since) >= v.policy.GoneAfter
 }
 
-// lostSince is when the VM stopped answering.
-func (v *view) lostSince(vm string) time.Time {
-	o := v.Observations[vm]
-	if o.FailingSince.IsZero() {
-		return o.Watched
-	}
-	return o.FailingSince
-}
-
 func (v *view) leaving(vm string) bool {
 	return v.VMs[vm].Leaving || v.Observations[vm].Report.Draining
 }
--- a/internal/group/observe.go
+++ b/internal/group/observe.go
@@ -12,6 +12,8 @@
 	// Report is the last one, At its arrival; At is zero before the first.
 	Report Report
 	At     time.Time
+	// Since is when the VM began to report its state, group and fence.
+	Since time.Time
 	// FailingSince is the first failed attempt after the last report; zero
 	// while the last attempt succeeded.
 	FailingSince time.Time
@@ -44,6 +46,9 @@
 		o.SlowSince = time.Time{}
 		o.Sent, o.SentAt, o.Acked = Order{}, time.Time{}, false
 	}
+	if old := o.Report; rebooted || o.At.IsZero() || old.State != r.State || old.Group != r.Group || old.Fence != r.Fence {
+		o.Since = now
+	}
 	o.Report, o.At = r, now
 	o.FailingSince, o.Refused = time.Time{}, false
 	return o
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -9,11 +9,14 @@
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
 
+// unlimited stands for a weight store whose limit is not known.
+const unlimited = 1 << 20
+
 // orders sends loads to members that lack them and unloads to VMs that run
 // what they should not.
 func (pl *planner) orders() {
 	pl.unloads()
-	pl.loads()
+	pl.warm(pl.loads())
 }
 
 func (pl *planner) unloads() {
@@ -29,6 +32,9 @@
 		if held && pl.unloaded(vm, r) || !held && (o.Report.State == Free || !pl.serves()) {
 			continue
 		}
+		if !held && pl.fetching(o, pl.Pool.Model, pl.Pool.Version) {
+			continue
+		}
 		pl.send(vm, Order{Fence: max(r.Group, o.Report.Fence, o.Report.Group)})
 	}
 }
@@ -51,8 +57,12 @@
 
 // send sends an order unless the same one is under way or was sent just now.
 func (pl *planner) send(vm string, order Order) {
-	o := pl.Observations[vm]
-	if pl.VMs[vm].Addr == "" {
+	pl.sendOrder(SendOrder{VM: vm, Addr: pl.VMs[vm].Addr, Order: order})
+}
+
+func (pl *planner) sendOrder(a SendOrder) {
+	vm, order, o := a.VM, a.Order, pl.Observations[a.VM]
+	if a.Addr == "" {
 		pl.wait("VM "+vm, "its address is not known", time.Time{})
 		return
 	}
@@ -61,7 +71,7 @@
 		pl.wait("VM "+vm, "an order was sent just now", again)
 		return
 	}
-	pl.do(SendOrder{VM: vm, Addr: pl.VMs[vm].Addr, Order: order})
+	pl.do(a)
 }
 
 // load is one order that a group in force needs.
@@ -76,8 +86,9 @@
 
 // loads orders members to load their group. Fetches queue under the weight
 // store's limit, and those that complete a group soonest go first: loading two
-// groups side by side would make both late.
-func (pl *planner) loads() {
+// groups side by side would make both late. It returns the fetches that may
+// still begin, none if a group waits for one.
+func (pl *planner) loads() int {
 	var due []load
 	fetching := 0
 	for _, g := range pl.Groups {
@@ -91,9 +102,13 @@
 	slices.SortStableFunc(due, func(a, b load) int {
 		return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(a.fetches, b.fetches), cmp.Compare(a.g.ID, b.g.ID))
 	})
+	fetching += pl.warming()
 	slots := pl.Store.Concurrent - max(fetching, pl.Store.Active)
+	if pl.Store.Concurrent == 0 {
+		slots = unlimited
+	}
 	for _, l := range due {
-		if l.fetch && pl.Store.Concurrent > 0 {
+		if l.fetch {
 			if slots <= 0 {
 				pl.wait(groupName(l.g), "the weight store is busy", time.Time{})
 				continue
@@ -102,6 +117,49 @@
 		}
 		pl.send(l.g.Members[l.rank].VM, pl.loadOrder(l.g, l.rank))
 	}
+	return slots
+}
+
+// warming counts the spares that fetch weights.
+func (pl *planner) warming() int {
+	n := 0
+	for _, vm := range pl.Pool.VMs {
+		if _, held := pl.Reservations[vm]; !held && pl.fetching(pl.Observations[vm], pl.Pool.Model, pl.Pool.Version) {
+			n++
+		}
+	}
+	return n
+}
+
+// warm lets one spare at a time fetch the pool's weights, while no group needs
+// the weight store: a repair then takes a spare that needs no fetch. The order
+// carries the last folded fencing number, which is below that of any group that
+// the VM joins later, and names no group that the VM is a member of.
+func (pl *planner) warm(slots int) {
+	if pl.policy.NoWarming || !pl.serves() || slots <= 0 || pl.Seen == 0 || len(pl.taken) > 0 || pl.warming() > 0 {
+		return
+	}
+	weights := Weights(pl.Pool.Model, pl.Pool.Version)
+	free := pl.free()
+	for _, domain := range sortedKeys(free) {
+		for _, vm := range free[domain] {
+			if pl.Observations[vm].cached(weights) {
+				continue
+			}
+			addr := pl.VMs[vm].Addr
+			order := Order{Load: true, Fence: pl.Seen, Model: pl.Pool.Model, Version: pl.Pool.Version, Members: []string{addr}}
+			pl.sendOrder(SendOrder{VM: vm, Addr: addr, Order: order, Warm: true})
+			return
+		}
+	}
+}
+
+// fetching reports whether the VM is at work on fetching these weights: a new
+// order would make it begin again.
+func (pl *planner) fetching(o Observation, model, version string) bool {
+	r := o.Report
+	return r.State == Loading && r.Model == model && r.Version == version && !o.cached(Weights(model, version)) &&
+		o.fresh(pl.Now, pl.policy) && pl.Now.Sub(o.Since) < pl.policy.FetchTimeout
 }
 
 // groupLoads returns the orders that the group needs, and how many of its
@@ -122,6 +180,10 @@
 				missing++
 				continue
 			}
+			if pl.fetching(pl.Observations[m.VM], g.Model, g.Version) {
+				fetching++
+				continue
+			}
 			due = append(due, load{g: g, rank: i, fetch: fetch})
 			if fetch {
 				fetches++
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -54,7 +54,7 @@
 		if !from.IsZero() {
 			pl.wait("VM "+vm, "it went down repeatedly", from)
 		}
-		if !ok || pl.Observations[vm].Report.State != Free {
+		if !ok || !pl.idle(pl.Observations[vm]) {
 			continue
 		}
 		domain := pl.VMs[vm].FabricDomain
@@ -66,15 +66,28 @@
 	return out
 }
 
+// idle reports whether an unreserved VM does nothing, or nothing but warm up.
+func (v *view) idle(o Observation) bool {
+	if o.Report.State == Free {
+		return true
+	}
+	return o.Report.Group <= v.Seen && o.Report.Model == v.Pool.Model && o.Report.Version == v.Pool.Version
+}
+
 // rank sorts candidates: quick ones before stragglers, those that hold the
-// weights before those that must fetch them, steady ones before flapping ones.
+// weights before those that fetch them and those that have yet to begin, steady
+// ones before flapping ones.
 func (pl *planner) rank(vms []string) {
 	weights := Weights(pl.Pool.Model, pl.Pool.Version)
 	cost := func(vm string) int {
 		o := pl.Observations[vm]
 		n := min(len(o.Flaps), 9)
-		if !o.cached(weights) {
+		switch {
+		case o.cached(weights):
+		case pl.fetching(o, pl.Pool.Model, pl.Pool.Version):
 			n += 10
+		default:
+			n += 20
 		}
 		if !o.SlowSince.IsZero() {
 			n += 100
--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -40,16 +40,13 @@
 	// ObserveWindow is how long a VM that was never heard of gets to report
 	// before it counts as lost.
 	ObserveWindow time.Duration
-	// RefusedGrace is the wait before a member whose port refuses connections
-	// is replaced: its process has ended, and its weights with it.
-	RefusedGrace time.Duration
-	// SilentGrace is the wait before a member that does not answer is
-	// replaced: it may only be paused, and then needs no load.
-	SilentGrace time.Duration
-	// MergeGrace is the wait before one group is made of two broken ones.
-	MergeGrace time.Duration
 	// OrderResend is the wait before an order without effect is sent again.
 	OrderResend time.Duration
+	// FetchTimeout is how long a VM that fetches weights it is to load anyway is
+	// left to it, rather than ordered to begin again.
+	FetchTimeout time.Duration
+	// NoWarming leaves spares without weights until they are needed.
+	NoWarming bool
 	// DrainQuiet is how long a group is drained at least: reports lag.
 	DrainQuiet time.Duration
 	// DrainTimeout is how long requests in flight may hold up a replacement.
@@ -77,10 +74,8 @@
 		Repair:         SpareOrMerge,
 		FreshFor:       2 * time.Second,
 		ObserveWindow:  3 * time.Second,
-		RefusedGrace:   200 * time.Millisecond,
-		SilentGrace:    time.Second,
-		MergeGrace:     2 * time.Second,
 		OrderResend:    time.Second,
+		FetchTimeout:   10 * time.Minute,
 		DrainQuiet:     2 * time.Second,
 		DrainTimeout:   30 * time.Second,
 		GoneAfter:      10 * time.Second,
--- a/internal/group/release.go
+++ b/internal/group/release.go
@@ -50,10 +50,3 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -15,8 +15,6 @@
 	// keep are the members that may go on into a new group.
 	keep   []string
 	reason string
-	// merge allows another group's members to be used.
-	merge bool
 }
 
 func (p patient) domain() string { return p.g.Members[0].FabricDomain }
@@ -48,13 +46,8 @@
 		pl.retire(g, "the pool was dropped")
 		return patient{}, false
 	}
-	p := patient{g: g, merge: true}
-	broken := pl.failure(g, &p)
-	leaving := pl.departure(g, rolling, &p)
-	if !broken && !leaving {
-		return p, false
-	}
-	if broken && p.reason == "" {
+	p := patient{g: g}
+	if !pl.departure(g, rolling, &p) && !pl.failure(g, &p) {
 		return p, false
 	}
 	if ok, until := pl.drained(g); !ok {
@@ -78,37 +71,30 @@
 	return false
 }
 
-// failure looks for members that are lost or rebooted. It sets p.reason only
-// once the grace of each of them is over.
+// failure looks for members that are lost or rebooted. A member counts as lost
+// once its port refuses connections or its last report is stale; waiting longer
+// for it did not pay.
 func (pl *planner) failure(g state.Group, p *patient) bool {
-	broken := false
-	var until time.Time
 	for i, m := range g.Members {
 		c := pl.member(g, i)
 		switch c {
 		case lost, gone:
-			broken = true
-			until = later(until, pl.graceEnd(m.VM, c, p))
+			if pl.policy.Repair == OwnMember {
+				pl.wait(groupName(g), "its member may come back", time.Time{})
+				p.reason = ""
+				return false
+			}
 		case rebooted:
-			broken = true
 		case strayed:
-			if pl.superseded(g, m.VM) {
-				broken = true
+			if !pl.superseded(g, m.VM) {
+				continue
 			}
-			continue
 		default:
 			continue
 		}
 		p.reason = fmt.Sprintf("VM %s is %s", m.VM, c)
 	}
-	if broken && pl.Now.Before(until) {
-		pl.wait(groupName(g), "its member may come back", until)
-		p.reason = ""
-	}
-	if broken && pl.policy.Repair == OwnMember && !until.IsZero() {
-		p.reason = ""
-	}
-	return broken
+	return p.reason != ""
 }
 
 // superseded reports whether the VM's engine has seen a later fencing number
@@ -119,23 +105,6 @@
 	return refused && o.Report.Fence > g.ID
 }
 
-// graceEnd is when the member has been away for long enough to be replaced.
-func (pl *planner) graceEnd(vm string, c condition, p *patient) time.Time {
-	since := pl.lostSince(vm)
-	merge := since.Add(pl.policy.MergeGrace)
-	if pl.Now.Before(merge) {
-		p.merge = false
-	}
-	switch {
-	case c == gone || pl.policy.Repair == SpareAtOnce:
-		return since
-	case pl.Observations[vm].Refused:
-		return since.Add(pl.policy.RefusedGrace)
-	default:
-		return since.Add(pl.policy.SilentGrace)
-	}
-}
-
 // departure looks for reasons to replace a group that works.
 func (pl *planner) departure(g state.Group, rolling bool, p *patient) bool {
 	if rolling {
@@ -222,14 +191,14 @@
 // fewest members left first.
 func (pl *planner) merge(p patient, vms []string, all []patient) ([]string, []uint64) {
 	replaces := []uint64{p.g.ID}
-	if pl.policy.Repair != SpareOrMerge || !p.merge {
+	if pl.policy.Repair != SpareOrMerge {
 		return vms, replaces
 	}
 	for _, donor := range slices.Backward(all) {
 		if len(vms) >= pl.Pool.GroupSize {
 			break
 		}
-		if donor.g.ID == p.g.ID || pl.ended[donor.g.ID] || !donor.merge || len(donor.keep) == 0 {
+		if donor.g.ID == p.g.ID || pl.ended[donor.g.ID] || len(donor.keep) == 0 {
 			continue
 		}
 		vms = append(vms, donor.keep...)
--- a/internal/group/slow.go
+++ b/internal/group/slow.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		o := v.Observations[vm]
-		if ok, _ := v.usable(vm); ok && o.Report.State == Free && o.SlowSince.IsZero() {
+		if ok, _ := v.usable(vm); ok && v.idle(o) && o.SlowSince.IsZero() {
 			return true
 		}
 	}
