Keep the wait for silent members as a setting, zero by default

It counts from the first failed attempt and does not hold for a member whose port refuses connections.

--- a/internal/group/policy.go
+++ b/internal/group/policy.go
@@ -40,6 +40,10 @@
 	// ObserveWindow is how long a VM that was never heard of gets to report
 	// before it counts as lost.
 	ObserveWindow time.Duration
+	// SilentGrace is how long a member that does not answer is waited for before
+	// it is replaced; it counts from the first failed attempt. A member whose
+	// port refuses connections is not waited for: its process has ended.
+	SilentGrace time.Duration
 	// OrderResend is the wait before an order without effect is sent again.
 	OrderResend time.Duration
 	// FetchTimeout is how long a VM that fetches weights it is to load anyway is
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -72,15 +72,14 @@
 }
 
 // failure looks for members that are lost or rebooted. A member counts as lost
-// once its port refuses connections or its last report is stale; waiting longer
-// for it did not pay.
+// once its port refuses connections or its last report is stale.
 func (pl *planner) failure(g state.Group, p *patient) bool {
 	for i, m := range g.Members {
 		c := pl.member(g, i)
 		switch c {
 		case lost, gone:
-			if pl.policy.Repair == OwnMember {
-				pl.wait(groupName(g), "its member may come back", time.Time{})
+			if wait, until := pl.awaited(m.VM, c); wait {
+				pl.wait(groupName(g), "its member may come back", until)
 				p.reason = ""
 				return false
 			}
@@ -97,6 +96,19 @@
 	return p.reason != ""
 }
 
+// awaited reports whether the absent member is waited for, and until when.
+func (pl *planner) awaited(vm string, c condition) (bool, time.Time) {
+	if pl.policy.Repair == OwnMember {
+		return true, time.Time{}
+	}
+	o := pl.Observations[vm]
+	if c == gone || o.Refused {
+		return false, time.Time{}
+	}
+	end := o.FailingSince.Add(pl.policy.SilentGrace)
+	return pl.Now.Before(end), end
+}
+
 // superseded reports whether the VM's engine has seen a later fencing number
 // than the group's, so that it refuses the group's orders for ever.
 func (pl *planner) superseded(g state.Group, vm string) bool {
--- a/internal/group/repair_bench_test.go
+++ b/internal/group/repair_bench_test.go
@@ -66,6 +66,7 @@
 		{"spare-or-merge", DefaultPolicy()},
 		{"own-member", change(func(p *Policy) { p.Repair = OwnMember })},
 		{"spare-at-once", change(func(p *Policy) { p.Repair = SpareAtOnce })},
+		{"silent-grace=10s", change(func(p *Policy) { p.SilentGrace = 10 * time.Second })},
 		{"no-warming", change(func(p *Policy) { p.NoWarming = true })},
 		{"no-backoff", change(func(p *Policy) { p.FlapBackoff = 0 })},
 	}
