Measure added latency and throughput through a daemon

Experiments over the real processes: ragwortquay bench NAME starts them from its own program and prints a JSON line per run and minimum, median and maximum.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -8,6 +8,7 @@
 		demoEntry(e),
 		applyEntry(e),
 		auditEntry(e),
+		benchEntry(e),
 		diffEntry(e),
 		getEntry(e),
 		statusEntry(e),
