Measure daemons at rest, the spread of edits, and the repair of groups

Adds the experiments rest, spread, downtime and stranded, and what they need: the daemon shows its traffic with other daemons on the metrics page, and two settings select a baseline, groups.repair and limits.local. With limits.local a daemon watches all pools, since it asks no home.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"strconv"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 )
@@ -43,7 +45,7 @@
 // Experiments lists all experiments.
 func Experiments() []Experiment {
 	return []Experiment{
-		latency(), throughput(),
+		latency(), throughput(), rest(), spread(), downtime(), stranded(),
 	}
 }
 
@@ -65,6 +67,9 @@
 	out := json.NewEncoder(o.Out)
 	for n := range o.Runs {
 		seed := o.Seed + uint64(n)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		before := loadAverage()
 		figures, err := e.once(ctx, o, seed)
 		if err != nil {
@@ -90,3 +95,9 @@
 	}
 	return e.run(ctx, &trial{binary: o.Binary, dir: dir, seed: seed})
 }
+
+// sub returns a directory for one of a run's several clusters.
+func (t *trial) sub(n int) (string, error) {
+	dir := filepath.Join(t.dir, strconv.Itoa(n))
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- /dev/null
+++ b/internal/bench/stranded.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/config"
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/load/drive"
+	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/procs"
+	"github.com/ragwortquay/ragwortquay/internal/standin/engine"
+	"github.com/ragwortquay/ragwortquay/internal/standin/machines"
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+)
+
+const (
+	strandedBreak  = 2 * time.Second
+	strandedReturn = 17 * time.Second
+	strandedSpan   = 22 * time.Second
+)
+
+// stranded breaks two groups of one fabric domain, without a spare, for 15 s
+// and adds up the idle VM-seconds under each policy of repair.
+func stranded() Experiment {
+	return Experiment{
+		Name: "stranded", Short: "stranded VM-seconds, two groups broken in one fabric domain, by repair policy",
+		targets: []goal{atLeast("saved against own-member", 40)},
+		run:     runStranded,
+	}
+}
+
+func runStranded(ctx context.Context, t *trial) ([]Figure, error) {
+	var out []Figure
+	var seconds []float64
+	for n, policy := range []string{config.RepairScored, config.RepairOwnMember, config.RepairSpareAtOnce} {
+		dir, err := t.sub(n)
+		if err != nil {
+			return nil, err
+		}
+		g, err := t.strandedUnder(ctx, dir, policy)
+		if err != nil {
+			return nil, err
+		}
+		seconds = append(seconds, g.StrandedS)
+		out = append(
+			out,
+			Figure{"stranded, " + policy, "VM-s", g.StrandedS},
+			Figure{"group downtime, " + policy, "group-s", g.DowntimeS},
+		)
+	}
+	return append(out, Figure{"saved against own-member", "%", 100 * (1 - seconds[0]/seconds[1])}), nil
+}
+
+func (t *trial) strandedUnder(ctx context.Context, dir, policy string) (load.GroupResult, error) {
+	c, err := t.start(ctx, procs.Options{
+		Daemons: 3, Domains: []string{"plateau"}, Dir: dir, Settings: fmt.Sprintf("[groups]\nrepair = %q\n", policy),
+		Engines: []procs.Args{{"--count", "8", "--fabric-size", "8", "--cold-limit", "16", "--warm-limit", "64"}},
+	}, engineTables(8, groupSize, 64, 16))
+	if err != nil {
+		return load.GroupResult{}, err
+	}
+	defer c.Close()
+	p, err := settled(ctx, c, "assistant", 2)
+	if err != nil {
+		return load.GroupResult{}, err
+	}
+	plan, err := t.breakTwo(p)
+	if err != nil {
+		return load.GroupResult{}, err
+	}
+	r, err := t.driveThrough(ctx, c, plan)
+	if err != nil {
+		return load.GroupResult{}, err
+	}
+	return *r.Groups, nil
+}
+
+// breakTwo is a plan that kills one member of each of the pool's two groups and
+// brings both back.
+func (t *trial) breakTwo(p operate.Pool) (load.Plan, error) {
+	_, first, err := follower(p, 0)
+	if err != nil {
+		return load.Plan{}, err
+	}
+	_, second, err := follower(p, 1)
+	if err != nil {
+		return load.Plan{}, err
+	}
+	event := func(at time.Duration, a machines.Action) load.Event {
+		body, _ := json.Marshal(machines.FaultRequest[engine.Behaviour]{VMs: []string{first, second}, Action: a}) // always encodes
+		return load.Event{At: tomlfile.Duration(at), Name: string(a), Server: "engines", Path: "/v1/faults", Body: string(body)}
+	}
+	return load.Plan{
+		Name: "stranded", Seed: t.seed, Duration: tomlfile.Duration(strandedSpan),
+		Groups:     load.Groups{Size: groupSize, Expected: 2},
+		Workspaces: []load.Workspace{{Name: workspace, Token: procs.CallerToken(workspace), Weight: 1}},
+		Kinds:      []load.Kind{quoteKind(10)},
+		Events:     []load.Event{event(strandedBreak, machines.Kill), event(strandedReturn, machines.Revive)},
+	}, nil
+}
+
+// quoteKind is a kind of short streams.
+func quoteKind(rate float64) load.Kind {
+	return load.Kind{
+		Name: "quote", Kind: "quote", Form: load.Generate, Path: "/v1/generate", Rate: rate, MinTokens: 10, MaxTokens: 20,
+		Prefixes: 4, PrefixBytes: 64, BodyBytes: 100,
+		InTime: tomlfile.Duration(8 * time.Second), FirstToken: tomlfile.Duration(1400 * time.Millisecond),
+		Timeout: tomlfile.Duration(15 * time.Second),
+	}
+}
+
+// driveThrough sends the plan's load through all of the cluster's daemons.
+func (t *trial) driveThrough(ctx context.Context, c *procs.Cluster, plan load.Plan) (load.Result, error) {
+	o := drive.Options{Plan: plan, Balance: true, OperatorToken: procs.OperatorToken()}
+	for _, d := range c.Daemons {
+		o.Daemons = append(o.Daemons, d.Callers)
+	}
+	o.Operators = []string{"http://" + c.Daemons[0].Operators}
+	for _, s := range c.Engines {
+		o.Engines = append(o.Engines, s.URL())
+		o.Servers = append(o.Servers, drive.Server{Name: "engines", URL: s.URL()})
+	}
+	for _, s := range c.Services {
+		o.Servers = append(o.Servers, drive.Server{Name: "services", URL: s.URL()})
+	}
+	d, err := drive.New(o)
+	if err != nil {
+		return load.Result{}, err
+	}
+	return d.Run(ctx)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,7 +41,7 @@
 		s.Platform.check(),
 		s.Members.check(),
 		s.Targets.check(),
-		checkDuration("groups.wait_before_replace", s.Groups.Wait, 0, maxInterval),
+		s.Groups.check(),
 		s.checkOnce(),
 		s.Limits.check(),
 		checkDuration("shutdown.unready", s.Shutdown.Unready, 0, maxInterval),
@@ -108,6 +109,14 @@
 	)
 }
 
+func (g Groups) check() error {
+	var err error
+	if ways := []string{RepairScored, RepairOwnMember, RepairSpareAtOnce}; !slices.Contains(ways, g.Repair) {
+		err = fault.Invalid("groups.repair", fmt.Sprintf("use one of %q", ways), "%q is no way to mend a group", g.Repair)
+	}
+	return errors.Join(checkDuration("groups.wait_before_replace", g.Wait, 0, maxInterval), err)
+}
+
 func (s Settings) checkOnce() error {
 	errs := []error{
 		checkRange("once.shards", s.Once.Shards, 1, maxShards),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,8 +92,21 @@
 type Groups struct {
 	// Wait is how long a missing member is awaited before it is replaced.
 	Wait tomlfile.Duration `toml:"wait_before_replace"`
+	// Repair names the way to mend a broken group, one of the Repair constants.
+	Repair string `toml:"repair"`
 }
 
+// The ways to mend a broken group.
+const (
+	// RepairScored takes a spare or makes one group of several broken ones.
+	RepairScored = "scored"
+	// RepairOwnMember waits for the lost member.
+	RepairOwnMember = "own-member"
+	// RepairSpareAtOnce takes a spare without waiting and never makes one group
+	// of several.
+	RepairSpareAtOnce = "spare-at-once"
+)
+
 // Once tunes the at-most-once streams.
 type Once struct {
 	// Shards is the number of streams; the same on all daemons.
@@ -109,6 +122,9 @@
 	MaxConnections int               `toml:"max_connections"`
 	IdleTimeout    tomlfile.Duration `toml:"idle_timeout"`
 	ReadTimeout    tomlfile.Duration `toml:"read_timeout"`
+	// Local makes the daemon limit targets by itself, without regard to what
+	// other daemons send: only to measure against.
+	Local bool `toml:"local"`
 }
 
 // Shutdown times the steps of a graceful end.
@@ -146,7 +162,7 @@
 			ReportInterval: dur(500 * time.Millisecond),
 			MaxAnswerBytes: 8 << 20,
 		},
-		Groups: Groups{Wait: dur(2 * time.Second)},
+		Groups: Groups{Wait: dur(2 * time.Second), Repair: RepairScored},
 		Once:   Once{Shards: 8, MaxKeyAge: dur(time.Hour)},
 		Limits: Limits{
 			MaxBodyBytes:   1 << 20,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,7 @@
 		{"missing id", `id = "entry-01"`, "", "daemon.id"},
 		{"url", "http://127.0.0.1:9000", "127.0.0.1:9000", "platform.log"},
 		{"key age", "[secrets]", "[once]\nmax_key_age = \"20h\"\n[secrets]", "once.max_key_age"},
+		{"repair", "[secrets]", "[groups]\nrepair = \"luck\"\n[secrets]", "groups.repair"},
 		{"duration", "[secrets]", "[members]\nprobe_interval = \"soon\"\n[secrets]", "d.toml:10"},
 	}
 	for _, tc := range tests {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/admin"
+	"github.com/ragwortquay/ragwortquay/internal/config"
 	"github.com/ragwortquay/ragwortquay/internal/control"
 	"github.com/ragwortquay/ragwortquay/internal/dispatch"
 	"github.com/ragwortquay/ragwortquay/internal/fleet"
@@ -100,6 +101,13 @@
 	})
 }
 
+// repairs maps the setting to the policy.
+var repairs = map[string]group.Repair{
+	config.RepairScored:      group.SpareOrMerge,
+	config.RepairOwnMember:   group.OwnMember,
+	config.RepairSpareAtOnce: group.SpareAtOnce,
+}
+
 func (d *Daemon) buildFleet() error {
 	vms, err := platform.NewVMLister(d.platformOptions(d.settings.Platform.VMs))
 	if err != nil {
@@ -111,9 +119,14 @@
 	}
 	policy := group.DefaultPolicy()
 	policy.SilentGrace = time.Duration(d.settings.Groups.Wait)
+	policy.Repair = repairs[d.settings.Groups.Repair]
+	var members fleet.Members = d.members
+	if d.settings.Limits.Local {
+		members = alone{d.members}
+	}
 	d.fleet = fleet.New(fleet.Options{
 		View:        d.view,
-		Members:     d.members,
+		Members:     members,
 		VMs:         vms,
 		Store:       weights,
 		Submit:      d.control,
@@ -133,6 +146,7 @@
 		Replicas: d.fleet,
 		Standing: d.standing,
 		Daemons:  d.view,
+		Local:    d.settings.Limits.Local,
 		Boot:     d.boot,
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,7 @@
 		d.front.Run,
 		d.admin.Run,
 		d.follow,
+		d.showTraffic,
 	}
 }
 
