--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -55,7 +55,7 @@
 }
 
 func operators(d *procs.Daemon) (*admin.Client, error) {
-	return admin.NewClient("http://"+d.Operators, procs.OperatorToken())
+	return admin.NewClient("http://"+d.Operators, procs.OperatorToken)
 }
 
 // settled waits until the pool has n replicas that serve, and returns it.
--- a/internal/bench/spread.go
+++ b/internal/bench/spread.go
@@ -50,6 +50,9 @@
 	defer stop()
 	var g errgroup.Group
 	g.Go(func() error { return w.run(watching) })
+	if err := until(ctx, "tables on every daemon", func() bool { return w.allAt(1) }); err != nil {
+		return nil, err
+	}
 	e := editor{clients: w.clients, watch: w, draw: rand.New(rand.NewPCG(t.seed, 0))}
 	for n := range spreadEdits {
 		if err := e.edit(ctx, n); err != nil {
@@ -138,6 +141,9 @@
 	if err != nil {
 		return err
 	}
+	if len(t.Pools) == 0 {
+		return fault.New(fault.Internal, "report this", "a daemon lost its tables")
+	}
 	pool := t.Pools[0].Pool
 	pool.Limit = 64 + n%2
 	begun := time.Now()
--- a/internal/bench/stranded.go
+++ b/internal/bench/stranded.go
@@ -114,7 +114,7 @@
 
 // driveThrough sends the plan's load through all of the cluster's daemons.
 func (t *trial) driveThrough(ctx context.Context, c *procs.Cluster, plan load.Plan) (load.Result, error) {
-	o := drive.Options{Plan: plan, Balance: true, OperatorToken: procs.OperatorToken()}
+	o := drive.Options{Plan: plan, Balance: true, OperatorToken: procs.OperatorToken}
 	for _, d := range c.Daemons {
 		o.Daemons = append(o.Daemons, d.Callers)
 	}
--- a/internal/procs/traffic.go
+++ b/internal/procs/traffic.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	req.Header.Set("Authorization", "Bearer "+OperatorToken)
 	resp, err := probes.Do(req)
 	if err != nil {
 		return nil, err
