--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -45,7 +45,7 @@
 // Experiments lists all experiments.
 func Experiments() []Experiment {
 	return []Experiment{
-		latency(), throughput(), rest(), spread(), downtime(), stranded(),
+		latency(), throughput(), rest(), spread(), downtime(), stranded(), domain(), cold(),
 	}
 }
 
--- /dev/null
+++ b/internal/bench/cold.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/procs"
+	"github.com/ragwortquay/ragwortquay/internal/standin/journal"
+	"github.com/ragwortquay/ragwortquay/internal/standin/machines"
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+)
+
+const (
+	coldTargets = 4
+	coldSpan    = 16 * time.Second
+	coldLimit   = 4
+	// minoritySize is the number of daemons that a partition cuts off.
+	minoritySize = 5
+)
+
+// cold counts the times that targets just started were pushed past what they
+// bear, with limits that span daemons and with each daemon's own.
+func cold() Experiment {
+	return Experiment{
+		Name: "cold", Short: "work over a cold target's limit with 15 daemons, with and without a partition",
+		targets: []goal{atMost("over limit", 0), atMost("over limit, partition", 0)},
+		run:     runCold,
+	}
+}
+
+func runCold(ctx context.Context, t *trial) ([]Figure, error) {
+	var out []Figure
+	for n, v := range []struct {
+		suffix       string
+		local, split bool
+	}{
+		{suffix: ""},
+		{suffix: ", partition", split: true},
+		{suffix: ", each daemon alone", local: true},
+	} {
+		dir, err := t.sub(n)
+		if err != nil {
+			return nil, err
+		}
+		figures, err := t.coldUnder(ctx, dir, v.local, v.split)
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range figures {
+			f.Name += v.suffix
+			out = append(out, f)
+		}
+	}
+	return out, nil
+}
+
+func (t *trial) coldUnder(ctx context.Context, dir string, local, split bool) ([]Figure, error) {
+	c, err := t.start(ctx, procs.Options{
+		Daemons: siteDaemons, Dir: dir, Partitions: true, Settings: fmt.Sprintf("[limits]\nlocal = %t\n", local),
+		Services: []procs.Args{{
+			"--count", "4", "--prefix", "svc", "--work", "100ms",
+			"--cold-limit", "4", "--warm-limit", "64", "--grow-per-done", "0.25",
+		}},
+	}, serviceTables(coldTargets, 64, coldLimit))
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if _, err := settled(ctx, c, "ledger", coldTargets); err != nil {
+		return nil, err
+	}
+	if split {
+		if err := c.Split(c.Daemons[:minoritySize], c.Daemons[minoritySize:]); err != nil {
+			return nil, err
+		}
+	}
+	r, err := t.driveThrough(ctx, c, t.coldPlan())
+	if err != nil {
+		return nil, err
+	}
+	return coldFigures(c, r)
+}
+
+// coldPlan sends load while all targets are cold, and kills and revives two of
+// them.
+func (t *trial) coldPlan() load.Plan {
+	event := func(at time.Duration, a machines.Action) load.Event {
+		body := fmt.Sprintf(`{"vms": ["svc-0", "svc-1"], "action": %q}`, a)
+		return load.Event{At: tomlfile.Duration(at), Name: string(a), Server: "services", Path: "/v1/faults", Body: body}
+	}
+	k := serviceKind("lookup", 120, 0)
+	k.Timeout = tomlfile.Duration(5 * time.Second)
+	return load.Plan{
+		Name: "cold", Seed: t.seed, Duration: tomlfile.Duration(coldSpan),
+		Workspaces: []load.Workspace{{Name: workspace, Token: procs.CallerToken(workspace), Weight: 1}},
+		Kinds:      []load.Kind{k},
+		Events:     []load.Event{event(6*time.Second, machines.Kill), event(8*time.Second, machines.Revive)},
+	}
+}
+
+func coldFigures(c *procs.Cluster, r load.Result) ([]Figure, error) {
+	es, err := c.Services[0].Journal()
+	if err != nil {
+		return nil, err
+	}
+	over, falls := 0, 0
+	for _, e := range es {
+		if e.Event == journal.Start && e.Cold && e.Inflight > e.Limit {
+			over++
+		}
+		if e.Event == journal.FellOver {
+			falls++
+		}
+	}
+	out := []Figure{{"over limit", "requests", float64(over)}, {"falls", "targets", float64(falls)}}
+	return append(out, answerFigures(r)[1:4]...), nil
+}
