--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,6 +133,7 @@
 		d.front.Run,
 		d.admin.Run,
 		d.follow,
+		d.showTraffic,
 	}
 }
 
--- /dev/null
+++ b/internal/procs/tokens.go
@@ -0,0 +1,4 @@
+package procs
+
+// CallerToken returns the token by which the workspace's callers are known.
+func CallerToken(workspace string) string { return callerToken(workspace) }
