Judge a request again before each retry; rest a replica that was found dead

Cause 1: neighbours came back unknown within 8 ms: their retries went to replicas that had just died, since the home heard of it with the next report. A holder's word that a target is gone now closes the replica until a later report.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -203,6 +203,9 @@
 	j.state.Exclude = dec.Exclude
 	j.state.Replica = ""
 	j.state.MayHaveRun = j.state.MayHaveRun || fault.As(err).Outcome != fault.NotRun
+	if err := d.judge(j); err != nil {
+		return fault.As(err).WithOutcome(fault.Unknown) // its targets began to run it
+	}
 	return wait(ctx, dec.After)
 }
 
--- a/internal/limit/choose_test.go
+++ b/internal/limit/choose_test.go
@@ -137,3 +137,18 @@
 	must.True(t, fault.Is(err, fault.Unavailable))
 	must.Eq(t, fault.NotRun, fault.As(err).Outcome)
 }
+
+// A replica that a holder found dead gets nothing new until a later report.
+func TestCrashedReplicaRestsUntilItReports(t *testing.T) {
+	f := newFixture(t, Config{Limit: 4, ColdLimit: 4}, rep("a", "f1"), rep("b", "f1"))
+	g := f.granted(without("b"))
+	f.release(g, Result{Outcome: Crashed, Duration: time.Second})
+	for range 4 {
+		must.Eq(t, "b", f.granted().Replica)
+	}
+	later := rep("a", "f1")
+	later.ReportedAt = f.now.Add(time.Second)
+	f.now = later.ReportedAt
+	f.p.SetReplicas(f.now, []replica.Replica{later, rep("b", "f1")})
+	must.Eq(t, "a", f.granted().Replica)
+}
--- a/internal/limit/hold.go
+++ b/internal/limit/hold.go
@@ -23,6 +23,9 @@
 	if h.grant.Incarnation == u.ramp.incarnation {
 		u.ramp.record(now, r.Result, full && h.grant.Level == u.ramp.level, p.cfg)
 	}
+	if r.Result.Outcome == Crashed {
+		u.doubted = now
+	}
 	if r.Result.Outcome == OK {
 		p.speed.record(r.Result.Duration)
 	}
--- a/internal/limit/unit.go
+++ b/internal/limit/unit.go
@@ -32,6 +32,9 @@
 	spans spans
 	// closedAt is when the replica last ceased to be open; zero while it is.
 	closedAt time.Time
+	// doubted is when a holder last said that the target is gone: until a later
+	// report the replica gets no new work.
+	doubted time.Time
 	// withdrawn means that operators took its failure domain out meanwhile.
 	withdrawn bool
 }
@@ -82,6 +85,9 @@
 
 // open reports whether the replica may get new work at all.
 func (p *Pool) open(u *unit) bool {
+	if !u.rep.ReportedAt.After(u.doubted) && !u.doubted.IsZero() {
+		return false
+	}
 	return u.rep.Status == replica.Serving && !slices.Contains(p.cfg.Withdrawn, u.rep.FailureDomain)
 }
 
