Let the control tests' daemons hear each other

Cause: each in-process daemon heard only itself, so that after both had joined neither saw a majority and the new epoch stayed closed; the test passed only if the second daemon was cut off before its join.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -62,7 +62,11 @@
 func node(t *testing.T, net *mesh, log *fakeLog, id string, cut bool) (*Manager, *gate) {
 	t.Helper()
 	g := &gate{fakeLog: log, cut: cut}
-	m, _ := start(t, Options{Self: id, Addr: id, Log: g, Peers: port{mesh: net, self: id}, Snapshots: SnapshotSettings{Check: time.Hour}})
+	m, _ := start(t, Options{
+		Self: id, Addr: id, Log: g, Peers: port{mesh: net, self: id}, Snapshots: SnapshotSettings{Check: time.Hour},
+		LiveIDs: func() []string { return net.live(id) },
+		Reports: func() []quorum.Report { return net.reports(id) },
+	})
 	net.add(id, m)
 	return m, g
 }
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
+	"github.com/ragwortquay/ragwortquay/internal/quorum"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -177,6 +179,24 @@
 	return out
 }
 
+// live returns the ids of the reachable managers, self included.
+func (m *mesh) live(self string) []string {
+	out := append(port{mesh: m, self: self}.Peers(), self)
+	slices.Sort(out)
+	return out
+}
+
+// reports returns what the reachable managers other than self say of themselves.
+func (m *mesh) reports(self string) []quorum.Report {
+	var out []quorum.Report
+	for _, addr := range (port{mesh: m, self: self}).Peers() {
+		if n := m.get(addr); n != nil {
+			out = append(out, reportOf(*n.position()))
+		}
+	}
+	return out
+}
+
 // port is one manager's end of the mesh.
 type port struct {
 	mesh *mesh
