keyed: bound the outbox by bytes; measure catch-up

A daemon that owes results while the log is down kept up to 8192 of them per stream with bodies of 16 KiB each, far over a daemon's memory. Beyond 1 MiB of bodies a result is now kept without its body (the retry is told that the request ran), and a message to a home carries at most 256 KiB.

The simulation of members keeps its queue in order instead of sorting it at each step.

--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
 	"syscall"
@@ -130,6 +131,39 @@
 	}
 }
 
+// BenchmarkBusy gives the false alarms among 15 daemons while twice as many
+// goroutines as there are cores compute without a pause.
+func BenchmarkBusy(b *testing.B) {
+	c := newBenchCluster(b, 15, settleFor)
+	for b.Loop() {
+		c.reset()
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range 2 * runtime.NumCPU() {
+			wg.Go(func() { burn(stop) })
+		}
+		time.Sleep(restFor)
+		close(stop)
+		wg.Wait()
+		_, suspects := c.about(member.Suspected, "")
+		_, deaths := c.about(member.Died, "")
+		b.ReportMetric(float64(suspects), "views-suspecting")
+		b.ReportMetric(float64(deaths), "views-taking-for-dead")
+	}
+}
+
+func burn(stop <-chan struct{}) {
+	key := []byte("burn")
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+			key = mac(key, key)
+		}
+	}
+}
+
 // BenchmarkKill gives the time until all others take a killed daemon for dead.
 func BenchmarkKill(b *testing.B) {
 	for _, n := range []int{3, 15, 45} {
--- a/internal/keyed/bench_test.go
+++ b/internal/keyed/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/ragwortquay/ragwortquay/internal/once"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
 const (
@@ -73,3 +74,29 @@
 	defer l.mu.Unlock()
 	return l.appends
 }
+
+// catchUpKeys is what a stream holds after an hour of benchRate spread over
+// the default number of streams.
+const catchUpKeys = 3600 * benchRate / DefaultShards
+
+// BenchmarkCatchUp gives the time that a new home takes to read a stream.
+func BenchmarkCatchUp(b *testing.B) {
+	c := newCluster(b, 1, nil)
+	fill(b, c)
+	c.log.set(func(l *fakeLog) { l.latency = benchLatency })
+	for i := 0; b.Loop(); i++ {
+		c.start(fmt.Sprintf("late%d", i)).readyStream(b, 0)
+	}
+}
+
+func fill(b *testing.B, c *cluster) {
+	for i := range catchUpKeys {
+		in := order(fmt.Sprint(i))
+		in.Attempt, in.Author, in.Boot = fmt.Sprintf("%026d", i), "d0", "boot"
+		for _, r := range []once.Record{{Intent: &in}, {Done: &once.Done{Attempt: in.Attempt, Result: paid}}} {
+			data, err := wire.EncodeOnce(&r)
+			must.NoError(b, err)
+			c.log.set(func(l *fakeLog) { l.put(streamName(0), data) })
+		}
+	}
+}
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -344,7 +344,7 @@
 }
 
 // readyStream returns a stream that the daemon has read as its home.
-func (n *node) readyStream(t *testing.T, shard int) *stream {
+func (n *node) readyStream(t testing.TB, shard int) *stream {
 	t.Helper()
 	var s *stream
 	waitFor(t, func() bool {
@@ -430,6 +430,23 @@
 	test.Eq(t, once.Finished, got.Verdict)
 }
 
+func TestOutboxIsBounded(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	n := c.nodes["d0"]
+	c.log.set(func(l *fakeLog) { l.refuse = true })
+	b := n.Client.boxes[0]
+	body := make([]byte, once.MaxResultBytes)
+	for i := range maxOwed + 10 {
+		b.add(once.Record{Done: &once.Done{Attempt: fmt.Sprint(i), Result: once.Result{Outcome: fault.Ran, Body: body}}})
+	}
+	test.Eq(t, maxOwed, b.len())
+	test.LessEq(t, maxOwedBytes, b.bytes)
+	test.True(t, b.debts[maxOwed-1].record.Done.Result.Omitted)
+	test.LessEq(t, sendBytes/once.MaxResultBytes, len(b.batch()))
+	b.remove(maxOwed)
+	test.Zero(t, b.bytes)
+}
+
 func TestForeignClaimIsForbidden(t *testing.T) {
 	c := newCluster(t, 2, nil)
 	in := order("k")
--- a/internal/keyed/outbox.go
+++ b/internal/keyed/outbox.go
@@ -16,9 +16,12 @@
 	// maxOwed bounds an outbox; results beyond it are lost, and their keys
 	// answer "unknown", as if this daemon had died.
 	maxOwed = 8192
-	// sendBatch bounds the records of one message to a home, which must stay
-	// within a frame.
+	// maxOwedBytes bounds the bodies in an outbox; results beyond it are kept
+	// without their bodies.
+	maxOwedBytes = 1 << 20
+	// sendBatch and sendBytes bound one message to a home.
 	sendBatch = 256
+	sendBytes = 256 << 10
 )
 
 // debt is a record that must get into the log.
@@ -37,6 +40,7 @@
 
 	mu      sync.Mutex
 	debts   []debt
+	bytes   int    // of the debts' bodies
 	settled uint64 // debts dealt with so far
 	changed chan struct{}
 }
@@ -58,6 +62,11 @@
 		klog.ErrorS(nil, "Too many results wait for the log; one is lost and its key will answer unknown", "shard", b.shard)
 		return
 	}
+	if r.Done != nil && b.bytes+len(r.Done.Result.Body) > maxOwedBytes {
+		short := once.Done{Attempt: r.Done.Attempt, Result: r.Done.Result.Omit()}
+		r.Done = &short
+	}
+	b.bytes += bodySize(r)
 	b.debts = append(b.debts, debt{record: r, since: time.Now()})
 	b.mu.Unlock()
 	select {
@@ -66,6 +75,13 @@
 	}
 }
 
+func bodySize(r once.Record) int {
+	if r.Done == nil {
+		return 0
+	}
+	return len(r.Done.Result.Body)
+}
+
 // run sends until ctx ends, then tries for DrainTimeout to send what is left.
 func (b *outbox) run(ctx context.Context) error {
 	for {
@@ -108,10 +124,13 @@
 		klog.ErrorS(errDropped, "Dropped a result", "shard", b.shard)
 		b.cut(1)
 	}
-	n := min(len(b.debts), sendBatch)
-	records := make([]once.Record, n)
-	for i := range records {
-		records[i] = b.debts[i].record
+	var records []once.Record
+	size := 0
+	for _, d := range b.debts[:min(len(b.debts), sendBatch)] {
+		if size += bodySize(d.record); size > sendBytes && len(records) > 0 {
+			break
+		}
+		records = append(records, d.record)
 	}
 	return records
 }
@@ -124,6 +143,9 @@
 
 // cut drops the n oldest debts; the caller holds mu.
 func (b *outbox) cut(n int) {
+	for _, d := range b.debts[:n] {
+		b.bytes -= bodySize(d.record)
+	}
 	b.debts = b.debts[n:]
 	if len(b.debts) == 0 {
 		b.debts = nil
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -82,10 +82,21 @@
 			continue
 		}
 		at := s.now.Add(simLatency + time.Duration(s.rand.IntN(1000))*time.Microsecond)
-		s.queue = append(s.queue, delivery{at: at, from: n.id, to: a.Send.To, msg: a.Send.Message})
+		s.enqueue(delivery{at: at, from: n.id, to: a.Send.To, msg: a.Send.Message})
 	}
 }
 
+// enqueue keeps the queue in the order of delivery.
+func (s *sim) enqueue(q delivery) {
+	i, _ := slices.BinarySearchFunc(s.queue, q, func(a, b delivery) int {
+		if a.at.After(b.at) {
+			return 1
+		}
+		return -1 // equal times stay in the order of sending
+	})
+	s.queue = slices.Insert(s.queue, i, q)
+}
+
 // run advances the simulation by d.
 func (s *sim) run(d time.Duration) {
 	end := s.now.Add(d)
@@ -116,7 +127,6 @@
 func (s *sim) nextStep() (time.Time, func()) {
 	var at time.Time
 	var step func()
-	slices.SortStableFunc(s.queue, func(a, b delivery) int { return a.at.Compare(b.at) })
 	if len(s.queue) > 0 {
 		at, step = s.queue[0].at, s.deliver
 	}
@@ -145,7 +155,7 @@
 	}
 	if s.now.Before(n.paused) {
 		q.at = n.paused // the socket's buffer keeps it
-		s.queue = append(s.queue, q)
+		s.enqueue(q)
 		return
 	}
 	s.act(n, n.d.Receive(&q.msg, s.now))
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -88,6 +88,14 @@
 	if len(r.Body) <= MaxResultBytes {
 		return r
 	}
+	return r.Omit()
+}
+
+// Omit returns the result with its body replaced by a hash.
+func (r Result) Omit() Result {
+	if r.Omitted {
+		return r
+	}
 	r.Digest = FingerprintOf(r.Body)
 	r.Omitted, r.Body = true, nil
 	return r
