--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -105,39 +105,21 @@
 	})
 }
 
-// form makes new groups of free VMs. It holds back the spares that groups
-// under repair still lack.
+// form makes new groups of free VMs.
 func (pl *planner) form() {
 	if !pl.serves() {
 		return
 	}
-	lacking := pl.lacking()
 	free := pl.free()
 	for _, domain := range sortedKeys(free) {
 		vms := free[domain]
-		for len(vms)-lacking[domain] >= pl.Pool.GroupSize {
+		for len(vms) >= pl.Pool.GroupSize {
 			pl.propose(vms[:pl.Pool.GroupSize], nil, "free VMs make a group")
 			vms = vms[pl.Pool.GroupSize:]
 		}
 	}
 }
 
-// lacking counts by fabric domain the members that groups in force miss.
-func (pl *planner) lacking() map[string]int {
-	out := make(map[string]int)
-	for _, g := range pl.Groups {
-		if pl.ended[g.ID] || pl.policy.Repair == OwnMember {
-			continue
-		}
-		for i, m := range g.Members {
-			if c := pl.member(g, i); c == lost || c == gone {
-				out[m.FabricDomain]++
-			}
-		}
-	}
-	return out
-}
-
 // propose asks for a group of vms in this rank order.
 func (pl *planner) propose(vms []string, replaces []uint64, reason string) {
 	f := state.Form{
