--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -45,7 +45,8 @@
 // Experiments lists all experiments.
 func Experiments() []Experiment {
 	return []Experiment{
-		latency(), throughput(), rest(), spread(), downtime(), stranded(), domain(), cold(),
+		latency(), throughput(), rest(), spread(), downtime(), stranded(), domain(), cold(), outage(), keyedLoad(),
+		large(), tokens(), watching(),
 	}
 }
 
--- /dev/null
+++ b/internal/bench/outage.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/procs"
+	"github.com/ragwortquay/ragwortquay/internal/tomlfile"
+)
+
+const (
+	outageFrom  = 15 * time.Second
+	outageUntil = 75 * time.Second
+	outageRate  = 100.0
+	// outageWarmup is the first part of the load, which is not counted.
+	outageWarmup = 5 * time.Second
+)
+
+// outage compares idempotent service while the log is down with that before.
+func outage() Experiment {
+	return Experiment{
+		Name: "outage", Short: "idempotent service while the log is down for 60 s",
+		targets: []goal{atLeast("in time, during", 100), atMost("p50 during over before", 1.1)},
+		run:     runOutage,
+	}
+}
+
+func runOutage(ctx context.Context, t *trial) ([]Figure, error) {
+	c, err := t.start(ctx, procs.Options{
+		Daemons:  siteDaemons,
+		Services: []procs.Args{{"--count", "3", "--prefix", "svc", "--cold-limit", "64", "--warm-limit", "64"}},
+	}, serviceTables(3, 64, 64))
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if _, err := settled(ctx, c, "ledger", 3); err != nil {
+		return nil, err
+	}
+	r, err := t.driveThrough(ctx, c, t.outagePlan())
+	if err != nil {
+		return nil, err
+	}
+	before, during := r.Kinds[0], r.Kinds[1]
+	return []Figure{
+		{"answered, before", "requests/s", float64(before.Answer.Count) / (outageFrom - outageWarmup).Seconds()},
+		{"answered, during", "requests/s", float64(during.Answer.Count) / (outageUntil - outageFrom).Seconds()},
+		{"in time, before", "%", 100 * before.InTimeRatio},
+		{"in time, during", "%", 100 * during.InTimeRatio},
+		{"answer p50, before", "ms", before.Answer.P50},
+		{"answer p50, during", "ms", during.Answer.P50},
+		{"answer p99, before", "ms", before.Answer.P99},
+		{"answer p99, during", "ms", during.Answer.P99},
+		{"p50 during over before", "ratio", during.Answer.P50 / before.Answer.P50},
+	}, nil
+}
+
+// outagePlan offers the same load as two kinds, one up to the outage and one
+// during it.
+func (t *trial) outagePlan() load.Plan {
+	before, during := serviceKind("lookup", outageRate, 0), serviceKind("lookup", outageRate, 0)
+	before.Name, before.Until = "before", tomlfile.Duration(outageFrom)
+	during.Name, during.From = "during", tomlfile.Duration(outageFrom)
+	event := func(at time.Duration, name, body string) load.Event {
+		return load.Event{At: tomlfile.Duration(at), Name: name, Server: "log", Path: "/v1/faults", Body: body}
+	}
+	return load.Plan{
+		Name: "outage", Seed: t.seed, Duration: tomlfile.Duration(outageUntil), Warmup: tomlfile.Duration(outageWarmup),
+		Workspaces: []load.Workspace{{Name: workspace, Token: procs.CallerToken(workspace), Weight: 1}},
+		Kinds:      []load.Kind{before, during},
+		Events: []load.Event{
+			event(outageFrom, "log down", `{"refuse": true}`),
+			event(outageUntil, "log back", `{"refuse": false}`),
+		},
+	}
+}
--- a/internal/bench/stranded.go
+++ b/internal/bench/stranded.go
@@ -123,6 +123,7 @@
 		o.Engines = append(o.Engines, s.URL())
 		o.Servers = append(o.Servers, drive.Server{Name: "engines", URL: s.URL()})
 	}
+	o.Servers = append(o.Servers, drive.Server{Name: "log", URL: c.Log.URL()})
 	for _, s := range c.Services {
 		o.Servers = append(o.Servers, drive.Server{Name: "services", URL: s.URL()})
 	}
--- a/internal/bench/throughput.go
+++ b/internal/bench/throughput.go
@@ -47,13 +47,16 @@
 		daemon *procs.Daemon
 	}{{"home", home}, {"other", other}} {
 		cpu, _, _ := w.daemon.Usage()
+		homeBefore, _, _ := home.Usage()
 		r := rate(ctx, newCaller(w.daemon.Callers, fmt.Sprintf("%s-%d", w.name, t.seed)))
 		after, _, _ := w.daemon.Usage()
+		homeAfter, _, _ := home.Usage()
 		out = append(out, r.figures(w.name)...)
 		out = append(
 			out,
 			Figure{"ratio, " + w.name, "of direct", r.perSecond() / direct.perSecond()},
-			Figure{"CPU a request, " + w.name, "us", float64((after - cpu).Microseconds()) / float64(max(r.all, 1))},
+			Figure{"CPU a request, " + w.name, "us", r.each(after - cpu)},
+			Figure{"CPU of the home a request, " + w.name, "us", r.each(homeAfter - homeBefore)},
 		)
 	}
 	return out, nil
@@ -73,6 +76,11 @@
 	return measured{tally: t, all: warm.good + t.good, span: time.Since(start)}
 }
 
+// each is a CPU time divided by the exchanges, in microseconds.
+func (m measured) each(cpu time.Duration) float64 {
+	return float64(cpu.Microseconds()) / float64(max(m.all, 1))
+}
+
 func (m measured) perSecond() float64 { return float64(m.good) / m.span.Seconds() }
 
 func (m measured) figures(name string) []Figure {
