--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/member"
 )
@@ -35,6 +37,8 @@
 }
 
 func newBenchCluster(b *testing.B, n int, settle time.Duration) *benchCluster {
+	klog.LogToStderr(false) // events would break the lines of figures
+	klog.SetOutput(io.Discard)
 	c := &benchCluster{events: map[member.EventKind][]member.Event{}}
 	settings := func(o *Options) {
 		o.Interval, o.ProbeTimeout = 0, 0
