Look at the weight store's load again when a fetch waits for it

Cause: the load was read every second, so a spare's fetch often waited for fetches that had long ended.

--- a/internal/fleet/act.go
+++ b/internal/fleet/act.go
@@ -50,6 +50,9 @@
 	case group.ProposeRelease:
 		w.queue(&state.Record{Release: &a.Release})
 	case group.Wait:
+		if a.Store {
+			raise(w.m.storeAwaited)
+		}
 		klog.V(2).InfoS("Waiting", "pool", w.pool, "subject", a.Subject, "reason", a.Reason, "until", a.Until)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,6 +113,8 @@
 	vms    *shard.Map[group.VM]
 	listed atomic.Bool
 	store  atomic.Pointer[group.Store]
+	// storeAwaited holds a token while a fetch waits for the weight store.
+	storeAwaited chan struct{}
 	// pools holds what each worker publishes.
 	pools *shard.Map[published]
 	// homes counts the workers; the platform is asked only while there are any.
@@ -139,6 +141,8 @@
 		vms:   shard.NewMap[group.VM](),
 		pools: shard.NewMap[published](),
 		slots: make(chan struct{}, o.Concurrency),
+
+		storeAwaited: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/fleet/lists.go
+++ b/internal/fleet/lists.go
@@ -17,7 +17,7 @@
 // home. A list that cannot be read stays as it was.
 func (m *Manager) followVMs(ctx context.Context) error {
 	failed := false
-	return m.follow(ctx, func() time.Duration {
+	return m.follow(ctx, nil, func() time.Duration {
 		vms, err := m.opts.VMs.List(ctx)
 		if err != nil {
 			if !failed {
@@ -37,7 +37,7 @@
 	if m.opts.Store == nil {
 		return nil
 	}
-	return m.follow(ctx, func() time.Duration {
+	return m.follow(ctx, m.storeAwaited, func() time.Duration {
 		loads, err := m.opts.Store.Loads(ctx)
 		if err != nil {
 			// The limit of the store's last answer still queues the loads; how
@@ -56,22 +56,28 @@
 }
 
 // follow calls read, which returns the time to the next call, while this daemon
-// is any pool's home.
-func (m *Manager) follow(ctx context.Context, read func() time.Duration) error {
+// is any pool's home. A token in soon shortens that time.
+func (m *Manager) follow(ctx context.Context, soon <-chan struct{}, read func() time.Duration) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	due := false
+	due, prompted := false, false
 	for {
 		inputs := m.inputs.wait()
 		if due && m.homes.Load() > 0 {
 			timer.Reset(read())
-			due = false
+			due, prompted = false, false
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 			due = true
+		case <-soon:
+			// Only the first token counts, so that many cannot put off the read.
+			if !due && !prompted {
+				timer.Reset(m.opts.ReportFast)
+			}
+			prompted = true
 		case <-inputs:
 		}
 	}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -129,6 +129,9 @@
 	Subject string
 	Reason  string
 	Until   time.Time
+	// Store means that a fetch waits for the weight store: its load is worth
+	// another look.
+	Store bool
 }
 
 func (ProposeForm) action()    {}
--- a/internal/group/orders.go
+++ b/internal/group/orders.go
@@ -110,7 +110,7 @@
 	for _, l := range due {
 		if l.fetch {
 			if slots <= 0 {
-				pl.wait(groupName(l.g), "the weight store is busy", time.Time{})
+				pl.do(Wait{Subject: groupName(l.g), Reason: "the weight store is busy", Store: true})
 				continue
 			}
 			slots--
