--- a/internal/procs/traffic.go
+++ b/internal/procs/traffic.go
@@ -14,8 +14,10 @@
 
 // IO returns the bytes that the process has read and written so far by plain
 // system calls. TCP connections and files count, datagrams do not.
-func (p *Proc) IO() (read, written int64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", p.PID()))
+func (p *Proc) IO() (read, written int64, err error) { return ioOf(p.PID()) }
+
+func ioOf(pid int) (read, written int64, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
 	if err != nil {
 		return 0, 0, err
 	}
