--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -44,10 +44,11 @@
 		if a.refused != nil {
 			return limit.Grant{}, a.refused
 		}
-		if a.hint != "" && a.hint != hint {
+		if a.hint != "" && hint == "" {
 			hint = a.hint
 			continue
 		}
+		// Two homes that name each other must not make this a spin.
 		hint = ""
 		if err := c.pause(ctx, a.moved); err != nil {
 			return limit.Grant{}, err
@@ -92,7 +93,7 @@
 	l := c.line(req.Pool, slice)
 	req.Seq = l.expect(req.ID)
 	defer l.unexpect(req.ID)
-	m, err := c.ask(ctx, home, &wire.Acquire{Slice: slice, Request: req}, moved)
+	m, err := c.ask(ctx, home, &wire.Acquire{Slice: slice, Term: l.latestTerm(), Request: req}, moved)
 	if err != nil {
 		go c.withdraw(home, req, slice)
 		return attempted{moved: moved}
--- a/internal/grant/deputy.go
+++ b/internal/grant/deputy.go
@@ -52,10 +52,19 @@
 // note tells a deputy of the grant if it needs one. It reports false if no
 // deputy answered: the grant must then not be used.
 func (h *Home) note(ctx context.Context, t *tenure, g *limit.Grant) bool {
-	candidates := h.candidates(t, g.Holder)
-	if len(candidates) == 0 {
+	domains := h.domains()
+	own := domains.of(h.opt.Members.Self())
+	if h.opt.Local || domains.of(g.Holder) != own {
 		return true
 	}
+	majority := h.opt.Standing.MayUseCold()
+	candidates := slices.DeleteFunc(slices.Clone(h.opt.Members.Live()), func(id string) bool { return domains.of(id) == own })
+	if len(candidates) == 0 {
+		// Elsewhere this domain may be taken for lost, and cold replicas given to
+		// others: unless this is the majority, both before and after the look at
+		// who lives, they are off limits.
+		return !g.Cold || (majority && h.opt.Standing.MayUseCold())
+	}
 	for range noteTries {
 		to := h.deputy(t, candidates)
 		if to == "" {
@@ -69,17 +78,6 @@
 	return false
 }
 
-// candidates lists the live daemons outside the failure domain that this home
-// shares with the holder; none if it shares none, or if there are none.
-func (h *Home) candidates(t *tenure, holder string) []string {
-	domains := h.domains()
-	own := domains.of(h.opt.Members.Self())
-	if h.opt.Local || domains.of(holder) != own {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(h.opt.Members.Live()), func(id string) bool { return domains.of(id) == own })
-}
-
 // deputy chooses the candidate that ranks next for the pool, passing over
 // those that did not answer lately while there are others.
 func (h *Home) deputy(t *tenure, candidates []string) string {
--- a/internal/grant/follow.go
+++ b/internal/grant/follow.go
@@ -53,7 +53,11 @@
 
 func (h *Home) refreshPool(now time.Time, t *tenure, p *limit.Pool) {
 	p.Configure(now, h.config(t.id.Pool))
-	p.SetStanding(now, h.opt.standing())
+	// The standing is read first: daemons that it counts in are then among the
+	// live ones, and are asked before it is put to use.
+	standing := h.opt.standing()
+	h.askFresh(now, t, p)
+	p.SetStanding(now, standing)
 	reps := h.replicas(t)
 	if len(reps) == 0 && (now.Sub(t.began) < watchDelay || !h.owns(t)) {
 		// A watch that has just begun has seen nothing yet, and a daemon that is
@@ -78,34 +82,34 @@
 	return h.owner(t.id.Pool, t.id.Slice) == h.opt.Members.Self()
 }
 
-// membersChanged hands the pools that moved to their new homes, and asks
-// daemons that came into sight what they hold of those that stay.
+// membersChanged hands the pools that moved to their new homes.
 func (h *Home) membersChanged() {
 	if h.opt.Local {
 		return
 	}
-	live := h.opt.Members.Live()
-	fresh, changed := h.seen.replace(live)
-	if !changed {
+	if !h.seen.replace(h.opt.Members.Live()) {
 		return
 	}
 	h.moves.Add(1)
-	peers, _ := h.peers()
 	for _, t := range h.serve() {
 		if !h.owns(t) {
 			go h.handOver(context.Background(), t, h.owner(t.id.Pool, t.id.Slice))
-			continue
 		}
-		h.askFresh(t, peers, fresh)
 	}
 	h.refresh()
 }
 
-func (h *Home) askFresh(t *tenure, live []limit.Peer, fresh []string) {
+// askFresh asks daemons that came into sight during the tenure what they hold.
+func (h *Home) askFresh(now time.Time, t *tenure, p *limit.Pool) {
+	if h.opt.Local {
+		return
+	}
+	live, _ := h.peers()
+	fresh := t.unasked(live)
 	if len(fresh) == 0 {
 		return
 	}
-	t.do(func(now time.Time, p *limit.Pool) { p.Ask(now, live, fresh) })
+	p.Ask(now, live, fresh)
 	for _, id := range fresh {
 		go h.collect(t, id)
 	}
--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -32,6 +32,10 @@
 	if t == nil {
 		return &wire.Acquired{Moved: true, Home: owner}
 	}
+	if t.id.Term < m.Term {
+		h.restart(t, m.Term)
+		return &wire.Acquired{Moved: true}
+	}
 	if n := h.sliceCount(m.Request.Pool); n > 0 && m.Slice >= n {
 		return &wire.Acquired{Moved: true, Slices: n}
 	}
@@ -75,11 +79,15 @@
 	return h.begin(pool, slice), ""
 }
 
-// defers reports whether an ended tenure still points to its successor: until
-// the members change, two daemons that disagree on them would otherwise take
+// deferTime is how long an ended tenure points to its successor while the
+// members stay the same. Two daemons that disagree on them would otherwise take
 // the pool from each other without end.
+const deferTime = time.Second
+
+// defers reports whether an ended tenure still points to its successor.
 func (h *Home) defers(t *tenure, successor string) bool {
-	return h.moves.Load() == t.endedAt && slices.Contains(h.opt.Members.Live(), successor)
+	fresh := h.moves.Load() == t.endedMoves && time.Since(t.endedAt) < deferTime
+	return fresh && slices.Contains(h.opt.Members.Live(), successor)
 }
 
 // begin starts a tenure, or returns the one that another request just began.
@@ -114,6 +122,7 @@
 	live, gone := h.peers()
 	t.do(func(now time.Time, p *limit.Pool) {
 		if !h.opt.Local {
+			t.unasked(live)
 			p.Recover(now, live, gone)
 		}
 		h.refreshPool(now, t, p)
--- a/internal/grant/line.go
+++ b/internal/grant/line.go
@@ -20,7 +20,9 @@
 	// without them, and has given their room to others.
 	term string
 	home string
-	seq  uint64
+	// before is the tenure known before that one.
+	before tenureName
+	seq    uint64
 	// told is the last request whose end an empty renewal has told the home.
 	told    uint64
 	pending map[string]struct{}
@@ -70,7 +72,7 @@
 	if g.Term < l.term {
 		return false
 	}
-	l.term, l.home = g.Term, g.Home
+	l.know(g.Home, g.Term)
 	l.held[g.ID] = g
 	l.remember(limit.Memory{Replica: g.Replica, Incarnation: g.Incarnation, Level: g.Level, At: g.At})
 	return true
@@ -110,8 +112,8 @@
 	if term < l.term {
 		return limit.Holdings{}, l.home, l.term
 	}
-	held.LastHome, held.LastTerm = l.home, l.term
-	l.home, l.term = home, term
+	l.know(home, term)
+	held.LastHome, held.LastTerm = l.before.home, l.before.term
 	held.Notes = slices.Collect(maps.Values(l.notes))
 	held.Grants = slices.Collect(maps.Values(l.held))
 	held.Levels = slices.Collect(maps.Values(l.levels))
@@ -122,7 +124,16 @@
 func (l *line) see(home, term string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.know(home, term)
+}
+
+// tenureName names a tenure and its home.
+type tenureName struct{ home, term string }
+
+// know raises the latest tenure known.
+func (l *line) know(home, term string) {
 	if term > l.term {
+		l.before = tenureName{l.home, l.term}
 		l.home, l.term = home, term
 	}
 }
@@ -134,6 +145,11 @@
 	return l.home, l.term
 }
 
+func (l *line) latestTerm() string {
+	_, term := l.latest()
+	return term
+}
+
 // settled reports whether the home has been told of the end of every request
 // up to seq, so that an empty renewal would tell it nothing.
 func (l *line) settled(seq uint64) bool {
--- a/internal/grant/notes.go
+++ b/internal/grant/notes.go
@@ -18,7 +18,7 @@
 	if m.Term < l.term {
 		return false
 	}
-	l.home, l.term = m.Home, m.Term
+	l.know(m.Home, m.Term)
 	for i := range m.Grants {
 		l.notes[m.Grants[i].ID] = m.Grants[i]
 	}
--- a/internal/grant/takeover.go
+++ b/internal/grant/takeover.go
@@ -124,26 +124,33 @@
 // handedOver begins a tenure after the sender's.
 func (h *Home) handedOver(m *wire.Handover, from string) {
 	h.client.line(m.Pool, m.Slice).see(from, m.Term)
-	h.begin(m.Pool, m.Slice)
+	if t := h.begin(m.Pool, m.Slice); t.id.Term < m.Term {
+		h.restart(t, m.Term)
+	}
+}
+
+// restart ends a tenure that has been overtaken by one that no longer serves,
+// and begins another after both.
+func (h *Home) restart(t *tenure, later string) {
+	h.client.line(t.id.Pool, t.id.Slice).see("", later)
+	if t.yield("", h.moves.Load()) && h.owner(t.id.Pool, t.id.Slice) == h.opt.Members.Self() {
+		h.begin(t.id.Pool, t.id.Slice)
+	}
 }
 
-// liveSet remembers the live daemons, to tell those that came into sight.
+// liveSet remembers the live daemons at the last change.
 type liveSet struct {
 	mu  sync.Mutex
 	ids []string
 }
 
-// replace stores the list, and returns the daemons that are new in it and
-// whether it differs from the one before.
-func (s *liveSet) replace(live []string) (fresh []string, changed bool) {
+// replace stores the list and reports whether it differs from the one before.
+func (s *liveSet) replace(live []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, id := range live {
-		if !slices.Contains(s.ids, id) {
-			fresh = append(fresh, id)
-		}
+	if slices.Equal(s.ids, live) {
+		return false
 	}
-	changed = !slices.Equal(s.ids, live)
 	s.ids = slices.Clone(live)
-	return fresh, changed
+	return true
 }
--- a/internal/grant/tenure.go
+++ b/internal/grant/tenure.go
@@ -18,13 +18,18 @@
 	pool    *limit.Pool
 	waiters map[string]chan *wire.Acquired
 	timer   *time.Timer
+	// asked are the live daemons that were asked what they hold. One that is
+	// gone and comes back is asked again.
+	asked map[string]struct{}
 	// over is set at the end of the tenure; successor is the home that follows,
 	// table the pool's state for it.
 	over      bool
 	successor string
 	table     *limit.Table
-	// endedAt is the home's count of membership changes when it ended.
-	endedAt uint64
+	// endedAt and endedMoves are the time and the home's count of membership
+	// changes when it ended.
+	endedAt    time.Time
+	endedMoves uint64
 }
 
 func newTenure(id limit.Identity, cfg limit.Config) *tenure {
@@ -123,7 +128,7 @@
 	if t.over {
 		return false
 	}
-	t.over, t.successor, t.endedAt = true, successor, moves
+	t.over, t.successor, t.endedAt, t.endedMoves = true, successor, time.Now(), moves
 	if t.timer != nil {
 		t.timer.Stop()
 	}
@@ -149,6 +154,20 @@
 	return table
 }
 
+// unasked notes the live daemons and returns those that were not asked before.
+// The caller holds the lock, within do.
+func (t *tenure) unasked(live []limit.Peer) (fresh []string) {
+	now := make(map[string]struct{}, len(live))
+	for _, p := range live {
+		now[p.ID] = struct{}{}
+		if _, ok := t.asked[p.ID]; !ok {
+			fresh = append(fresh, p.ID)
+		}
+	}
+	t.asked = now
+	return fresh
+}
+
 // waiting counts those who wait for a decision.
 func (t *tenure) waiting() int {
 	t.mu.Lock()
--- a/internal/limit/choose.go
+++ b/internal/limit/choose.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Bounds of the choice.
@@ -96,7 +94,7 @@
 		if float64(u.used()+1) > math.Ceil(bound*allowed) {
 			continue
 		}
-		if w := affinity(prefix, u.rep.ID); best == nil || w > top {
+		if w := affinity(prefix, u.hash); best == nil || w > top {
 			best, top = u, w
 		}
 	}
@@ -115,15 +113,13 @@
 	return float64(used) / float64(max(1, allowed))
 }
 
-func affinity(prefix uint64, id string) uint64 {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(prefix >> (8 * i))
-	}
-	d := xxhash.New()
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(id)
-	return d.Sum64()
+// affinity ranks a replica for a prefix. It mixes both so that each prefix has
+// an order of replicas of its own (the finalizer of splitmix64).
+func affinity(prefix, replica uint64) uint64 {
+	z := prefix ^ replica
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
 }
 
 func (p *Pool) byLoad(now time.Time, fit []*unit) *unit {
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/replica"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
 // Pool is the state of one pool, or of one slice of it, at its home.
@@ -128,7 +129,7 @@
 func (p *Pool) unit(id string) *unit {
 	u, ok := p.units[id]
 	if !ok {
-		u = &unit{rep: replica.Replica{ID: id, Pool: p.name}, orphans: make(map[*hold]struct{})}
+		u = &unit{rep: replica.Replica{ID: id, Pool: p.name}, orphans: make(map[*hold]struct{}), hash: shard.Hash(id)}
 		p.units[id] = u
 	}
 	return u
--- a/internal/limit/recovery.go
+++ b/internal/limit/recovery.go
@@ -92,12 +92,12 @@
 }
 
 // answer notes that a holder has told what it holds.
-func (r *recovery) answer(h *Holdings) {
+func (r *recovery) answer(h *Holdings, term string) {
 	delete(r.waiting, h.Holder)
 	if _, ok := r.asked[h.Holder]; ok {
 		r.answered[h.Holder] = h.Boot
 	}
-	if h.LastTerm > r.lastTerm {
+	if h.LastTerm > r.lastTerm && h.LastTerm < term {
 		r.lastHome, r.lastTerm = h.LastHome, h.LastTerm
 	}
 	r.judge()
--- a/internal/limit/transfer.go
+++ b/internal/limit/transfer.go
@@ -45,7 +45,7 @@
 // Held takes one holder's answer. The holder's own list is the truth about its
 // grants: those it does not list were given back or will never reach it.
 func (p *Pool) Held(now time.Time, h Holdings) {
-	p.recovery.answer(&h)
+	p.recovery.answer(&h, p.term)
 	p.adoptUnspoken(now, h.Notes)
 	listed := make(map[string]struct{}, len(h.Grants))
 	for i := range h.Grants {
--- a/internal/limit/unit.go
+++ b/internal/limit/unit.go
@@ -11,6 +11,8 @@
 type unit struct {
 	rep  replica.Replica
 	ramp ramp
+	// hash is the replica's part in the ranking for a prefix.
+	hash uint64
 	// held counts grants that their holders renew, orphans are those that
 	// expired while the request may still run.
 	held    int
--- a/internal/wire/grant.go
+++ b/internal/wire/grant.go
@@ -24,7 +24,10 @@
 // Acquire asks a pool's home for a grant. The answer, Acquired, comes when the
 // home has decided.
 type Acquire struct {
-	Slice   int           `msgpack:"s,omitempty"`
+	Slice int `msgpack:"s,omitempty"`
+	// Term is the latest tenure that the holder knows; it accepts no grant of
+	// an earlier one.
+	Term    string        `msgpack:"t,omitempty"`
 	Request limit.Request `msgpack:"r"`
 }
 
