Signal every new report to the pool's home

Cause: TestColdReplicasUnderPartition: after a split the larger side granted nothing for over 60 s. The home's pool showed reports 57 s old: fleet told its readers only of changes of status, but a home that could not ask all holders frees a cold replica only on a report from after its quiet time. The same silence kept replicas closed that a holder had found dead. Ruled out: the standing (majority and use of cold replicas were granted), the recovery gate (open), and held or unknown work (0). Change: a later report counts as a change.

--- a/internal/fleet/stats.go
+++ b/internal/fleet/stats.go
@@ -77,15 +77,13 @@
 	}
 }
 
-// publish makes the judgement visible and tells those who wait for a change.
+// publish makes the judgement visible and tells those who wait for a change. A
+// later report of the same state is a change too: homes release cold replicas
+// and those found dead on the evidence of reports, not of time.
 func (w *worker) publish(judged []group.Judged) {
 	old, had := w.m.pools.Get(w.pool)
 	w.m.pools.Set(w.pool, published{by: w, replicas: judged, stats: w.stats})
-	same := func(a, b group.Judged) bool {
-		a.ReportedAt, a.Inflight, a.ValidUntil = b.ReportedAt, b.Inflight, b.ValidUntil
-		return a == b
-	}
-	if !had || !slices.EqualFunc(old.replicas, judged, same) {
+	if !had || !slices.Equal(old.replicas, judged) {
 		w.m.changed.signal()
 	}
 }
--- /dev/null
+++ b/internal/integration/isolation_test.go
@@ -0,0 +1,82 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
+	"github.com/ragwortquay/ragwortquay/internal/procs"
+	"github.com/ragwortquay/ragwortquay/internal/standin/journal"
+)
+
+// A daemon that reaches neither the log nor its peers can't know what operators
+// have withdrawn: it leaves the balancer and refuses, truthfully, while the
+// others follow the edit. Healed, it comes back by itself.
+func TestIsolatedDaemonRefuses(t *testing.T) {
+	c := startCluster(t, procs.Options{
+		Daemons: 5, Partitions: true, Engines: engines("12", "--fabric-size", "4", "--cold-limit", "4", "--warm-limit", "64"), Services: services("3"),
+	})
+	apply(t, c, domainTables.toml())
+	for _, d := range c.Daemons {
+		served(t, c, d, "quote")
+	}
+	lost := c.Daemons[4]
+	must.NoError(t, c.Split([]*procs.Daemon{lost}))
+	must.NoError(t, lost.LogLink.Set(faultproxy.Faults{HoldToTarget: true, HoldToClient: true}))
+	cut := time.Now()
+
+	out := domainTables
+	out.withdrawn = []string{"plateau"}
+	_, err := c.Apply(t.Context(), c.Daemons[0], out.toml())
+	must.Error(t, err) // it is accepted, but cannot be in force on the lost daemon
+	withdrawn := time.Now()
+	eventually(t, "the lost daemon leaves the balancer", func() bool { return !lost.Ready() })
+
+	caller := procs.NewCaller("shops")
+	for i := range 20 {
+		r := caller.Do(t.Context(), lost.Callers, procs.Generate("quote", fmt.Sprintf("lost-%d", i), "hello", 3))
+		must.Eq(t, "not-run", r.Outcome, must.Sprint(string(r.Body)))
+		r = caller.Do(t.Context(), c.Daemons[i%4].Callers, procs.Generate("quote", fmt.Sprintf("seen-%d", i), "hello", 3))
+		must.True(t, r.Whole, must.Sprint(string(r.Body)))
+	}
+	es := entries(t, c.Engines...)
+	for _, e := range es {
+		must.False(t, e.Event == journal.Start && len(e.RequestID) > 5 && e.RequestID[:5] == "lost-", must.Sprintf("%s ran", e.RequestID))
+	}
+	checkNoStart(t, es, vmsIn(c.Engines[0], "plateau"), withdrawn.Add(settle), time.Now())
+
+	must.NoError(t, c.Mend())
+	must.NoError(t, lost.LogLink.Heal())
+	eventually(t, "the daemon comes back", lost.Ready)
+	must.True(t, served(t, c, lost, "quote").Whole)
+	checkNoStart(t, entries(t, c.Engines...), vmsIn(c.Engines[0], "plateau"), withdrawn.Add(settle), time.Now())
+	t.Logf("cut to refusal and back took %s", time.Since(cut))
+}
+
+// Cold replicas while the daemons are split: only the larger side may use them,
+// and none is pushed beyond what it bears, also when the split heals.
+func TestColdReplicasUnderPartition(t *testing.T) {
+	c := startCluster(t, procs.Options{
+		Daemons: 5, Partitions: true, Engines: engines("12", "--fabric-size", "4", "--cold-limit", "2", "--warm-limit", "32"),
+	})
+	apply(t, c, tables{vms: 12, limit: 16, cold: 2}.toml())
+	served(t, c, c.Daemons[0], "quote")
+	tr := startTraffic(t, c, 20, "quote", 15)
+	tr.more(t, 60)
+	for range 2 {
+		must.NoError(t, c.Split(c.Daemons[:2], c.Daemons[2:]))
+		tr.more(t, 100)
+		act(t, c.Engines[0], "cold")
+		tr.more(t, 100)
+		must.NoError(t, c.Mend())
+		tr.more(t, 100)
+	}
+	all := tr.stop()
+	checkAnswers(t, all)
+	for _, e := range entries(t, c.Engines...) {
+		must.True(t, e.Event != journal.FellOver, must.Sprintf("seed %d: %s fell over: %s", seed, e.VM, e.Reason))
+	}
+}
