Raise a cold replica's level by one request at a time

A step of half the level sends work for which no answer speaks. Weighed: a step of a quarter; from level 8 on it is two again. Change: one more request per proven round.

--- a/internal/limit/ramp.go
+++ b/internal/limit/ramp.go
@@ -19,7 +19,9 @@
 
 // ramp is the concurrency that a replica has shown it can bear in its present
 // incarnation. It grows on evidence only: as many whole answers as the level,
-// each of which ran while the replica was full.
+// each of which ran while the replica was full, prove the level, and one more
+// request is then tried. A larger step would push work that no answer speaks
+// for onto a target of unknown strength.
 type ramp struct {
 	incarnation string
 	level       int
@@ -86,7 +88,7 @@
 	}
 	r.proven++
 	if r.proven >= r.level {
-		r.level = min(c.Limit, r.level+max(1, r.level/2))
+		r.level = min(c.Limit, r.level+1)
 		r.proven, r.since = 0, now
 	}
 }
