--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -57,9 +57,11 @@
 func (d *Daemon) follow(ctx context.Context) error {
 	ticker := time.NewTicker(time.Duration(d.settings.Members.Interval))
 	defer ticker.Stop()
+	named := make(map[string]string)
 	for {
 		changed := d.view.Changed()
 		d.tell()
+		named = d.name(named)
 		select {
 		case <-changed:
 		case <-ticker.C: // the log's age grows without a change
@@ -74,7 +76,22 @@
 	d.members.SetMeta(gossip.Meta{
 		Epoch: pos.Epoch, Offset: pos.Offset, Digest: digest, LogAge: d.control.LogAge(time.Now()),
 	})
+}
+
+// name tells the failure detector of daemons that have joined by record, and
+// takes back those that have left. It returns the addresses now named, by id.
+func (d *Daemon) name(before map[string]string) map[string]string {
+	now := make(map[string]string)
 	for _, j := range d.view.Daemons() {
-		d.members.AddPeer(j.ID, j.Addr)
+		now[j.ID] = j.Addr
+		if before[j.ID] != j.Addr {
+			d.members.AddPeer(j.ID, j.Addr)
+		}
+	}
+	for id, addr := range before {
+		if now[id] != addr {
+			d.members.RemovePeer(addr)
+		}
 	}
+	return now
 }
