--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -138,24 +139,20 @@
 	return out
 }
 
+// changeFor turns one difference into a change. A row that the file has is in
+// wanted: the difference was made from it.
 func changeFor(d tablefile.RowDiff, wanted tablefile.File) operate.Change {
-	pool, isPool := strings.CutPrefix(d.Name, "pool/")
-	route := strings.TrimPrefix(d.Name, "route/")
-	switch {
-	case d.Missing && isPool:
-		return operate.Change{DropPool: pool}
-	case d.Missing:
-		return operate.Change{DropRoute: route}
-	}
-	for i := range wanted.Pools {
-		if isPool && wanted.Pools[i].Name == pool {
-			return operate.Change{SetPool: &wanted.Pools[i]}
+	if name, isPool := strings.CutPrefix(d.Name, "pool/"); isPool {
+		if d.Missing {
+			return operate.Change{DropPool: name}
 		}
+		i := slices.IndexFunc(wanted.Pools, func(p tablefile.Pool) bool { return p.Name == name })
+		return operate.Change{SetPool: &wanted.Pools[i]}
 	}
-	for i := range wanted.Routes {
-		if !isPool && wanted.Routes[i].Name == route {
-			return operate.Change{SetRoute: &wanted.Routes[i]}
-		}
+	name := strings.TrimPrefix(d.Name, "route/")
+	if d.Missing {
+		return operate.Change{DropRoute: name}
 	}
-	return operate.Change{}
+	i := slices.IndexFunc(wanted.Routes, func(r tablefile.Route) bool { return r.Name == name })
+	return operate.Change{SetRoute: &wanted.Routes[i]}
 }
