Retry in another failure domain after a target died under the request

It was in flight on a replica that died with its domain, and 17 ms later on the next one of the same domain, which died too: two crashes. Ruled out: counting two deaths in one domain as one, which would let a poisoned request crash a third target. Change: after a target died, its failure domain is left alone while another one is open, also if that one is only full; a second death elsewhere is then evidence against the request. With one open domain nothing changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -96,6 +96,8 @@
 	// with no other beside it.
 	prints []retry.Print
 	alone  bool
+	// avoid are failure domains in which a target died under the request.
+	avoid []string
 	// state is what the retry decision knows of the attempts so far.
 	state retry.State
 }
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -61,7 +61,7 @@
 	id := ids.New()
 	g, err := d.opts.Grants.Acquire(ctx, limit.Request{
 		ID: id, Pool: pool, Workspace: j.req.Workspace, Priority: j.route.Priority,
-		Prefix: j.prefix, Deadline: j.deadline, Exclude: exclude, Alone: j.alone,
+		Prefix: j.prefix, Deadline: j.deadline, Exclude: exclude, Avoid: j.avoid, Alone: j.alone,
 	})
 	if err != nil {
 		return nil, err
@@ -163,6 +163,7 @@
 	switch t.examine() {
 	case gone:
 		t.d.opts.Quarantine.Crashed(t.grant)
+		t.j.avoid = append(t.j.avoid, t.grant.FailureDomain)
 		t.j.state.Replica = t.grant.Replica
 		return limit.Crashed
 	default:
--- a/internal/limit/choose.go
+++ b/internal/limit/choose.go
@@ -66,6 +66,22 @@
 			fit = append(fit, u)
 		}
 	}
+	return p.elsewhere(req, fit)
+}
+
+// elsewhere leaves out the failure domains that the request avoids. If the
+// others are only full it returns none, so that the request waits for them; if
+// none is open it returns all.
+func (p *Pool) elsewhere(req *Request, fit []*unit) []*unit {
+	avoided := func(u *unit) bool { return slices.Contains(req.Avoid, u.rep.FailureDomain) }
+	if !slices.ContainsFunc(fit, avoided) {
+		return fit
+	}
+	for _, u := range p.units {
+		if p.open(u) && !avoided(u) && !slices.Contains(req.Exclude, u.rep.ID) {
+			return slices.DeleteFunc(fit, avoided)
+		}
+	}
 	return fit
 }
 
--- a/internal/limit/choose_test.go
+++ b/internal/limit/choose_test.go
@@ -152,3 +152,20 @@
 	f.p.SetReplicas(f.now, []replica.Replica{later, rep("b", "f1")})
 	must.Eq(t, "a", f.granted().Replica)
 }
+
+// A request whose target died goes to another failure domain while one is open.
+func TestAvoidedDomain(t *testing.T) {
+	avoiding := func(r *Request) { r.Avoid = []string{"f1"} }
+	f := newFixture(t, Config{Limit: 1, ColdLimit: 1}, rep("a", "f1"), rep("b", "f1"), rep("c", "f2"))
+	first := f.granted(avoiding)
+	must.Eq(t, "c", first.Replica)
+
+	g, err := f.p.Acquire(f.now, f.request(avoiding))
+	must.NoError(t, err)
+	must.Nil(t, g) // the other domain is only full: the request waits for it
+	f.release(first, quick())
+	must.Eq(t, "c", f.p.Answers()[0].Grant.Replica)
+
+	f = newFixture(t, Config{Limit: 1, ColdLimit: 1}, rep("a", "f1"), rep("b", "f1"))
+	must.Eq(t, "f1", f.granted(avoiding).FailureDomain)
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -45,6 +45,10 @@
 	Seq uint64
 	// Exclude are replicas that must not be chosen.
 	Exclude []string
+	// Avoid are failure domains in which a target died under the request: they
+	// are left alone while another one is open, since the whole domain may be
+	// going, and a second death there would prove nothing against the request.
+	Avoid []string
 	// NeedFresh asks for a replica whose report is recent.
 	NeedFresh bool
 	// Alone asks for a replica that runs nothing else meanwhile.
