Hash a request once for the quarantine; ask plainly whether a target is gone

Cause: judging a request before each retry hashed its body again, though its prints never change; and a type with two values stood for one question. Change: prints are made when the request is planned; try.gone answers. Behaviour and tests are as they were.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/quarantine"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/state"
@@ -145,6 +146,7 @@
 		Idempotent: row.Route.Idempotent, Resumable: j.generate != nil,
 		Retries: row.Route.Retries, Deadline: j.deadline,
 	}
+	j.prints = quarantine.Prints(r.Workspace, r.Kind, r.Key, r.Body)
 	if err := d.judge(j); err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -160,19 +160,17 @@
 	if time.Now().After(t.j.deadline) && e.Kind == fault.Timeout {
 		return limit.Failed // out of time, which proves nothing
 	}
-	switch t.examine() {
-	case gone:
+	if t.gone() {
 		t.d.opts.Quarantine.Crashed(t.grant)
 		t.j.avoid = append(t.j.avoid, t.grant.FailureDomain)
 		t.j.state.Replica = t.grant.Replica
 		return limit.Crashed
-	default:
-		t.d.opts.Targets.Forget(t.grant.Addr)
-		if e.Kind != fault.Timeout {
-			t.j.state.Replica = t.grant.Replica
-		}
-		return limit.Cancelled // the target may not know yet that nobody listens
 	}
+	t.d.opts.Targets.Forget(t.grant.Addr)
+	if e.Kind != fault.Timeout {
+		t.j.state.Replica = t.grant.Replica
+	}
+	return limit.Cancelled // the target may not know yet that nobody listens
 }
 
 // refusalOf maps the error of an attempt that did not run.
