--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,104 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+const (
+	// nearEnough is the relative difference of predicted times below which two
+	// engines are taken as equal: daemons choose from the same knowledge, and
+	// all would choose the same engine otherwise.
+	nearEnough = 0.15
+	// failurePenalty multiplies the predicted time of an engine by its share of
+	// recent failures.
+	failurePenalty = 12
+	// lateBeat is the age of an announcement, in heartbeats, from which its
+	// engine is used only if there is no other.
+	lateBeat = 1.7
+	// farPenalty prefers engines of the own zone among equals; it stands for the
+	// price of bytes between zones, not for the delay of a millisecond.
+	farPenalty = 1.05
+)
+
+// Candidate is an engine, or a group by its head, that may take a request.
+type Candidate struct {
+	// Head takes the request.
+	Head *catalog.Engine
+	// Service is the engine's service; Pace is its model's, 1 for plain ones.
+	Service *catalog.Service
+	Pace    float64
+	// Oldest is the age of the oldest announcement among the members.
+	Oldest time.Duration
+}
+
+// Policy are the settings of a choice.
+type Policy struct {
+	Zone string
+	// Heartbeat is the interval of announcements.
+	Heartbeat time.Duration
+	// Fresh tells that announcements arrive, so that a late one means something.
+	Fresh bool
+}
+
+// Choice is the engine chosen and what is expected of it.
+type Choice struct {
+	Candidate Candidate
+	Predicted Prediction
+	Load      Load
+}
+
+// Choose returns the candidate with the shortest predicted time to the first
+// event. Engines under suspicion are used only if there is no other, and cold
+// ones only within their allowance. It returns false if none may be used.
+func Choose(cands []Candidate, t *Tracker, w Work, p Policy, now time.Time) (Choice, bool) {
+	best, found := pick(cands, t, w, p, now, false)
+	if !found {
+		best, found = pick(cands, t, w, p, now, true)
+	}
+	return best, found
+}
+
+func pick(cands []Candidate, t *Tracker, w Work, p Policy, now time.Time, doubtful bool) (Choice, bool) {
+	var best Choice
+	var bestScore float64
+	found := false
+	for _, c := range cands {
+		st := t.Status(c.Head, c.Service.ColdPerSecond, now)
+		late := p.Fresh && c.Oldest > time.Duration(lateBeat*float64(p.Heartbeat))
+		if (st.Suspect || late) != doubtful {
+			continue
+		}
+		if c.Head.Cold(now) > 0 && c.Service.ColdPerSecond > 0 && !st.ColdAllowed {
+			continue
+		}
+		pred := c.predict(st, w)
+		score := float64(pred.First) * (1 + failurePenalty*st.FailureShare)
+		if c.Head.Zone != p.Zone {
+			score *= farPenalty
+		}
+		score *= 1 + nearEnough*rand.Float64()
+		if !found || score < bestScore {
+			best, bestScore, found = Choice{c, pred, st.Load}, score, true
+		}
+	}
+	return best, found
+}
+
+// predict returns the expected course at the candidate.
+func (c *Candidate) predict(st Status, w Work) Prediction {
+	if spec := c.Service.Engine; spec != nil {
+		return Predict(spec, c.Pace, 1, st.Load, w)
+	}
+	mean := max(st.MeanAnswer, defaultAnswer)
+	slots := max(1, c.Head.Slots)
+	wait := time.Duration(0)
+	if over := st.Load.InFlight + 1 - slots; over > 0 {
+		wait = mean * time.Duration(over) / time.Duration(slots)
+	}
+	// An engine that is nearly full is slower, so load counts below the limit too.
+	busy := 1 + float64(st.Load.InFlight)/float64(slots)/2
+	return Prediction{First: wait + time.Duration(float64(mean)*busy), Wait: wait}
+}
--- /dev/null
+++ b/internal/balance/predict.go
@@ -0,0 +1,80 @@
+// Package balance decides to which engine a request goes and whether it goes
+// at all. Predict and Choose are pure; Tracker holds what this daemon knows of
+// each engine's load, in shards.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+// Work is what a request asks of an engine.
+type Work struct {
+	// PromptTokens are read before the first event, AnswerTokens written at most.
+	PromptTokens int
+	AnswerTokens int
+}
+
+// Load is what is estimated to be under way at an engine.
+type Load struct {
+	// InFlight are the requests sent and not answered yet, by all daemons.
+	InFlight int
+	// Pending are the prompt tokens of those without a first event.
+	Pending int
+}
+
+// Prediction is the expected course of a request at an engine.
+type Prediction struct {
+	// First is the time to the first event.
+	First time.Duration
+	// Gap is the usual pause between events after it.
+	Gap time.Duration
+	// Wait is the part of First that is spent waiting for a slot.
+	Wait time.Duration
+}
+
+// tokensPerK and pairsPerM scale the engine model's units.
+const (
+	tokensPerK = 1e3
+	pairsPerM  = 1e6
+)
+
+// Predict returns the expected course of work at a group that serves a model
+// with the given pace, from the engine model that operators publish. slow is a
+// factor for an engine that works slower than its model; 1 is normal.
+func Predict(spec *catalog.EngineModel, pace, slow float64, l Load, w Work) Prediction {
+	factor := pace * max(1, slow)
+	running := min(l.InFlight, spec.Slots)
+	context := float64(running) * (spec.UsualPrompt + spec.UsualAnswer/2) / tokensPerK
+	step := factor * (spec.StepMS + spec.PerSequenceMS*float64(running) + spec.ContextMSPerK*context)
+	pass := step * float64(max(1, spec.Stride))
+	read := factor * readMS(spec, float64(l.Pending)+float64(w.PromptTokens))
+	read += factor * pairMS(spec, float64(w.PromptTokens))
+	wait := 0.0
+	if over := l.InFlight + 1 - spec.Slots; over > 0 {
+		// A slot frees after an answer's time divided by the slots.
+		wait = float64(over) * spec.UsualAnswer * step / float64(max(1, spec.Slots))
+	}
+	// On the mean a request arrives in the middle of a pass.
+	first := wait + pass/2 + read + pass
+	return Prediction{
+		First: fromMS(first),
+		Gap:   fromMS(pass + factor*readMS(spec, math.Min(float64(l.Pending), float64(spec.Chunk)))),
+		Wait:  fromMS(wait),
+	}
+}
+
+func readMS(spec *catalog.EngineModel, tokens float64) float64 {
+	if spec.ReadPerSecond <= 0 {
+		return 0
+	}
+	return tokens / spec.ReadPerSecond * 1e3
+}
+
+func pairMS(spec *catalog.EngineModel, tokens float64) float64 {
+	return spec.PairsMSPerM * tokens * tokens / 2 / pairsPerM
+}
+
+func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -4,6 +4,7 @@
 func commands(e env) []entry {
 	return []entry{
 		serveEntry(e),
+		frontEntry(e),
 		checkEntry(e),
 		demoEntry(e),
 		applyEntry(e),
--- /dev/null
+++ b/internal/cli/front.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/ragwortquay/ragwortquay/internal/edge"
+	"github.com/ragwortquay/ragwortquay/internal/logging"
+	"github.com/ragwortquay/ragwortquay/internal/upstream"
+	"github.com/ragwortquay/ragwortquay/platform"
+)
+
+type frontCommand struct {
+	env env
+}
+
+func frontEntry(e env) entry {
+	return entry{
+		name:  "front",
+		short: "Run a daemon on the platform's machines",
+		long: "Runs one daemon with the settings file that the platform provides; " + platform.SettingsEnv + " names it. " +
+			"SIGTERM drains it: it says that it is not ready, finishes the requests in flight and exits.",
+		cmd: &frontCommand{env: e},
+	}
+}
+
+// Execute runs the daemon until it was told to stop and has drained.
+func (c *frontCommand) Execute([]string) error {
+	if err := logging.Setup(c.env.out, 0); err != nil {
+		return err
+	}
+	settings, err := platform.ReadSettings(platform.SettingsPath())
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(settings.Store)
+	d := edge.New(settings, edge.Platform{
+		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Announcer: store,
+		Control: platform.NewControl(), Codec: platform.NewCodec(upstream.NewClient()),
+	})
+	// The settings hold nothing that may change while the process runs, so a
+	// SIGHUP has no effect; without a handler it would end the process.
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,206 @@
+// Package directory follows the platform's store: the operator's configuration,
+// the zones taken out of service, the engines and the other daemons. Readers
+// get immutable snapshots; live state sits in shards under their own locks.
+package directory
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
+)
+
+// Record is one record of a keyed topic; an empty value drops the key.
+type Record struct {
+	Offset uint64
+	Key    string
+	Value  []byte
+}
+
+// TruncatedError says that the records asked for were deleted.
+type TruncatedError struct{}
+
+// Error implements error.
+func (*TruncatedError) Error() string {
+	return "the records were deleted (start from the newest record of each key)"
+}
+
+// Log reads topics of the store.
+type Log interface {
+	// Read returns the records from an offset on, waiting for the first one up
+	// to wait. A *TruncatedError says that they were deleted.
+	Read(topic string, from uint64, wait time.Duration) (records []Record, end uint64, err error)
+	// Newest returns the newest record of each key, and an offset from which to
+	// read on so that nothing is missed.
+	Newest(topic string) (records []Record, end uint64, err error)
+}
+
+// OperatorRecord is a decoded record of the operator; one field is set.
+type OperatorRecord struct {
+	Config *catalog.Config
+	// Zone is taken out of service where Out is true, else back.
+	Zone string
+	Out  bool
+}
+
+// Decoder translates the records of the store's topics.
+type Decoder interface {
+	// Operator decodes a record of the operator; nil for one of no interest.
+	Operator(Record) (*OperatorRecord, error)
+	// Engine decodes an engine's announcement.
+	Engine(Record) (*catalog.Engine, error)
+	// Daemon decodes a daemon's announcement of its address.
+	Daemon(Record) (name, addr string, err error)
+}
+
+// Topics are the names of the topics to follow.
+type Topics struct{ Operator, Engines, Daemons string }
+
+// Options configure a Directory. All fields are required.
+type Options struct {
+	Log     Log
+	Decoder Decoder
+	Topics  Topics
+	// Heartbeat is the interval at which engines announce themselves.
+	Heartbeat time.Duration
+}
+
+// ServiceView is what is known of a service's engines at one moment. It must
+// not be changed.
+type ServiceView struct {
+	Service *catalog.Service
+	Engines []*catalog.Engine
+	Groups  []catalog.Group
+}
+
+// Directory is the state followed from the store. It is safe for concurrent use.
+type Directory struct {
+	opts    Options
+	engines *shard.Map[*catalog.Engine]
+	last    *shard.Map[identity]
+	daemons *shard.Map[string]
+	views   *shard.Map[*ServiceView]
+	zones   *shard.Map[struct{}]
+	config  atomic.Pointer[catalog.Config]
+	// confirmed is the boot time in nanoseconds at which the last successful
+	// read of the operator's topic began; zero before the first.
+	confirmed atomic.Int64
+	enginesAt atomic.Int64
+	loaded    atomic.Bool
+
+	mu      sync.Mutex
+	changed chan struct{}
+	pending *shard.Map[time.Time]
+}
+
+// identity orders the announcements of one engine id.
+type identity struct{ born, beat int64 }
+
+// New returns an empty directory; Run fills it.
+func New(o Options) *Directory {
+	return &Directory{
+		opts:    o,
+		engines: shard.NewMap[*catalog.Engine](),
+		last:    shard.NewMap[identity](),
+		daemons: shard.NewMap[string](),
+		views:   shard.NewMap[*ServiceView](),
+		zones:   shard.NewMap[struct{}](),
+		pending: shard.NewMap[time.Time](),
+		changed: make(chan struct{}),
+	}
+}
+
+// Run follows the store until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.followOperator(ctx) })
+	g.Go(func() error { return d.followEngines(ctx) })
+	g.Go(func() error { return d.followDaemons(ctx) })
+	return g.Wait()
+}
+
+// Config returns the newest configuration known, or nil.
+func (d *Directory) Config() *catalog.Config { return d.config.Load() }
+
+// ConfigAge returns how long ago the configuration was known to be the newest,
+// on a clock that counts suspension.
+func (d *Directory) ConfigAge() time.Duration {
+	at := d.confirmed.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return boottime.Now() - time.Duration(at)
+}
+
+// EnginesAge returns how long ago the engines' announcements were last read.
+func (d *Directory) EnginesAge() time.Duration {
+	return boottime.Now() - time.Duration(d.enginesAt.Load())
+}
+
+// Loaded reports whether the configuration and the engines have been read once.
+func (d *Directory) Loaded() bool { return d.loaded.Load() && d.config.Load() != nil }
+
+// Service returns what is known of the named service's engines.
+func (d *Directory) Service(name string) (*ServiceView, bool) { return d.views.Get(name) }
+
+// ZoneOut reports whether operators have taken the zone out of service.
+func (d *Directory) ZoneOut(zone string) bool {
+	_, out := d.zones.Get(zone)
+	return out
+}
+
+// Engine returns the engine with the given id.
+func (d *Directory) Engine(id string) (*catalog.Engine, bool) { return d.engines.Get(id) }
+
+// Daemons returns the addresses of all daemons that announced themselves, by name.
+func (d *Directory) Daemons() map[string]string {
+	out := map[string]string{}
+	d.daemons.Range(func(name, addr string) bool {
+		out[name] = addr
+		return true
+	})
+	return out
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *Directory) notify() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// rebuild makes the services' views anew from the engines.
+func (d *Directory) rebuild() {
+	cfg := d.config.Load()
+	if cfg == nil {
+		return
+	}
+	byService := map[string][]*catalog.Engine{}
+	d.engines.Range(func(_ string, e *catalog.Engine) bool {
+		byService[e.Service] = append(byService[e.Service], e)
+		return true
+	})
+	for name, service := range cfg.Services {
+		engines := byService[name]
+		sortEngines(engines)
+		d.views.Set(name, &ServiceView{
+			Service: &service,
+			Engines: engines,
+			Groups:  catalog.Groups(&service, engines),
+		})
+	}
+	d.notify()
+}
--- /dev/null
+++ b/internal/edge/daemon.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/balance"
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/ingress"
+	"github.com/ragwortquay/ragwortquay/internal/planner"
+	"github.com/ragwortquay/ragwortquay/internal/relay"
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+)
+
+const (
+	// heapPart is the part of the machine's memory from which the collector
+	// works harder; the rest is for stacks, buffers of sockets and the binary.
+	heapPart = 0.6
+	// announceRetry is the pause before a failed announcement is tried again.
+	announceRetry = 500 * time.Millisecond
+	// readyPart is the part of the bound for revoked keys, or for configurations,
+	// within which the configuration must be confirmed for new callers.
+	readyPart = 0.6
+	// fleetGuess is the number of daemons assumed before any has announced itself.
+	fleetGuess = 16
+)
+
+// Announcer tells the other daemons this one's address.
+type Announcer interface {
+	Announce(name, addr string) error
+}
+
+// Platform is what a daemon needs of the platform's translation.
+type Platform struct {
+	Log       directory.Log
+	Decoder   directory.Decoder
+	Topics    directory.Topics
+	Lease     planner.Lease
+	Announcer Announcer
+	Control   planner.Engines
+	Codec     interface {
+		ingress.Codec
+		relay.Engines
+	}
+}
+
+// Daemon is one serving process.
+type Daemon struct {
+	settings  Settings
+	platform  Platform
+	directory *directory.Directory
+	planner   *planner.Planner
+	server    *ingress.Server
+	stats     *stats
+}
+
+// New puts a daemon together; Run starts it.
+func New(s Settings, p Platform) *Daemon {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryBytes)))
+	}
+	d := &Daemon{settings: s, platform: p, stats: newStats()}
+	d.directory = directory.New(directory.Options{Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Heartbeat: s.Heartbeat})
+	tracker := balance.NewTracker(s.Node, d.fleet)
+	d.planner = planner.New(planner.Options{
+		Node: s.Node, Directory: d.directory, Lease: p.Lease, Engines: p.Control,
+		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
+	})
+	r := relay.New(relay.Options{
+		Directory: d.directory, Tracker: tracker, Engines: p.Codec,
+		Retries:     retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleet),
+		Zone:        s.Zone,
+		Heartbeat:   s.Heartbeat,
+		ConfigBound: s.ConfigBound, StrictRevoke: s.StrictRevoke, RevokeBound: s.RevokeBound,
+		Observer:  d.stats,
+		Suspected: d.suspected,
+	})
+	d.server = ingress.New(ingress.Options{
+		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
+		Ready: d.ready, BodyBytes: d.bodyBytes, Grace: s.Grace,
+	})
+	return d
+}
+
+// Run serves until ctx ends and what was under way is finished.
+func (d *Daemon) Run(ctx context.Context) error {
+	klog.InfoS("start", "node", d.settings.Node, "zone", d.settings.Zone)
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return d.directory.Run(work) })
+	g.Go(func() error { return d.planner.Run(ctx) })
+	g.Go(func() error { return d.announce(work) })
+	g.Go(func() error {
+		// The store is followed until the last request is answered.
+		defer cancel()
+		return d.server.Run(ctx)
+	})
+	err := g.Wait()
+	klog.InfoS("stop", "node", d.settings.Node)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// announce makes this daemon known until it stops.
+func (d *Daemon) announce(ctx context.Context) error {
+	addr := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MeshPort))
+	for ctx.Err() == nil {
+		err := d.platform.Announcer.Announce(d.settings.Node, addr)
+		if err == nil {
+			break
+		}
+		klog.V(1).ErrorS(err, "address not announced")
+		t := time.NewTimer(announceRetry)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// fleet returns the number of daemons that share what is bounded for all.
+func (d *Daemon) fleet() int {
+	n := len(d.directory.Daemons())
+	if n == 0 {
+		return fleetGuess
+	}
+	return n
+}
+
+// ready reports whether this daemon may get new callers.
+func (d *Daemon) ready() bool {
+	if !d.directory.Loaded() {
+		return false
+	}
+	return !d.settings.StrictRevoke || d.directory.ConfigAge() < time.Duration(readyPart*float64(d.settings.RevokeBound))
+}
+
+func (d *Daemon) bodyBytes() int {
+	if cfg := d.directory.Config(); cfg != nil {
+		return cfg.MaxBodyBytes
+	}
+	return 0
+}
+
+func (d *Daemon) suspected(id string, _ catalog.GroupID) { d.planner.Suspect(id) }
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,78 @@
+// Package edge assembles the daemon that serves on machines whose platform
+// offers a metadata store: it follows the store, serves callers and, on one
+// machine at a time, plans the groups of engines.
+package edge
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+)
+
+// Settings are what the platform tells a process about its machine and the
+// bounds in force.
+type Settings struct {
+	// Node is this machine's name, unique among all daemons.
+	Node string
+	Zone string
+	IP   string
+	// FrontAddr takes callers, ReadyAddr the balancer's question.
+	FrontAddr string
+	ReadyAddr string
+	// Store is the address of the metadata store.
+	Store          string
+	MemoryBytes    int64
+	MaxDescriptors int
+	// MeshPort is the UDP port for datagrams between daemons.
+	MeshPort int
+	// Heartbeat is the interval at which engines announce themselves.
+	Heartbeat time.Duration
+	// DrainBound is the time within which new work to a leaving engine must stop.
+	DrainBound time.Duration
+	// Grace is the time between the request to stop and the kill.
+	Grace time.Duration
+	// ConfigBound is the time within which a configuration must be in force.
+	ConfigBound time.Duration
+	// StrictRevoke binds keys to RevokeBound on every machine, cut off or not.
+	StrictRevoke bool
+	RevokeBound  time.Duration
+	// RetryRatio and RetrySlack bound the repeats of all daemons in RetryWindow.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// StallBound is how long a group stands still before it counts as broken.
+	StallBound time.Duration
+	// MinLeaseTTL is the shortest lease that the store grants.
+	MinLeaseTTL time.Duration
+}
+
+// Check reports all mistakes of the settings as one BadInput error, or nil.
+func (s *Settings) Check() error {
+	var wrong []string
+	require := func(ok bool, what string) {
+		if !ok {
+			wrong = append(wrong, what)
+		}
+	}
+	require(s.Node != "", "the node's name is missing")
+	require(s.Zone != "", "the zone is missing")
+	require(isAddr(s.FrontAddr), "the callers' address is not an address with a port")
+	require(isAddr(s.ReadyAddr), "the address for readiness is not an address with a port")
+	require(isAddr(s.Store), "the store's address is not an address with a port")
+	require(s.Heartbeat > 0, "the engines' heartbeat is not positive")
+	require(s.Grace > 0, "the grace time is not positive")
+	require(s.ConfigBound > 0, "the bound for configurations is not positive")
+	require(!s.StrictRevoke || s.RevokeBound > 0, "the bound for revoked keys is not positive")
+	require(s.RetryRatio >= 0 && s.RetrySlack >= 0, "the retry budget is negative")
+	if len(wrong) == 0 {
+		return nil
+	}
+	return fault.Invalid("settings", "correct the settings file", "%s", strings.Join(wrong, "; "))
+}
+
+func isAddr(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	return err == nil && port != ""
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,312 @@
+// Package placement decides how a service's engines form groups: which models
+// get how many, which engines repair which group, and in which order. It is
+// pure: a typed snapshot in, steps out. The order of steps keeps two
+// invariants: no engine is taken from a group whose head may still serve, and
+// no group is opened before all its members have joined it.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+// Snapshot is what the planner knows of one service at one moment.
+type Snapshot struct {
+	Service *catalog.Service
+	Engines []*catalog.Engine
+	Groups  []catalog.Group
+	Now     time.Time
+	// Lost engines announce themselves but answer nothing.
+	Lost map[string]bool
+	// Reserved engines have an order under way.
+	Reserved map[string]bool
+	// Own are the formations begun by this planner, with the time until which
+	// their members may take to join.
+	Own map[catalog.GroupID]time.Time
+	// Released are groups whose absent head certainly serves no more.
+	Released map[catalog.GroupID]bool
+	// ZoneOut reports whether operators have taken a zone out of service.
+	ZoneOut func(zone string) bool
+	// Loads is the number of loads from the weight store that may start now.
+	Loads int
+}
+
+// Step is one thing to do; one of the fields is set.
+type Step struct {
+	Form  *Form
+	Open  *catalog.Group
+	Close *Close
+	Stage *Stage
+}
+
+// Form makes a group of the members, the head first.
+type Form struct {
+	Model   catalog.Model
+	Members []*catalog.Engine
+	// Loads is the number of members that load from the weight store.
+	Loads int
+}
+
+// Close ends a group's service.
+type Close struct {
+	Group catalog.Group
+	// Abort ends it at once; requests under way are lost or can't proceed.
+	Abort bool
+}
+
+// Stage loads a model onto an engine's host ahead of need.
+type Stage struct {
+	Engine *catalog.Engine
+	Model  catalog.Model
+}
+
+// Condition is what a group needs.
+type Condition uint8
+
+// The conditions of a group.
+const (
+	// Healthy groups serve, or are about to.
+	Healthy Condition = iota
+	// Forming groups wait for members.
+	Forming
+	// Openable groups are complete and wait for the order to open.
+	Openable
+	// Draining groups have a member that leaves in an orderly way.
+	Draining
+	// Failed groups have lost a member while the head may still serve.
+	Failed
+	// Ending groups are on their way out of service.
+	Ending
+	// Over groups serve no more: their members may be taken.
+	Over
+)
+
+// Judge returns the condition of a group.
+func Judge(s *Snapshot, g *catalog.Group) Condition {
+	head := g.Head()
+	if head == nil || s.Lost[head.ID] {
+		if s.Released[g.ID] {
+			return Over
+		}
+		return Ending
+	}
+	missing, leaving := false, false
+	for _, e := range g.Members {
+		missing = missing || e == nil || s.Lost[e.ID]
+		leaving = leaving || (e != nil && e.Draining)
+	}
+	switch head.Member.State {
+	case catalog.Closing:
+		return Ending
+	case catalog.Open:
+		switch {
+		case missing:
+			return Failed
+		case leaving:
+			return Draining
+		default:
+			return Healthy
+		}
+	case catalog.Broken:
+		return Over
+	}
+	until, own := s.Own[g.ID]
+	switch {
+	case !own || leaving || s.Now.After(until):
+		return Over
+	case g.Complete() && !missing:
+		return Openable
+	default:
+		return Forming
+	}
+}
+
+// Plan returns the steps to take now.
+func Plan(s *Snapshot) []Step {
+	var steps []Step
+	counts := map[string]int{}
+	free := map[string][]*catalog.Engine{}
+	for _, e := range s.Engines {
+		if e.Member.State == catalog.NoGroup {
+			s.release(free, e)
+		}
+	}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		switch Judge(s, g) {
+		case Healthy, Forming:
+			counts[g.Model]++
+		case Openable:
+			counts[g.Model]++
+			if !s.Reserved[g.Head().ID] {
+				steps = append(steps, Step{Open: g})
+			}
+		case Failed, Draining:
+			if !s.Reserved[g.Head().ID] {
+				steps = append(steps, Step{Close: &Close{Group: *g, Abort: Judge(s, g) == Failed}})
+			}
+		case Over:
+			for _, e := range g.Present() {
+				s.release(free, e)
+			}
+		case Ending:
+		}
+	}
+	return append(steps, s.fill(free, counts)...)
+}
+
+// release adds an engine to those that may be taken, by domain.
+func (s *Snapshot) release(free map[string][]*catalog.Engine, e *catalog.Engine) {
+	if e.Draining || s.Lost[e.ID] || s.Reserved[e.ID] || s.ZoneOut(e.Zone) {
+		return
+	}
+	free[e.Domain] = append(free[e.Domain], e)
+}
+
+// fill forms groups of free engines, domain by domain, and stages models on
+// what is left over.
+func (s *Snapshot) fill(free map[string][]*catalog.Engine, counts map[string]int) []Step {
+	var steps []Step
+	loads := s.Loads
+	domains := make([]string, 0, len(free))
+	for d := range free {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	for _, d := range domains {
+		left := free[d]
+		for {
+			f, ok := s.best(left, counts, loads)
+			if !ok {
+				break
+			}
+			counts[f.Model.Name]++
+			loads -= f.Loads
+			left = without(left, f.Members)
+			steps = append(steps, Step{Form: &f})
+		}
+		steps = append(steps, s.stage(d, left, &loads)...)
+	}
+	return steps
+}
+
+// best returns the most useful group that the engines can form.
+func (s *Snapshot) best(engines []*catalog.Engine, counts map[string]int, loads int) (Form, bool) {
+	var best Form
+	bestGain, found := 0.0, false
+	for _, m := range s.Service.Engine.Models {
+		if len(engines) < m.Size || m.Size <= 0 {
+			continue
+		}
+		f := choose(m, engines)
+		if f.Loads > loads {
+			continue
+		}
+		if gain := Gain(m, counts[m.Name]); !found || gain > bestGain {
+			best, bestGain, found = f, gain, true
+		}
+	}
+	return best, found
+}
+
+// nothingServed is the gain of a model's first group: above any other.
+const nothingServed = 1e6
+
+// Gain returns what one more group of a model is worth beside n others: how
+// much it shortens the work of each. The work is the model's share of requests
+// times the time that one takes.
+func Gain(m catalog.Model, n int) float64 {
+	work := max(m.Share, 1e-3) * max(m.Pace, 1e-3)
+	if n == 0 {
+		return nothingServed * work
+	}
+	return work / float64(n*(n+1))
+}
+
+// choose takes the engines that are soonest ready for the model. The head is
+// the one that has been up longest, since a head's loss costs most.
+func choose(m catalog.Model, engines []*catalog.Engine) Form {
+	sorted := slices.Clone(engines)
+	slices.SortStableFunc(sorted, func(a, b *catalog.Engine) int { return distance(m, a) - distance(m, b) })
+	f := Form{Model: m, Members: sorted[:m.Size]}
+	slices.SortStableFunc(f.Members, func(a, b *catalog.Engine) int { return int(min(max(a.Born-b.Born, -1), 1)) })
+	for _, e := range f.Members {
+		if distance(m, e) == farthest {
+			f.Loads++
+		}
+	}
+	return f
+}
+
+// Distances of an engine from serving a model, nearest first.
+const (
+	loaded   = 0
+	staged   = 1
+	farthest = 2
+)
+
+func distance(m catalog.Model, e *catalog.Engine) int {
+	switch {
+	case e.Model == m.Name:
+		return loaded
+	case e.HasStaged(m.Name):
+		return staged
+	default:
+		return farthest
+	}
+}
+
+func without(engines, taken []*catalog.Engine) []*catalog.Engine {
+	return slices.DeleteFunc(slices.Clone(engines), func(e *catalog.Engine) bool { return slices.Contains(taken, e) })
+}
+
+// stage loads models onto the spares of a domain, so that each model served
+// there has one that can take a lost member's place at once.
+func (s *Snapshot) stage(domain string, spares []*catalog.Engine, loads *int) []Step {
+	var steps []Step
+	for _, m := range s.wanted(domain) {
+		covered := slices.ContainsFunc(spares, func(e *catalog.Engine) bool { return distance(m, e) < farthest })
+		if covered || *loads <= 0 {
+			continue
+		}
+		i := slices.IndexFunc(spares, func(e *catalog.Engine) bool { return !s.useful(domain, e) })
+		if i < 0 {
+			break
+		}
+		*loads--
+		steps = append(steps, Step{Stage: &Stage{Engine: spares[i], Model: m}})
+		spares = without(spares, spares[i:i+1])
+	}
+	// What is left gets the model that most groups of the domain serve.
+	for _, e := range spares {
+		if *loads <= 0 || s.useful(domain, e) {
+			continue
+		}
+		if wanted := s.wanted(domain); len(wanted) > 0 {
+			*loads--
+			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: wanted[0]}})
+		}
+	}
+	return steps
+}
+
+// wanted returns the models that groups of the domain serve, most groups first.
+func (s *Snapshot) wanted(domain string) []catalog.Model {
+	counts := map[string]int{}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		if slices.ContainsFunc(g.Present(), func(e *catalog.Engine) bool { return e.Domain == domain }) {
+			counts[g.Model]++
+		}
+	}
+	out := slices.DeleteFunc(slices.Clone(s.Service.Engine.Models), func(m catalog.Model) bool { return counts[m.Name] == 0 })
+	slices.SortStableFunc(out, func(a, b catalog.Model) int { return counts[b.Name] - counts[a.Name] })
+	return out
+}
+
+// useful reports whether the engine's host has a model that the domain serves.
+func (s *Snapshot) useful(domain string, e *catalog.Engine) bool {
+	return slices.ContainsFunc(s.wanted(domain), func(m catalog.Model) bool { return distance(m, e) < farthest })
+}
--- /dev/null
+++ b/internal/planner/act.go
@@ -0,0 +1,199 @@
+package planner
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/placement"
+)
+
+const (
+	// joinSlack is added to the time that a join takes before its members are
+	// free to be taken again.
+	joinSlack = 2 * time.Second
+	// rejoin is the time that a join takes where the model is loaded already.
+	rejoin = 200 * time.Millisecond
+	// orderPause is the time before the same engine gets the next order; its
+	// announcement of the last one's effect arrives within it.
+	orderPause = 600 * time.Millisecond
+	// orderTries bounds the sends of one order without an answer.
+	orderTries = 3
+	// loadPart is the part of the published rate of loads that is used; loads
+	// of an earlier planner may still count in the same window.
+	loadPart = 0.8
+)
+
+// act takes the steps that the state asks for.
+func (p *Planner) act() {
+	cfg := p.o.Directory.Config()
+	if cfg == nil || !p.o.Directory.Loaded() {
+		return
+	}
+	for name, service := range cfg.Services {
+		if service.Engine == nil {
+			continue
+		}
+		view, ok := p.o.Directory.Service(name)
+		if !ok || len(view.Engines) == 0 {
+			continue
+		}
+		for _, step := range placement.Plan(p.snapshot(view)) {
+			p.take(view.Service, step)
+		}
+	}
+}
+
+func (p *Planner) snapshot(view *directory.ServiceView) *placement.Snapshot {
+	now := time.Now()
+	s := &placement.Snapshot{
+		Service: view.Service, Engines: view.Engines, Groups: view.Groups, Now: now,
+		Lost:     map[string]bool{},
+		Reserved: map[string]bool{},
+		Own:      map[catalog.GroupID]time.Time{},
+		Released: map[catalog.GroupID]bool{},
+		ZoneOut:  p.o.Directory.ZoneOut,
+		Loads:    p.loads.available(view.Service.Engine, now),
+	}
+	p.watched.Range(func(id string, w *watched) bool {
+		if w.lost() {
+			s.Lost[id] = true
+		}
+		return true
+	})
+	p.reserved.Range(func(id string, until time.Time) bool {
+		if now.Before(until) {
+			s.Reserved[id] = true
+		}
+		return true
+	})
+	p.own.Range(func(_ string, f formation) bool {
+		s.Own[f.id] = f.until
+		return true
+	})
+	for i := range view.Groups {
+		g := &view.Groups[i]
+		if p.headOver(g, now) {
+			s.Released[g.ID] = true
+		}
+	}
+	return s
+}
+
+func (p *Planner) take(service *catalog.Service, step placement.Step) {
+	switch {
+	case step.Form != nil:
+		p.form(service, step.Form)
+	case step.Open != nil:
+		p.simple(step.Open.Head(), Order{Op: Open, Group: step.Open.ID})
+	case step.Close != nil:
+		p.simple(step.Close.Group.Head(), Order{Op: Close, Group: step.Close.Group.ID, Abort: step.Close.Abort})
+	case step.Stage != nil:
+		p.loads.take(1, time.Now())
+		p.reserve(step.Stage.Engine, time.Now().Add(orderPause+step.Stage.Model.Load))
+		go func() {
+			if err := p.order(step.Stage.Engine, Order{Op: Stage, Model: step.Stage.Model.Name}); err != nil {
+				p.reserved.Delete(step.Stage.Engine.ID)
+			}
+		}()
+	}
+}
+
+func (p *Planner) reserve(e *catalog.Engine, until time.Time) { p.reserved.Set(e.ID, until) }
+
+// simple gives an order that concerns a head only.
+func (p *Planner) simple(e *catalog.Engine, o Order) {
+	p.reserve(e, time.Now().Add(orderPause))
+	go func() { _ = p.order(e, o) }() // order logs its failure; the next look decides anew
+}
+
+// form sends the join to all members at once.
+func (p *Planner) form(service *catalog.Service, f *placement.Form) {
+	number := p.number()
+	id := catalog.GroupID{Name: "g" + strconv.FormatInt(number, 36), Epoch: number}
+	members := make([]string, len(f.Members))
+	takes := rejoin
+	for i, e := range f.Members {
+		members[i] = e.ID
+		switch {
+		case e.Model == f.Model.Name:
+		case e.HasStaged(f.Model.Name):
+			takes = max(takes, f.Model.Warm)
+		default:
+			takes = max(takes, f.Model.Load)
+		}
+	}
+	p.loads.take(f.Loads, time.Now())
+	until := time.Now().Add(takes + joinSlack)
+	p.own.Set(id.Name, formation{id, until})
+	klog.InfoS("group formed", "group", id.Name, "epoch", id.Epoch, "service", service.Name, "model", f.Model.Name,
+		"members", members, "loads", f.Loads, "domain", f.Members[0].Domain, "takes_ms", takes.Milliseconds())
+	var done sync.WaitGroup
+	for _, e := range f.Members {
+		p.reserve(e, time.Now().Add(orderPause))
+		done.Go(func() {
+			o := Order{Op: Join, Group: id, Model: f.Model.Name, Members: members}
+			if err := p.order(e, o); err != nil {
+				p.own.Delete(id.Name)
+			}
+		})
+	}
+}
+
+// order sends an order until the engine has answered it, each time with a
+// higher fence, so that a late arrival of an earlier send is refused.
+func (p *Planner) order(e *catalog.Engine, o Order) error {
+	var err error
+	for range orderTries {
+		if !p.Holds() {
+			klog.InfoS("order dropped: not the planner any more", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name)
+			return fault.Refuse(fault.Conflict, "leave it to the planner", "this daemon does not plan")
+		}
+		o.Fence = p.number()
+		err = p.o.Engines.Order(e, o)
+		klog.InfoS("order", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name, "model", o.Model, "fence", o.Fence, "error", errText(err))
+		if err == nil || fault.As(err).Outcome == fault.NotRun {
+			return err
+		}
+	}
+	return err
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// loadBudget keeps the start of loads below the published rate.
+type loadBudget struct {
+	mu    sync.Mutex
+	spent []time.Time
+}
+
+// loadWindow is the time over which loads are counted.
+const loadWindow = 5 * time.Second
+
+// available returns how many loads may start now.
+func (b *loadBudget) available(spec *catalog.EngineModel, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.spent) > 0 && now.Sub(b.spent[0]) > loadWindow {
+		b.spent = b.spent[1:]
+	}
+	return max(0, int(loadPart*spec.LoadsPerSecond*loadWindow.Seconds())-len(b.spent))
+}
+
+func (b *loadBudget) take(n int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range n {
+		b.spent = append(b.spent, now)
+	}
+}
--- /dev/null
+++ b/internal/planner/observe.go
@@ -0,0 +1,275 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+)
+
+const (
+	// observeInterval is the pause between looks at who must be asked.
+	observeInterval = 200 * time.Millisecond
+	// lateBeats is the age of an announcement, in heartbeats, from which an
+	// engine is asked whether it lives.
+	lateBeats = 1.6
+	// askedAgain is the pause between two questions to the same engine.
+	askedAgain = 400 * time.Millisecond
+	// missesLost is the number of unanswered questions after which an engine
+	// counts as lost.
+	missesLost = 2
+	// headMargin is added to the stall bound before a silent head counts as over.
+	headMargin = time.Second
+	// unknownHead is how long the members of a group wait whose head was never
+	// seen here; by then it is broken, whatever happened to it.
+	unknownHead = 15 * time.Second
+	// forgetAfter is how long an engine that is gone is remembered.
+	forgetAfter = time.Minute
+)
+
+// watched is what is known of an engine beyond its announcements.
+type watched struct {
+	mu     sync.Mutex
+	engine catalog.Engine
+	// present tells whether it announces itself; since when it doesn't.
+	present   bool
+	goneSince time.Time
+	suspect   bool
+	asked     time.Time
+	misses    int
+	// firstMiss is the first unanswered question in a row.
+	firstMiss time.Time
+	// dead means that the address refuses connections or belongs to another engine.
+	dead bool
+	// reported is the last answer.
+	reported   Report
+	reportedAt time.Time
+}
+
+// lost reports whether the engine answers nothing.
+func (w *watched) lost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead || w.misses >= missesLost
+}
+
+// observe follows the engines and asks those in doubt.
+func (p *Planner) observe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.drainSuspects()
+		cfg := p.o.Directory.Config()
+		if cfg != nil {
+			for name, service := range cfg.Services {
+				if view, ok := p.o.Directory.Service(name); ok && service.Engine != nil {
+					p.follow(view)
+				}
+			}
+			p.askDoubtful()
+		}
+		pause(ctx, observeInterval)
+	}
+	return nil
+}
+
+func (p *Planner) drainSuspects() {
+	for {
+		select {
+		case id := <-p.suspects:
+			p.suspectGroup(id)
+		default:
+			return
+		}
+	}
+}
+
+// suspectGroup marks all members of the suspected head's group to be asked.
+func (p *Planner) suspectGroup(id string) {
+	head, ok := p.o.Directory.Engine(id)
+	if !ok {
+		return
+	}
+	p.watched.Range(func(_ string, w *watched) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.engine.Member.Group == head.Member.Group || w.engine.ID == id {
+			w.suspect = true
+		}
+		return true
+	})
+}
+
+// follow takes the announcements in.
+func (p *Planner) follow(view *directory.ServiceView) {
+	present := map[string]bool{}
+	for _, e := range view.Engines {
+		present[e.ID] = true
+		p.watched.Update(e.ID, func(w *watched, ok bool) (*watched, bool) {
+			if !ok {
+				w = &watched{}
+			}
+			w.announced(e)
+			return w, true
+		})
+	}
+	now := time.Now()
+	var old []string
+	p.watched.Range(func(id string, w *watched) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.engine.Service != view.Service.Name || present[id] {
+			return true
+		}
+		if w.present {
+			w.present, w.goneSince = false, now
+		}
+		if now.Sub(w.goneSince) > forgetAfter {
+			old = append(old, id)
+		}
+		return true
+	})
+	for _, id := range old {
+		p.watched.Delete(id)
+	}
+}
+
+// announced notes an engine's announcement; a new one clears all doubt.
+func (w *watched) announced(e *catalog.Engine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.present || e.Born != w.engine.Born || e.SeenAt.After(w.engine.SeenAt) {
+		if w.misses >= missesLost || w.dead {
+			klog.InfoS("engine answers again", "engine", e.ID)
+		}
+		w.suspect, w.misses, w.dead, w.firstMiss = false, 0, false, time.Time{}
+	}
+	w.engine, w.present = *e, true
+}
+
+// askDoubtful asks the engines that are suspected, late, or gone while they
+// may still head a group.
+func (p *Planner) askDoubtful() {
+	if !p.Holds() {
+		return
+	}
+	now := time.Now()
+	fresh := p.o.Directory.EnginesAge() < p.o.Heartbeat
+	var ask []*watched
+	p.watched.Range(func(_ string, w *watched) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		late := fresh && now.Sub(w.engine.SeenAt) > time.Duration(lateBeats*float64(p.o.Heartbeat))
+		inGroup := w.engine.Member.State != catalog.NoGroup
+		goneHead := !w.present && w.engine.Member.Rank == 0 && inGroup
+		doubtful := w.present && inGroup && (w.suspect || late) || goneHead
+		if doubtful && !w.dead && now.Sub(w.asked) >= askedAgain {
+			w.asked = now
+			ask = append(ask, w)
+		}
+		return true
+	})
+	for _, w := range ask {
+		go p.ask(w)
+	}
+}
+
+// ask gets the engine's report and notes what that tells.
+func (p *Planner) ask(w *watched) {
+	w.mu.Lock()
+	e := w.engine
+	w.mu.Unlock()
+	began := time.Now()
+	r, err := p.o.Engines.Report(&e)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.engine.Born != e.Born || w.engine.SeenAt.After(began) {
+		return
+	}
+	switch {
+	case fault.Is(err, fault.NotFound) || (err == nil && r.Born != e.Born):
+		w.dead = true
+		klog.InfoS("engine is down", "engine", e.ID, "group", e.Member.Group.Name, "rank", e.Member.Rank, "error", errText(err))
+	case err != nil:
+		if w.misses == 0 {
+			w.firstMiss = began
+		}
+		w.misses++
+		if w.misses == missesLost {
+			klog.InfoS("engine is silent", "engine", e.ID, "group", e.Member.Group.Name, "rank", e.Member.Rank, "error", errText(err))
+		}
+	default:
+		w.misses, w.firstMiss, w.suspect = 0, time.Time{}, false
+		w.reported, w.reportedAt = r, began
+		p.closeGone(w, e)
+	}
+}
+
+// closeGone ends the service of a head that is gone from the directory but
+// still serves. The caller holds the lock of w.
+func (p *Planner) closeGone(w *watched, e catalog.Engine) {
+	if w.present || w.reported.Member.State != catalog.Open {
+		return
+	}
+	group := w.reported.Member.Group
+	go func() { _ = p.order(&e, Order{Op: Close, Group: group}) }() // order logs its failure; the next report decides anew
+}
+
+// headOver reports whether the absent or lost head of a group certainly serves
+// no more.
+func (p *Planner) headOver(g *catalog.Group, now time.Time) bool {
+	if h := g.Head(); h != nil {
+		w, ok := p.watched.Get(h.ID)
+		return ok && w.over(g.ID, p.o.StallBound+headMargin, now)
+	}
+	var head *watched
+	p.watched.Range(func(_ string, w *watched) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.engine.Member.Group == g.ID && w.engine.Member.Rank == 0 {
+			head = w
+			return false
+		}
+		return true
+	})
+	if head != nil {
+		return head.over(g.ID, p.o.StallBound+headMargin, now)
+	}
+	return p.headlessSince(g, now) > unknownHead
+}
+
+// over reports whether the head is dead, says that it serves no more, has left
+// the group, or has been silent for longer than the bound.
+func (w *watched) over(group catalog.GroupID, bound time.Duration, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.dead || w.engine.Member.Group != group:
+		return true
+	case w.misses >= missesLost:
+		return now.Sub(w.firstMiss) > bound
+	case w.reportedAt.IsZero():
+		return false
+	case w.reported.Member.Group != group:
+		return true
+	}
+	state := w.reported.Member.State
+	return now.Sub(w.reportedAt) < time.Second && (state == catalog.Ready || state == catalog.Broken || state == catalog.NoGroup)
+}
+
+// headlessSince returns for how long the group's members have been without a
+// head that was ever seen here.
+func (p *Planner) headlessSince(g *catalog.Group, now time.Time) time.Duration {
+	var since time.Time
+	p.headless.Update(g.ID.Name, func(t time.Time, ok bool) (time.Time, bool) {
+		if !ok {
+			t = now
+		}
+		since = t
+		return t, true
+	})
+	return now.Sub(since)
+}
