--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -24,6 +24,9 @@
 	orderPause = 600 * time.Millisecond
 	// orderTries bounds the sends of one order without an answer.
 	orderTries = 3
+	// gatherBeats is the time, in heartbeats, that engines without any group get
+	// to announce themselves; each does so once in a heartbeat.
+	gatherBeats = 1.25
 	// loadPart is the part of the published rate of loads that is used; loads
 	// of an earlier planner may still count in the same window.
 	loadPart = 0.8
@@ -40,7 +43,7 @@
 			continue
 		}
 		view, ok := p.o.Directory.Service(name)
-		if !ok || len(view.Engines) == 0 {
+		if !ok || !p.gathered(view) {
 			continue
 		}
 		for _, step := range placement.Plan(p.snapshot(view)) {
@@ -49,6 +52,22 @@
 	}
 }
 
+// gathered reports whether the engines have had the time to announce
+// themselves: groups formed of the first few would be badly divided.
+func (p *Planner) gathered(view *directory.ServiceView) bool {
+	if len(view.Engines) == 0 || len(view.Groups) > 0 {
+		return len(view.Groups) > 0
+	}
+	first := time.Now()
+	p.firstSeen.Update(view.Service.Name, func(t time.Time, ok bool) (time.Time, bool) {
+		if ok {
+			first = t
+		}
+		return first, true
+	})
+	return time.Since(first) > time.Duration(gatherBeats*float64(p.o.Heartbeat))
+}
+
 func (p *Planner) snapshot(view *directory.ServiceView) *placement.Snapshot {
 	now := time.Now()
 	s := &placement.Snapshot{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -118,8 +118,10 @@
 	own      *shard.Map[formation]
 	// headless tells since when a group has been without a known head.
 	headless *shard.Map[time.Time]
-	suspects chan string
-	loads    loadBudget
+	// firstSeen is when engines of a service were first seen without groups.
+	firstSeen *shard.Map[time.Time]
+	suspects  chan string
+	loads     loadBudget
 }
 
 // formation is a group that this planner has begun to form.
@@ -131,13 +133,14 @@
 // New returns a planner.
 func New(o Options) *Planner {
 	return &Planner{
-		o:        o,
-		ttl:      max(leaseTTL, o.MinLeaseTTL),
-		watched:  shard.NewMap[*watched](),
-		reserved: shard.NewMap[time.Time](),
-		own:      shard.NewMap[formation](),
-		headless: shard.NewMap[time.Time](),
-		suspects: make(chan string, 256),
+		o:         o,
+		ttl:       max(leaseTTL, o.MinLeaseTTL),
+		watched:   shard.NewMap[*watched](),
+		reserved:  shard.NewMap[time.Time](),
+		own:       shard.NewMap[formation](),
+		headless:  shard.NewMap[time.Time](),
+		firstSeen: shard.NewMap[time.Time](),
+		suspects:  make(chan string, 256),
 	}
 }
 
