Tell peers of loads and suspicions; re-form a closed group at once

Causes: (1) daemons chose engines from their own load only and met on the same one (busiest/mean 19); (2) before the first request loads were held to the rate that binds only later, so 5 of 12 groups stood when traffic came; (3) a restarted process kept its name among the planners, was given the same generation, and reused order numbers, which engines refused with 412; (4) a closed formation counted as forming until its time to join had passed. Change: package mesh, unbounded loads before the first request, one name per process, and a formation is forgotten with its close.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -16,8 +16,6 @@
 	// suspectFor bounds a suspicion that nothing confirms or lifts. A stalled
 	// group announces itself as broken within the stall bound (5 s on the sheets).
 	suspectFor = 6 * time.Second
-	// remoteFor is how long the load that another daemon told of counts.
-	remoteFor = 1500 * time.Millisecond
 	// reportedFor is how long the load in an engine's answer counts.
 	reportedFor = 300 * time.Millisecond
 	// coldUse is the part of a cold engine's published bound that is used; the
@@ -53,8 +51,8 @@
 }
 
 type remoteLoad struct {
-	load Load
-	at   time.Time
+	load  Load
+	until time.Time
 }
 
 // Status is what is known of an engine at one moment.
@@ -110,7 +108,7 @@
 func (s *engineState) load(now time.Time) Load {
 	sum := s.own
 	for from, r := range s.remote {
-		if now.Sub(r.at) > remoteFor {
+		if now.After(r.until) {
 			delete(s.remote, from)
 			continue
 		}
@@ -224,12 +222,23 @@
 	}
 }
 
-// Remote notes the load that another daemon has under way at an engine.
-func (t *Tracker) Remote(from, id string, l Load, now time.Time) {
-	s := t.state(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remote[from] = remoteLoad{l, now}
+// RemoteAll notes the load that another daemon has under way, at all engines;
+// it counts until the given time or its next word.
+func (t *Tracker) RemoteAll(from string, loads map[string]Load, until, now time.Time) {
+	for id := range loads {
+		t.state(id)
+	}
+	t.engines.Range(func(id string, s *engineState) bool {
+		l, has := loads[id]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if has {
+			s.remote[from] = remoteLoad{l, until}
+		} else {
+			delete(s.remote, from)
+		}
+		return true
+	})
 }
 
 // Own returns this daemon's load by engine, without idle ones.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -138,6 +138,22 @@
 	return boottime.Now() - time.Duration(at)
 }
 
+// Confirm takes another daemon's word that a version of the configuration was
+// the newest at a boot time of this machine. It counts only if that version is
+// in force here, and never for a time to come.
+func (d *Directory) Confirm(version int64, now, at time.Duration) {
+	cfg := d.config.Load()
+	if cfg == nil || cfg.Version != version || at > now {
+		return
+	}
+	for {
+		old := d.confirmed.Load()
+		if int64(at) <= old || d.confirmed.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
 // EnginesAge returns how long ago the engines' announcements were last read.
 func (d *Directory) EnginesAge() time.Duration {
 	return boottime.Now() - time.Duration(d.enginesAt.Load())
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		d.applyOperator(records, whole)
-		d.confirmed.Store(int64(begun))
+		d.confirmed.Store(max(int64(begun), d.confirmed.Load()))
 	}
 	return nil
 }
@@ -301,9 +301,15 @@
 	d.engines.Set(e.ID, e)
 	if !known {
 		klog.InfoS("engine announced", "engine", e.ID, "service", e.Service, "zone", e.Zone, "domain", e.Domain, "addr", e.Addr)
-	} else if e.Draining && !old.Draining {
+		return true
+	}
+	if e.Draining && !old.Draining {
 		klog.InfoS("engine drains", "engine", e.ID, "service", e.Service)
 	}
+	if e.Member != old.Member {
+		klog.InfoS("engine's group changed", "engine", e.ID, "group", e.Member.Group.Name, "epoch", e.Member.Group.Epoch,
+			"rank", e.Member.Rank, "state", e.Member.State.String(), "was_group", old.Member.Group.Name, "was_state", old.Member.State.String())
+	}
 	return true
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -8,16 +8,18 @@
 	"strconv"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/balance"
-	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/ingress"
+	"github.com/ragwortquay/ragwortquay/internal/mesh"
 	"github.com/ragwortquay/ragwortquay/internal/planner"
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
 const (
@@ -59,6 +61,8 @@
 	directory *directory.Directory
 	planner   *planner.Planner
 	server    *ingress.Server
+	mesh      *mesh.Mesh
+	gossip    *gossip
 	stats     *stats
 }
 
@@ -70,9 +74,16 @@
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
 	d.directory = directory.New(directory.Options{Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Heartbeat: s.Heartbeat})
 	tracker := balance.NewTracker(s.Node, d.fleet)
+	boot := ulid.Make().String()
+	d.gossip = &gossip{d: d, tracker: tracker, suspects: shard.NewMap[suspicion]()}
+	d.mesh = mesh.New(mesh.Options{
+		Node: s.Node, Boot: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
+		Source: d.gossip, Sink: d.gossip,
+	})
 	d.planner = planner.New(planner.Options{
-		Node: s.Node, Directory: d.directory, Lease: p.Lease, Engines: p.Control,
-		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
+		Member: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.Control,
+		FirstStart: s.FirstStart,
+		Heartbeat:  s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Engines: p.Codec,
@@ -81,7 +92,7 @@
 		Heartbeat:   s.Heartbeat,
 		ConfigBound: s.ConfigBound, StrictRevoke: s.StrictRevoke, RevokeBound: s.RevokeBound,
 		Observer:  d.stats,
-		Suspected: d.suspected,
+		Suspected: d.gossip.suspect,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
@@ -99,6 +110,7 @@
 	g.Go(func() error { return d.directory.Run(work) })
 	g.Go(func() error { return d.planner.Run(ctx) })
 	g.Go(func() error { return d.announce(work) })
+	g.Go(func() error { return d.mesh.Run(work) })
 	g.Go(func() error {
 		// The store is followed until the last request is answered.
 		defer cancel()
@@ -155,5 +167,3 @@
 	}
 	return 0
 }
-
-func (d *Daemon) suspected(id string, _ catalog.GroupID) { d.planner.Suspect(id) }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,6 +27,8 @@
 	MaxDescriptors int
 	// MeshPort is the UDP port for datagrams between daemons.
 	MeshPort int
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 	// Heartbeat is the interval at which engines announce themselves.
 	Heartbeat time.Duration
 	// DrainBound is the time within which new work to a leaving engine must stop.
@@ -61,6 +63,7 @@
 	require(isAddr(s.FrontAddr), "the callers' address is not an address with a port")
 	require(isAddr(s.ReadyAddr), "the address for readiness is not an address with a port")
 	require(isAddr(s.Store), "the store's address is not an address with a port")
+	require(s.MeshPort > 0, "the internal port is missing")
 	require(s.Heartbeat > 0, "the engines' heartbeat is not positive")
 	require(s.Grace > 0, "the grace time is not positive")
 	require(s.ConfigBound > 0, "the bound for configurations is not positive")
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,205 @@
+// Package mesh tells the other daemons what this one has under way and whom it
+// suspects, in datagrams several times a second. What arrives is a hint: no
+// invariant depends on it but the confirmation of a configuration, which is
+// dated by an echo.
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+const (
+	// leastInterval is the interval between reports in a small fleet; the lag
+	// of engines' own reports is 200 ms on the sheets.
+	leastInterval = 120 * time.Millisecond
+	// perPeer stretches the interval with the fleet, so that a daemon's reports
+	// cost the same share of its processor at any size.
+	perPeer = 8 * time.Millisecond
+	// maxDatagram keeps a report within one packet.
+	maxDatagram = 1400
+	// maxLoads is the number of engines in a report that fits.
+	maxLoads = 40
+	// readBytes is the size of the receive buffer.
+	readBytes = 4096
+	// peerGone is the number of intervals without a report after which a peer
+	// counts as gone.
+	peerGone = 10
+)
+
+// Source tells what to report. All methods are called several times a second.
+type Source interface {
+	// Peers are the addresses of all daemons by name, this one included.
+	Peers() map[string]string
+	// Fill adds what this daemon has to tell.
+	Fill(r *wire.LoadReport)
+}
+
+// Sink takes what other daemons report.
+type Sink interface {
+	// Heard takes a report that arrived.
+	Heard(r *wire.LoadReport)
+}
+
+// Options configure a Mesh. All fields are required.
+type Options struct {
+	Node string
+	Boot string
+	// Addr is the local UDP address.
+	Addr   string
+	Source Source
+	Sink   Sink
+}
+
+// Mesh sends and receives reports.
+type Mesh struct {
+	o     Options
+	conn  *net.UDPConn
+	peers *shard.Map[peer]
+	wake  chan struct{}
+	sent  atomic.Uint64
+}
+
+type peer struct {
+	boot    string
+	echo    int64
+	at      time.Time
+	expires time.Time
+}
+
+// New returns a mesh that Run starts.
+func New(o Options) *Mesh {
+	return &Mesh{o: o, peers: shard.NewMap[peer](), wake: make(chan struct{}, 1)}
+}
+
+// Run sends and receives until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp", m.o.Addr)
+	if err != nil {
+		return fault.Wrap(fault.BadInput, err, "correct the internal port", "address %s", m.o.Addr)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "free the internal port", "listen on %s", m.o.Addr)
+	}
+	m.conn = conn
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return m.send(ctx) })
+	g.Go(func() error { return m.receive(ctx) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return conn.Close()
+	})
+	return g.Wait()
+}
+
+// Wake sends the next report at once.
+func (m *Mesh) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default: // a report is due already
+	}
+}
+
+// Live returns the number of daemons heard of lately, this one included.
+func (m *Mesh) Live() int {
+	now := time.Now()
+	n := 1
+	m.peers.Range(func(_ string, p peer) bool {
+		if now.Before(p.expires) {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
+func (m *Mesh) send(ctx context.Context) error {
+	for ctx.Err() == nil {
+		addrs := m.o.Source.Peers()
+		every := max(leastInterval, time.Duration(len(addrs))*perPeer)
+		m.report(addrs, every)
+		t := time.NewTimer(every)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-m.wake:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func (m *Mesh) report(addrs map[string]string, every time.Duration) {
+	r := wire.LoadReport{From: m.o.Node, Boot: m.o.Boot, EveryMS: every.Milliseconds()}
+	m.o.Source.Fill(&r)
+	if len(r.Loads) > maxLoads {
+		r.Loads = r.Loads[:maxLoads]
+	}
+	for name, addr := range addrs {
+		if name == m.o.Node {
+			continue
+		}
+		p, _ := m.peers.Get(name)
+		r.EchoNS, r.SentNS = p.echo, int64(boottime.Now())
+		m.sendTo(addr, &r)
+	}
+}
+
+func (m *Mesh) sendTo(addr string, r *wire.LoadReport) {
+	b, err := wire.EncodeLoadReport(r)
+	if err != nil || len(b) > maxDatagram {
+		klog.ErrorS(err, "report not sent", "bytes", len(b))
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		klog.V(1).ErrorS(err, "peer's address ignored", "addr", addr)
+		return
+	}
+	// A lost datagram is made good by the next one.
+	if _, err := m.conn.WriteToUDP(b, to); err == nil {
+		m.sent.Add(1)
+	}
+}
+
+func (m *Mesh) receive(ctx context.Context) error {
+	buf := make([]byte, readBytes)
+	for {
+		n, _, err := m.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			klog.V(1).ErrorS(err, "datagram not received")
+			continue
+		}
+		r, err := wire.DecodeLoadReport(buf[:n])
+		if err != nil || r.From == "" || r.From == m.o.Node {
+			klog.V(1).InfoS("datagram ignored", "bytes", n)
+			continue
+		}
+		m.heard(r)
+	}
+}
+
+func (m *Mesh) heard(r *wire.LoadReport) {
+	now := time.Now()
+	old, known := m.peers.Get(r.From)
+	if !known || old.boot != r.Boot || now.After(old.expires) {
+		klog.InfoS("peer heard", "peer", r.From, "boot", r.Boot)
+	}
+	every := time.Duration(r.EveryMS) * time.Millisecond
+	m.peers.Set(r.From, peer{boot: r.Boot, echo: r.SentNS, at: now, expires: now.Add(peerGone * every)})
+	m.o.Sink.Heard(r)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,8 @@
 	Lost map[string]bool
 	// Reserved engines have an order under way.
 	Reserved map[string]bool
+	// Staging are the models on their way to engines' hosts, by engine.
+	Staging map[string]string
 	// Own are the formations begun by this planner, with the time until which
 	// their members may take to join.
 	Own map[catalog.GroupID]time.Time
@@ -200,17 +202,29 @@
 		if len(engines) < m.Size || m.Size <= 0 {
 			continue
 		}
-		f := choose(m, engines)
+		f := s.choose(m, engines)
 		if f.Loads > loads {
 			continue
 		}
-		if gain := Gain(m, counts[m.Name]); !found || gain > bestGain {
+		gain := Gain(m, counts[m.Name])
+		if f.Loads > 0 && s.Loads < loadsFree {
+			gain *= loadDiscount
+		}
+		if !found || gain > bestGain {
 			best, bestGain, found = f, gain, true
 		}
 	}
 	return best, found
 }
 
+const (
+	// loadDiscount is taken off the gain of a group that must load weights: it
+	// serves later, by ten times the time that a staged one takes.
+	loadDiscount = 0.3
+	// loadsFree is a number of loads that no bound leaves: loads cost nothing yet.
+	loadsFree = 1 << 16
+)
+
 // nothingServed is the gain of a model's first group: above any other.
 const nothingServed = 1e6
 
@@ -227,13 +241,13 @@
 
 // choose takes the engines that are soonest ready for the model. The head is
 // the one that has been up longest, since a head's loss costs most.
-func choose(m catalog.Model, engines []*catalog.Engine) Form {
+func (s *Snapshot) choose(m catalog.Model, engines []*catalog.Engine) Form {
 	sorted := slices.Clone(engines)
-	slices.SortStableFunc(sorted, func(a, b *catalog.Engine) int { return distance(m, a) - distance(m, b) })
+	slices.SortStableFunc(sorted, func(a, b *catalog.Engine) int { return s.distance(m, a) - s.distance(m, b) })
 	f := Form{Model: m, Members: sorted[:m.Size]}
 	slices.SortStableFunc(f.Members, func(a, b *catalog.Engine) int { return int(min(max(a.Born-b.Born, -1), 1)) })
 	for _, e := range f.Members {
-		if distance(m, e) == farthest {
+		if s.distance(m, e) == farthest {
 			f.Loads++
 		}
 	}
@@ -244,15 +258,18 @@
 const (
 	loaded   = 0
 	staged   = 1
-	farthest = 2
+	coming   = 2
+	farthest = 3
 )
 
-func distance(m catalog.Model, e *catalog.Engine) int {
+func (s *Snapshot) distance(m catalog.Model, e *catalog.Engine) int {
 	switch {
 	case e.Model == m.Name:
 		return loaded
 	case e.HasStaged(m.Name):
 		return staged
+	case s.Staging[e.ID] == m.Name:
+		return coming
 	default:
 		return farthest
 	}
@@ -267,7 +284,7 @@
 func (s *Snapshot) stage(domain string, spares []*catalog.Engine, loads *int) []Step {
 	var steps []Step
 	for _, m := range s.wanted(domain) {
-		covered := slices.ContainsFunc(spares, func(e *catalog.Engine) bool { return distance(m, e) < farthest })
+		covered := slices.ContainsFunc(spares, func(e *catalog.Engine) bool { return s.distance(m, e) < farthest })
 		if covered || *loads <= 0 {
 			continue
 		}
@@ -308,5 +325,5 @@
 
 // useful reports whether the engine's host has a model that the domain serves.
 func (s *Snapshot) useful(domain string, e *catalog.Engine) bool {
-	return slices.ContainsFunc(s.wanted(domain), func(m catalog.Model) bool { return distance(m, e) < farthest })
+	return slices.ContainsFunc(s.wanted(domain), func(m catalog.Model) bool { return s.distance(m, e) < farthest })
 }
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -22,6 +22,8 @@
 	// orderPause is the time before the same engine gets the next order; its
 	// announcement of the last one's effect arrives within it.
 	orderPause = 600 * time.Millisecond
+	// unbounded is more than all engines that a plan may load.
+	unbounded = 1 << 20
 	// orderTries bounds the sends of one order without an answer.
 	orderTries = 3
 	// gatherBeats is the time, in heartbeats, that engines without any group get
@@ -77,7 +79,8 @@
 		Own:      map[catalog.GroupID]time.Time{},
 		Released: map[catalog.GroupID]bool{},
 		ZoneOut:  p.o.Directory.ZoneOut,
-		Loads:    p.loads.available(view.Service.Engine, now),
+		Staging:  map[string]string{},
+		Loads:    p.loadsLeft(view.Service.Engine, now),
 	}
 	p.watched.Range(func(id string, w *watched) bool {
 		if w.lost() {
@@ -85,6 +88,12 @@
 		}
 		return true
 	})
+	p.staging.Range(func(id string, st staging) bool {
+		if now.Before(st.until) {
+			s.Staging[id] = st.model
+		}
+		return true
+	})
 	p.reserved.Range(func(id string, until time.Time) bool {
 		if now.Before(until) {
 			s.Reserved[id] = true
@@ -111,16 +120,32 @@
 	case step.Open != nil:
 		p.simple(step.Open.Head(), Order{Op: Open, Group: step.Open.ID})
 	case step.Close != nil:
+		p.own.Delete(step.Close.Group.ID.Name)
 		p.simple(step.Close.Group.Head(), Order{Op: Close, Group: step.Close.Group.ID, Abort: step.Close.Abort})
 	case step.Stage != nil:
-		p.loads.take(1, time.Now())
-		p.reserve(step.Stage.Engine, time.Now().Add(orderPause+step.Stage.Model.Load))
-		go func() {
-			if err := p.order(step.Stage.Engine, Order{Op: Stage, Model: step.Stage.Model.Name}); err != nil {
-				p.reserved.Delete(step.Stage.Engine.ID)
-			}
-		}()
+		p.stage(step.Stage)
+	}
+}
+
+// loadsLeft returns how many loads may start now.
+func (p *Planner) loadsLeft(spec *catalog.EngineModel, now time.Time) int {
+	if p.o.FirstStart && !p.serving.Load() {
+		return unbounded
 	}
+	return p.loads.available(spec, now)
+}
+
+// stage orders a model onto an engine's host; the engine stays free meanwhile.
+func (p *Planner) stage(s *placement.Stage) {
+	p.loads.take(1, time.Now())
+	id := s.Engine.ID
+	p.reserve(s.Engine, time.Now().Add(orderPause))
+	p.staging.Set(id, staging{s.Model.Name, time.Now().Add(s.Model.Load + joinSlack)})
+	go func() {
+		if err := p.order(s.Engine, Order{Op: Stage, Model: s.Model.Name}); err != nil {
+			p.staging.Delete(id)
+		}
+	}()
 }
 
 func (p *Planner) reserve(e *catalog.Engine, until time.Time) { p.reserved.Set(e.ID, until) }
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -14,7 +14,7 @@
 
 const (
 	// observeInterval is the pause between looks at who must be asked.
-	observeInterval = 200 * time.Millisecond
+	observeInterval = 100 * time.Millisecond
 	// lateBeats is the age of an announcement, in heartbeats, from which an
 	// engine is asked whether it lives.
 	lateBeats = 1.6
@@ -182,12 +182,22 @@
 	w.mu.Lock()
 	e := w.engine
 	w.mu.Unlock()
+	for range missesLost {
+		if !p.askOnce(w, e) {
+			return
+		}
+	}
+}
+
+// askOnce asks once and reports whether the engine should be asked again at
+// once, because it did not answer.
+func (p *Planner) askOnce(w *watched, e catalog.Engine) bool {
 	began := time.Now()
 	r, err := p.o.Engines.Report(&e)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.engine.Born != e.Born || w.engine.SeenAt.After(began) {
-		return
+		return false
 	}
 	switch {
 	case fault.Is(err, fault.NotFound) || (err == nil && r.Born != e.Born):
@@ -201,11 +211,13 @@
 		if w.misses == missesLost {
 			klog.InfoS("engine is silent", "engine", e.ID, "group", e.Member.Group.Name, "rank", e.Member.Rank, "error", errText(err))
 		}
+		return w.misses < missesLost
 	default:
 		w.misses, w.firstMiss, w.suspect = 0, time.Time{}, false
 		w.reported, w.reportedAt = r, began
 		p.closeGone(w, e)
 	}
+	return false
 }
 
 // closeGone ends the service of a head that is gone from the directory but
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -92,11 +92,16 @@
 
 // Options configure a Planner. All fields are required.
 type Options struct {
-	Node      string
+	// Member names this process among the planners; no other process, nor an
+	// earlier one of this machine, has the same name.
+	Member    string
 	Directory *directory.Directory
 	Lease     Lease
 	Engines   Engines
 	Heartbeat time.Duration
+	// FirstStart tells that the whole system has just started: until the first
+	// request, loads are not bounded.
+	FirstStart bool
 	// StallBound is how long a group stands still before it counts as broken.
 	StallBound  time.Duration
 	MinLeaseTTL time.Duration
@@ -116,14 +121,22 @@
 	watched  *shard.Map[*watched]
 	reserved *shard.Map[time.Time]
 	own      *shard.Map[formation]
+	staging  *shard.Map[staging]
 	// headless tells since when a group has been without a known head.
 	headless *shard.Map[time.Time]
 	// firstSeen is when engines of a service were first seen without groups.
 	firstSeen *shard.Map[time.Time]
 	suspects  chan string
+	serving   atomic.Bool
 	loads     loadBudget
 }
 
+// staging is a model on its way to an engine's host.
+type staging struct {
+	model string
+	until time.Time
+}
+
 // formation is a group that this planner has begun to form.
 type formation struct {
 	id    catalog.GroupID
@@ -138,6 +151,7 @@
 		watched:   shard.NewMap[*watched](),
 		reserved:  shard.NewMap[time.Time](),
 		own:       shard.NewMap[formation](),
+		staging:   shard.NewMap[staging](),
 		headless:  shard.NewMap[time.Time](),
 		firstSeen: shard.NewMap[time.Time](),
 		suspects:  make(chan string, 256),
@@ -165,11 +179,14 @@
 	}
 }
 
+// Serving tells the planner that requests are served somewhere.
+func (p *Planner) Serving() { p.serving.Store(true) }
+
 // renew keeps this daemon among the candidates.
 func (p *Planner) renew(ctx context.Context) error {
 	for ctx.Err() == nil {
 		begun := boottime.Now()
-		held, generation, err := p.o.Lease.Renew(p.o.Node, p.generation.Load(), p.ttl)
+		held, generation, err := p.o.Lease.Renew(p.o.Member, p.generation.Load(), p.ttl)
 		if err != nil {
 			klog.V(1).ErrorS(err, "lease not renewed")
 		} else {
@@ -185,7 +202,7 @@
 
 func (p *Planner) leave() error {
 	done := make(chan error, 1)
-	go func() { done <- p.o.Lease.Leave(p.o.Node) }()
+	go func() { done <- p.o.Lease.Leave(p.o.Member) }()
 	t := time.NewTimer(leaveTimeout)
 	defer t.Stop()
 	select {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,9 +21,9 @@
 	revokePart = 0.8
 	// leastLeft is the least part of the aim that must be left for a send.
 	leastLeft = 0.2
-	// comeBack is the usual time until an engine is free again or a group
-	// formed, for a refusal's time to return.
-	comeBack = 700 * time.Millisecond
+	// comeBack bounds a refusal's time to return; a lost group is formed anew
+	// within about that time.
+	comeBack = 2 * time.Second
 	// comeBackPart bounds that time by the client's time left; clients honour a third.
 	comeBackPart = 0.3
 	// defaultPatience is assumed of a client that names no deadline.
