Stage before joining after the start; cover hosts with a second model before traffic

Cause: a join that loads ties a broken group's survivors up for 12 to 16 s, and most of them lost another member meanwhile; the planner's lease of 2 s left 5 s without a planner after its kill.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	ZoneOut func(zone string) bool
 	// Loads is the number of loads from the weight store that may start now.
 	Loads int
+	// Starting is set before the first request, while loads are short and free.
+	Starting bool
 }
 
 // Step is one thing to do; one of the fields is set.
@@ -97,6 +100,7 @@
 	missing, leaving := false, false
 	for _, e := range g.Members {
 		missing = missing || e == nil || s.Lost[e.ID]
+		leaving = leaving || (e != nil && s.Lost[e.ID] && head.Member.State != catalog.Open)
 		leaving = leaving || (e != nil && e.Draining)
 	}
 	switch head.Member.State {
@@ -180,22 +184,26 @@
 	for _, d := range domains {
 		left := free[d]
 		for {
-			f, ok := s.best(left, counts, loads)
+			f, ok := s.best(left, counts, s.Starting)
 			if !ok {
 				break
 			}
 			counts[f.Model.Name]++
-			loads -= f.Loads
 			left = without(left, f.Members)
 			steps = append(steps, Step{Form: &f})
 		}
-		steps = append(steps, s.stage(d, left, &loads)...)
+		steps = append(steps, s.prepare(left, counts, &loads)...)
+	}
+	if s.Starting {
+		steps = append(steps, s.cover()...)
 	}
 	return steps
 }
 
-// best returns the most useful group that the engines can form.
-func (s *Snapshot) best(engines []*catalog.Engine, counts map[string]int, loads int) (Form, bool) {
+// best returns the most useful group that the engines can form. After the
+// start, members that would have to load are not taken: they are staged first,
+// and can be put to another use meanwhile.
+func (s *Snapshot) best(engines []*catalog.Engine, counts map[string]int, loading bool) (Form, bool) {
 	var best Form
 	bestGain, found := 0.0, false
 	for _, m := range s.Service.Engine.Models {
@@ -203,13 +211,10 @@
 			continue
 		}
 		f := s.choose(m, engines)
-		if f.Loads > loads {
+		if !loading && s.distance(m, f.Members[farthestMember(s, f)]) > staged {
 			continue
 		}
-		gain := Gain(m, counts[m.Name])
-		if f.Loads > 0 && s.Loads < loadsFree {
-			gain *= loadDiscount
-		}
+		gain := Gain(m, counts[m.Name]) / (1 + loadCost*float64(f.Loads))
 		if !found || gain > bestGain {
 			best, bestGain, found = f, gain, true
 		}
@@ -217,17 +222,84 @@
 	return best, found
 }
 
+// farthestMember returns the member that takes longest to serve the model.
+func farthestMember(s *Snapshot, f Form) int {
+	at := 0
+	for i, e := range f.Members {
+		if s.distance(f.Model, e) > s.distance(f.Model, f.Members[at]) {
+			at = i
+		}
+	}
+	return at
+}
+
+// prepare stages models on the free engines of a domain: first on those that
+// could form groups if they had them, then on those that have none.
+func (s *Snapshot) prepare(left []*catalog.Engine, counts map[string]int, loads *int) []Step {
+	var steps []Step
+	stage := func(e *catalog.Engine, m catalog.Model) {
+		if *loads > 0 && s.Staging[e.ID] == "" {
+			*loads--
+			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: m}})
+		}
+	}
+	possible := maps.Clone(counts)
+	for {
+		f, ok := s.best(left, possible, true)
+		if !ok {
+			break
+		}
+		possible[f.Model.Name]++
+		left = without(left, f.Members)
+		for _, e := range f.Members {
+			if s.distance(f.Model, e) == farthest {
+				stage(e, f.Model)
+			}
+		}
+	}
+	for i, e := range left {
+		if !s.hasAny(e) {
+			stage(e, s.Service.Engine.Models[i%len(s.Service.Engine.Models)])
+		}
+	}
+	return steps
+}
+
+// hasAny reports whether the engine can serve some model without a load.
+func (s *Snapshot) hasAny(e *catalog.Engine) bool {
+	return slices.ContainsFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.distance(m, e) < farthest })
+}
+
+// cover stages, while loads cost nothing, a second model on each engine's host:
+// what is left of a broken group can then form one of another size at once.
+func (s *Snapshot) cover() []Step {
+	var steps []Step
+	for _, e := range s.Engines {
+		busy := e.Member.State == catalog.Joining || s.Reserved[e.ID] || s.Lost[e.ID] || e.Draining
+		if busy || s.Staging[e.ID] != "" || e.Model == "" {
+			continue
+		}
+		i := slices.IndexFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.distance(m, e) == farthest })
+		if i >= 0 && !s.stagedOther(e) {
+			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: s.Service.Engine.Models[i]}})
+		}
+	}
+	return steps
+}
+
+// stagedOther reports whether the host has a model besides the loaded one.
+func (s *Snapshot) stagedOther(e *catalog.Engine) bool {
+	return slices.ContainsFunc(e.Staged, func(name string) bool { return name != e.Model })
+}
+
 const (
-	// loadDiscount is taken off the gain of a group that must load weights: it
-	// serves later, by ten times the time that a staged one takes.
-	loadDiscount = 0.3
-	// loadsFree is a number of loads that no bound leaves: loads cost nothing yet.
-	loadsFree = 1 << 16
+	// loadCost makes a group that must load weights less useful, for each load:
+	// it serves later and the load has its price.
+	loadCost = 0.2
+	// nothingServed is the gain of a model's first group: above any other.
+	nothingServed = 1e6
 )
 
-// nothingServed is the gain of a model's first group: above any other.
-const nothingServed = 1e6
-
 // Gain returns what one more group of a model is worth beside n others: how
 // much it shortens the work of each. The work is the model's share of requests
 // times the time that one takes.
@@ -278,52 +350,3 @@
 func without(engines, taken []*catalog.Engine) []*catalog.Engine {
 	return slices.DeleteFunc(slices.Clone(engines), func(e *catalog.Engine) bool { return slices.Contains(taken, e) })
 }
-
-// stage loads models onto the spares of a domain, so that each model served
-// there has one that can take a lost member's place at once.
-func (s *Snapshot) stage(domain string, spares []*catalog.Engine, loads *int) []Step {
-	var steps []Step
-	for _, m := range s.wanted(domain) {
-		covered := slices.ContainsFunc(spares, func(e *catalog.Engine) bool { return s.distance(m, e) < farthest })
-		if covered || *loads <= 0 {
-			continue
-		}
-		i := slices.IndexFunc(spares, func(e *catalog.Engine) bool { return !s.useful(domain, e) })
-		if i < 0 {
-			break
-		}
-		*loads--
-		steps = append(steps, Step{Stage: &Stage{Engine: spares[i], Model: m}})
-		spares = without(spares, spares[i:i+1])
-	}
-	// What is left gets the model that most groups of the domain serve.
-	for _, e := range spares {
-		if *loads <= 0 || s.useful(domain, e) {
-			continue
-		}
-		if wanted := s.wanted(domain); len(wanted) > 0 {
-			*loads--
-			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: wanted[0]}})
-		}
-	}
-	return steps
-}
-
-// wanted returns the models that groups of the domain serve, most groups first.
-func (s *Snapshot) wanted(domain string) []catalog.Model {
-	counts := map[string]int{}
-	for i := range s.Groups {
-		g := &s.Groups[i]
-		if slices.ContainsFunc(g.Present(), func(e *catalog.Engine) bool { return e.Domain == domain }) {
-			counts[g.Model]++
-		}
-	}
-	out := slices.DeleteFunc(slices.Clone(s.Service.Engine.Models), func(m catalog.Model) bool { return counts[m.Name] == 0 })
-	slices.SortStableFunc(out, func(a, b catalog.Model) int { return counts[b.Name] - counts[a.Name] })
-	return out
-}
-
-// useful reports whether the engine's host has a model that the domain serves.
-func (s *Snapshot) useful(domain string, e *catalog.Engine) bool {
-	return slices.ContainsFunc(s.wanted(domain), func(m catalog.Model) bool { return s.distance(m, e) < farthest })
-}
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -81,6 +81,7 @@
 		ZoneOut:  p.o.Directory.ZoneOut,
 		Staging:  map[string]string{},
 		Loads:    p.loadsLeft(view.Service.Engine, now),
+		Starting: p.starting(),
 	}
 	p.watched.Range(func(id string, w *watched) bool {
 		if w.lost() {
@@ -129,12 +130,15 @@
 
 // loadsLeft returns how many loads may start now.
 func (p *Planner) loadsLeft(spec *catalog.EngineModel, now time.Time) int {
-	if p.o.FirstStart && !p.serving.Load() {
+	if p.starting() {
 		return unbounded
 	}
 	return p.loads.available(spec, now)
 }
 
+// starting reports whether the system has just started and served nothing yet.
+func (p *Planner) starting() bool { return p.o.FirstStart && !p.serving.Load() }
+
 // stage orders a model onto an engine's host; the engine stays free meanwhile.
 func (p *Planner) stage(s *placement.Stage) {
 	p.loads.take(1, time.Now())
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,14 +19,14 @@
 
 const (
 	// leaseTTL is the planner's lease; a lost planner is replaced within it.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 1200 * time.Millisecond
 	// leaseRenewals is the number of renewals within a lease.
 	leaseRenewals = 3
 	// leaseMargin is taken off the lease for an order's way to the engine.
 	leaseMargin = 300 * time.Millisecond
 	// settle is the pause before a new planner acts: longer than a renewal
 	// interval, within which the old one learns that it was replaced.
-	settle = 800 * time.Millisecond
+	settle = 500 * time.Millisecond
 	// tick is the least often that the state is looked at; changes wake sooner.
 	tick = 200 * time.Millisecond
 	// leastPause is the pause between two looks.
