Note groups' heads in the store; divide engines by the measured work

Cause: a planner that took over did not know where the heads of broken groups had been, and kept their members waiting for 15 s; the published shares are of work, not of requests times pace, so one model starved. Change: planners write each formation's head to the store; a silent head counts as over from its missing announcement on; groups are divided by highest averages of the work that callers ask for.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -36,7 +36,7 @@
 	}
 	store := platform.NewStore(settings.Store)
 	d := edge.New(settings, edge.Platform{
-		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Announcer: store,
+		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Notes: store, Announcer: store,
 		Control: platform.NewControl(), Codec: platform.NewCodec(upstream.NewClient()),
 	})
 	// The settings hold nothing that may change while the process runs, so a
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,12 +55,23 @@
 	Operator(Record) (*OperatorRecord, error)
 	// Engine decodes an engine's announcement.
 	Engine(Record) (*catalog.Engine, error)
-	// Daemon decodes a daemon's announcement of its address.
-	Daemon(Record) (name, addr string, err error)
+	// Note decodes a record of the daemons' own; nil for one of no interest.
+	Note(Record) (*Note, error)
+}
+
+// Note is what a daemon wrote for the others. One of Daemon and Head is set.
+type Note struct {
+	// Daemon is a daemon's name, Addr its address, empty where it was withdrawn.
+	Daemon string
+	Addr   string
+	// Group is a formation's name; Head is the engine that heads it, nil where
+	// the formation is over.
+	Group string
+	Head  *catalog.Engine
 }
 
 // Topics are the names of the topics to follow.
-type Topics struct{ Operator, Engines, Daemons string }
+type Topics struct{ Operator, Engines, Notes string }
 
 // Options configure a Directory. All fields are required.
 type Options struct {
@@ -85,6 +96,7 @@
 	engines *shard.Map[*catalog.Engine]
 	last    *shard.Map[identity]
 	daemons *shard.Map[string]
+	heads   *shard.Map[*catalog.Engine]
 	views   *shard.Map[*ServiceView]
 	zones   *shard.Map[struct{}]
 	config  atomic.Pointer[catalog.Config]
@@ -109,6 +121,7 @@
 		engines: shard.NewMap[*catalog.Engine](),
 		last:    shard.NewMap[identity](),
 		daemons: shard.NewMap[string](),
+		heads:   shard.NewMap[*catalog.Engine](),
 		views:   shard.NewMap[*ServiceView](),
 		zones:   shard.NewMap[struct{}](),
 		pending: shard.NewMap[time.Time](),
@@ -121,7 +134,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.followOperator(ctx) })
 	g.Go(func() error { return d.followEngines(ctx) })
-	g.Go(func() error { return d.followDaemons(ctx) })
+	g.Go(func() error { return d.followNotes(ctx) })
 	return g.Wait()
 }
 
@@ -184,6 +197,17 @@
 	return out
 }
 
+// Heads returns the heads that planners wrote down, by the group's name. They
+// may be gone.
+func (d *Directory) Heads() map[string]*catalog.Engine {
+	out := map[string]*catalog.Engine{}
+	d.heads.Range(func(group string, e *catalog.Engine) bool {
+		out[group] = e
+		return true
+	})
+	return out
+}
+
 // Changed returns a channel that is closed at the next change.
 func (d *Directory) Changed() <-chan struct{} {
 	d.mu.Lock()
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -21,9 +21,9 @@
 	// engineInterval paces the reads of engines' announcements. A change is
 	// known within it, against bounds of 2 s for a leaving engine.
 	engineInterval = 300 * time.Millisecond
-	// daemonWait is the store's time to wait for a daemon's announcement; they
-	// matter for shares of budgets only, which may lag by seconds.
-	daemonWait = 8 * time.Second
+	// noteWait is the store's time to wait for a daemon's note. A read returns as
+	// soon as there is one; a longer wait only saves calls.
+	noteWait = 8 * time.Second
 	// retryPause and retryPauseMax bound the pause after a failed read.
 	retryPause    = 100 * time.Millisecond
 	retryPauseMax = 500 * time.Millisecond
@@ -313,33 +313,37 @@
 	return true
 }
 
-func (d *Directory) followDaemons(ctx context.Context) error {
-	c := cursor{topic: d.opts.Topics.Daemons}
+func (d *Directory) followNotes(ctx context.Context) error {
+	c := cursor{topic: d.opts.Topics.Notes}
 	r := reach{topic: c.topic}
 	for ctx.Err() == nil {
-		records, _, err := d.step(&c, daemonWait)
+		records, _, err := d.step(&c, noteWait)
 		if err != nil {
 			sleep(ctx, r.failed(err))
 			continue
 		}
 		r.succeeded()
 		for _, rec := range records {
-			d.applyDaemon(rec)
+			d.applyNote(rec)
 		}
 	}
 	return nil
 }
 
-func (d *Directory) applyDaemon(rec Record) {
-	name, addr, err := d.opts.Decoder.Daemon(rec)
+func (d *Directory) applyNote(rec Record) {
+	n, err := d.opts.Decoder.Note(rec)
 	switch {
 	case err != nil:
 		klog.ErrorS(err, "daemon's record ignored", "key", rec.Key)
-	case name == "":
-	case addr == "":
-		d.daemons.Delete(name)
+	case n == nil:
+	case n.Group != "" && n.Head == nil:
+		d.heads.Delete(n.Group)
+	case n.Group != "":
+		d.heads.Set(n.Group, n.Head)
+	case n.Addr == "":
+		d.daemons.Delete(n.Daemon)
 	default:
-		d.daemons.Set(name, addr)
+		d.daemons.Set(n.Daemon, n.Addr)
 	}
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -46,6 +46,7 @@
 	Decoder   directory.Decoder
 	Topics    directory.Topics
 	Lease     planner.Lease
+	Notes     planner.Notes
 	Announcer Announcer
 	Control   planner.Engines
 	Codec     interface {
@@ -74,6 +75,7 @@
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
 	d.directory = directory.New(directory.Options{Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Heartbeat: s.Heartbeat})
 	tracker := balance.NewTracker(s.Node, d.fleet)
+	demand := balance.NewDemand()
 	boot := ulid.Make().String()
 	d.gossip = &gossip{d: d, tracker: tracker, suspects: shard.NewMap[suspicion]()}
 	d.mesh = mesh.New(mesh.Options{
@@ -81,12 +83,12 @@
 		Source: d.gossip, Sink: d.gossip,
 	})
 	d.planner = planner.New(planner.Options{
-		Member: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.Control,
+		Member: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.Control, Notes: p.Notes, Demand: demand,
 		FirstStart: s.FirstStart,
 		Heartbeat:  s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
 	r := relay.New(relay.Options{
-		Directory: d.directory, Tracker: tracker, Engines: p.Codec,
+		Directory: d.directory, Tracker: tracker, Engines: p.Codec, Demand: demand,
 		Retries:     retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleet),
 		Zone:        s.Zone,
 		Heartbeat:   s.Heartbeat,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -32,6 +32,8 @@
 	Released map[catalog.GroupID]bool
 	// ZoneOut reports whether operators have taken a zone out of service.
 	ZoneOut func(zone string) bool
+	// Needs are the models' parts of the service's work.
+	Needs map[string]float64
 	// Loads is the number of loads from the weight store that may start now.
 	Loads int
 	// Starting is set before the first request, while loads are short and free.
@@ -202,10 +204,19 @@
 
 // best returns the most useful group that the engines can form. After the
 // start, members that would have to load are not taken: they are staged first,
-// and can be put to another use meanwhile.
+// and can be put to another use meanwhile. Nor is a group formed whose engines,
+// once staged, could form a much more useful one.
 func (s *Snapshot) best(engines []*catalog.Engine, counts map[string]int, loading bool) (Form, bool) {
-	var best Form
-	bestGain, found := 0.0, false
+	ready, readyGain, found := s.top(engines, counts, loading)
+	if loading || !found {
+		return ready, found
+	}
+	_, possible, _ := s.top(engines, counts, true)
+	return ready, readyGain*worthWaiting >= possible
+}
+
+// top returns the group with the highest gain, and that gain.
+func (s *Snapshot) top(engines []*catalog.Engine, counts map[string]int, loading bool) (best Form, bestGain float64, found bool) {
 	for _, m := range s.Service.Engine.Models {
 		if len(engines) < m.Size || m.Size <= 0 {
 			continue
@@ -214,12 +225,15 @@
 		if !loading && s.distance(m, f.Members[farthestMember(s, f)]) > staged {
 			continue
 		}
-		gain := Gain(m, counts[m.Name]) / (1 + loadCost*float64(f.Loads))
+		gain := s.gain(m, counts[m.Name])
+		if !s.Starting {
+			gain /= 1 + loadCost*float64(f.Loads)
+		}
 		if !found || gain > bestGain {
 			best, bestGain, found = f, gain, true
 		}
 	}
-	return best, found
+	return best, bestGain, found
 }
 
 // farthestMember returns the member that takes longest to serve the model.
@@ -296,19 +310,23 @@
 	// loadCost makes a group that must load weights less useful, for each load:
 	// it serves later and the load has its price.
 	loadCost = 0.2
+	// worthWaiting is how many times more useful a group must be to wait for its
+	// weights, which takes ten times as long as a staged join.
+	worthWaiting = 2.5
+	// leastNeed is assumed of a model that nobody asks for.
+	leastNeed = 1e-3
 	// nothingServed is the gain of a model's first group: above any other.
 	nothingServed = 1e6
 )
 
-// Gain returns what one more group of a model is worth beside n others: how
-// much it shortens the work of each. The work is the model's share of requests
-// times the time that one takes.
-func Gain(m catalog.Model, n int) float64 {
-	work := max(m.Share, 1e-3) * max(m.Pace, 1e-3)
+// gain returns what one more group of a model is worth beside n others. By the
+// highest averages, groups come to be divided as the work is.
+func (s *Snapshot) gain(m catalog.Model, n int) float64 {
+	need := max(s.Needs[m.Name], leastNeed)
 	if n == 0 {
-		return nothingServed * work
+		return nothingServed * need
 	}
-	return work / float64(n*(n+1))
+	return need / float64(n+1)
 }
 
 // choose takes the engines that are soonest ready for the model. The head is
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -48,12 +48,24 @@
 		if !ok || !p.gathered(view) {
 			continue
 		}
-		for _, step := range placement.Plan(p.snapshot(view)) {
+		s := p.snapshot(view)
+		p.logState(name, s)
+		for _, step := range placement.Plan(s) {
 			p.take(view.Service, step)
 		}
 	}
 }
 
+// logState writes what the planner believes, whenever that changes.
+func (p *Planner) logState(service string, s *placement.Snapshot) {
+	state := placement.Summarize(s)
+	if old, ok := p.logged.Get(service); ok && old == state {
+		return
+	}
+	p.logged.Set(service, state)
+	klog.InfoS("placement", "service", service, "state", state, "loads_left", min(s.Loads, len(s.Engines)), "starting", s.Starting)
+}
+
 // gathered reports whether the engines have had the time to announce
 // themselves: groups formed of the first few would be badly divided.
 func (p *Planner) gathered(view *directory.ServiceView) bool {
@@ -82,6 +94,7 @@
 		Staging:  map[string]string{},
 		Loads:    p.loadsLeft(view.Service.Engine, now),
 		Starting: p.starting(),
+		Needs:    p.o.Demand.Needs(view.Service, now),
 	}
 	p.watched.Range(func(id string, w *watched) bool {
 		if w.lost() {
@@ -181,15 +194,23 @@
 	p.own.Set(id.Name, formation{id, until})
 	klog.InfoS("group formed", "group", id.Name, "epoch", id.Epoch, "service", service.Name, "model", f.Model.Name,
 		"members", members, "loads", f.Loads, "domain", f.Members[0].Domain, "takes_ms", takes.Milliseconds())
-	var done sync.WaitGroup
+	go p.noteHead(id, f.Members[0])
 	for _, e := range f.Members {
 		p.reserve(e, time.Now().Add(orderPause))
-		done.Go(func() {
+		go func() {
 			o := Order{Op: Join, Group: id, Model: f.Model.Name, Members: members}
 			if err := p.order(e, o); err != nil {
 				p.own.Delete(id.Name)
 			}
-		})
+		}()
+	}
+}
+
+// noteHead writes the head down. Without the note the next planner waits
+// longer before it takes the members of a group whose head it can't see.
+func (p *Planner) noteHead(id catalog.GroupID, head *catalog.Engine) {
+	if err := p.o.Notes.NoteHead(id, head); err != nil {
+		klog.ErrorS(err, "head not noted", "group", id.Name, "engine", head.ID)
 	}
 }
 
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -23,11 +23,12 @@
 	// missesLost is the number of unanswered questions after which an engine
 	// counts as lost.
 	missesLost = 2
-	// headMargin is added to the stall bound before a silent head counts as over.
-	headMargin = time.Second
-	// unknownHead is how long the members of a group wait whose head was never
-	// seen here; by then it is broken, whatever happened to it.
-	unknownHead = 15 * time.Second
+	// headMargin is added to the stall bound before a silent head counts as over;
+	// it covers the lag of the reads of announcements.
+	headMargin = 400 * time.Millisecond
+	// unknownHead is how long the members of a group wait whose head is not known
+	// at all; by then it has been broken for long, whatever happened to it.
+	unknownHead = 20 * time.Second
 	// forgetAfter is how long an engine that is gone is remembered.
 	forgetAfter = time.Minute
 )
@@ -117,6 +118,7 @@
 		})
 	}
 	now := time.Now()
+	p.recall(view, present, now)
 	var old []string
 	p.watched.Range(func(id string, w *watched) bool {
 		w.mu.Lock()
@@ -137,6 +139,53 @@
 	}
 }
 
+// recall adds the noted heads of groups that still have members, if they do
+// not announce themselves, and drops the notes of formations that are over.
+func (p *Planner) recall(view *directory.ServiceView, present map[string]bool, now time.Time) {
+	groups := map[string]bool{}
+	for i := range view.Groups {
+		groups[view.Groups[i].ID.Name] = true
+	}
+	for name, head := range p.o.Directory.Heads() {
+		if head.Service != view.Service.Name || present[head.ID] {
+			continue
+		}
+		if !groups[name] {
+			p.dropNote(name, now)
+			continue
+		}
+		p.watched.Update(head.ID, func(w *watched, ok bool) (*watched, bool) {
+			if !ok {
+				w = &watched{engine: *head, goneSince: now}
+			}
+			return w, true
+		})
+	}
+}
+
+// dropNote removes a note once its group has had no members for a while.
+func (p *Planner) dropNote(name string, now time.Time) {
+	if !p.Holds() {
+		return
+	}
+	due := false
+	p.memberless.Update(name, func(since time.Time, ok bool) (time.Time, bool) {
+		if !ok {
+			return now, true
+		}
+		due = now.Sub(since) > forgetAfter
+		return since, !due
+	})
+	if !due {
+		return
+	}
+	go func() {
+		if err := p.o.Notes.DropHead(name); err != nil {
+			klog.ErrorS(err, "note not dropped", "group", name)
+		}
+	}()
+}
+
 // announced notes an engine's announcement; a new one clears all doubt.
 func (w *watched) announced(e *catalog.Engine) {
 	w.mu.Lock()
@@ -233,36 +282,64 @@
 // headOver reports whether the absent or lost head of a group certainly serves
 // no more.
 func (p *Planner) headOver(g *catalog.Group, now time.Time) bool {
+	id := ""
 	if h := g.Head(); h != nil {
-		w, ok := p.watched.Get(h.ID)
-		return ok && w.over(g.ID, p.o.StallBound+headMargin, now)
+		id = h.ID
+	} else if h, ok := p.o.Directory.Heads()[g.ID.Name]; ok {
+		id = h.ID
+	} else {
+		id = p.lastHead(g.ID)
+	}
+	w, ok := p.watched.Get(id)
+	if !ok {
+		return p.headlessFor(g.ID, now) > unknownHead
 	}
-	var head *watched
+	return w.over(g.ID, p.o.Heartbeat, p.o.StallBound+headMargin, now)
+}
+
+// headlessFor returns how long a group has been without a head that was ever
+// seen or noted.
+func (p *Planner) headlessFor(group catalog.GroupID, now time.Time) time.Duration {
+	first := now
+	p.headless.Update(group.Name, func(since time.Time, ok bool) (time.Time, bool) {
+		if ok {
+			first = since
+		}
+		return first, true
+	})
+	return now.Sub(first)
+}
+
+// lastHead returns the head that announced itself last, or an empty id.
+func (p *Planner) lastHead(group catalog.GroupID) string {
+	id := ""
 	p.watched.Range(func(_ string, w *watched) bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.engine.Member.Group == g.ID && w.engine.Member.Rank == 0 {
-			head = w
+		if w.engine.Member.Group == group && w.engine.Member.Rank == 0 {
+			id = w.engine.ID
 			return false
 		}
 		return true
 	})
-	if head != nil {
-		return head.over(g.ID, p.o.StallBound+headMargin, now)
-	}
-	return p.headlessSince(g, now) > unknownHead
+	return id
 }
 
 // over reports whether the head is dead, says that it serves no more, has left
-// the group, or has been silent for longer than the bound.
-func (w *watched) over(group catalog.GroupID, bound time.Duration, now time.Time) bool {
+// the group, or has been silent for longer than the bound. Where it was cut
+// off, that was before its next announcement was due.
+func (w *watched) over(group catalog.GroupID, heartbeat, bound time.Duration, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.dead || w.engine.Member.Group != group:
 		return true
 	case w.misses >= missesLost:
-		return now.Sub(w.firstMiss) > bound
+		quiet := w.firstMiss
+		if due := w.engine.SeenAt.Add(heartbeat); !w.engine.SeenAt.IsZero() && due.Before(quiet) {
+			quiet = due
+		}
+		return now.Sub(quiet) > bound
 	case w.reportedAt.IsZero():
 		return false
 	case w.reported.Member.Group != group:
@@ -271,17 +348,3 @@
 	state := w.reported.Member.State
 	return now.Sub(w.reportedAt) < time.Second && (state == catalog.Ready || state == catalog.Broken || state == catalog.NoGroup)
 }
-
-// headlessSince returns for how long the group's members have been without a
-// head that was ever seen here.
-func (p *Planner) headlessSince(g *catalog.Group, now time.Time) time.Duration {
-	var since time.Time
-	p.headless.Update(g.ID.Name, func(t time.Time, ok bool) (time.Time, bool) {
-		if !ok {
-			t = now
-		}
-		since = t
-		return t, true
-	})
-	return now.Sub(since)
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
@@ -45,6 +46,12 @@
 	Leave(member string) error
 }
 
+// Notes keeps, for the next planner, which engine heads which formation.
+type Notes interface {
+	NoteHead(group catalog.GroupID, head *catalog.Engine) error
+	DropHead(group string) error
+}
+
 // Report is what an engine says of itself when asked.
 type Report struct {
 	Born   int64
@@ -98,6 +105,8 @@
 	Directory *directory.Directory
 	Lease     Lease
 	Engines   Engines
+	Notes     Notes
+	Demand    *balance.Demand
 	Heartbeat time.Duration
 	// FirstStart tells that the whole system has just started: until the first
 	// request, loads are not bounded.
@@ -122,13 +131,17 @@
 	reserved *shard.Map[time.Time]
 	own      *shard.Map[formation]
 	staging  *shard.Map[staging]
-	// headless tells since when a group has been without a known head.
-	headless *shard.Map[time.Time]
 	// firstSeen is when engines of a service were first seen without groups.
 	firstSeen *shard.Map[time.Time]
-	suspects  chan string
-	serving   atomic.Bool
-	loads     loadBudget
+	// memberless tells since when a noted group has had no members.
+	memberless *shard.Map[time.Time]
+	// headless tells since when a group has been without a known head.
+	headless *shard.Map[time.Time]
+	// logged is the last state written to the log, by service.
+	logged   *shard.Map[string]
+	suspects chan string
+	serving  atomic.Bool
+	loads    loadBudget
 }
 
 // staging is a model on its way to an engine's host.
@@ -146,15 +159,17 @@
 // New returns a planner.
 func New(o Options) *Planner {
 	return &Planner{
-		o:         o,
-		ttl:       max(leaseTTL, o.MinLeaseTTL),
-		watched:   shard.NewMap[*watched](),
-		reserved:  shard.NewMap[time.Time](),
-		own:       shard.NewMap[formation](),
-		staging:   shard.NewMap[staging](),
-		headless:  shard.NewMap[time.Time](),
-		firstSeen: shard.NewMap[time.Time](),
-		suspects:  make(chan string, 256),
+		o:          o,
+		ttl:        max(leaseTTL, o.MinLeaseTTL),
+		watched:    shard.NewMap[*watched](),
+		reserved:   shard.NewMap[time.Time](),
+		own:        shard.NewMap[formation](),
+		staging:    shard.NewMap[staging](),
+		firstSeen:  shard.NewMap[time.Time](),
+		headless:   shard.NewMap[time.Time](),
+		memberless: shard.NewMap[time.Time](),
+		logged:     shard.NewMap[string](),
+		suspects:   make(chan string, 256),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,7 @@
 	Directory *directory.Directory
 	Tracker   *balance.Tracker
 	Engines   Engines
+	Demand    *balance.Demand
 	Retries   *retry.SharedBudget
 	Zone      string
 	Heartbeat time.Duration
@@ -126,6 +127,9 @@
 		return &Refusal{Cause: NotReady, RetryAfter: comeBack, Reason: "keys not confirmed"}
 	}
 	j.service = route.Backend(j.req.ID)
+	if s, ok := cfg.Services[j.service]; ok {
+		j.o.Demand.Add(&s, j.req.Model, j.req.Work, j.req.Arrived)
+	}
 	return nil
 }
 
