Preload spares and keep a second model on every host

Cause: spares fitted one model only, so survivors of a group often waited 16 s for a load while staged spares stood beside them.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,8 @@
 	Open  *catalog.Group
 	Close *Close
 	Stage *Stage
+	// Preload loads what the host has into a spare's memory.
+	Preload *Preload
 }
 
 // Form makes a group of the members, the head first.
@@ -69,6 +71,13 @@
 	Model  catalog.Model
 }
 
+// Preload makes a spare the only member of a group that is never opened, so that
+// it has the model of its host loaded and its host may hold another one.
+type Preload struct {
+	Engine *catalog.Engine
+	Model  catalog.Model
+}
+
 // Condition is what a group needs.
 type Condition uint8
 
@@ -196,10 +205,7 @@
 		}
 		steps = append(steps, s.prepare(left, counts, &loads)...)
 	}
-	if s.Starting {
-		steps = append(steps, s.cover()...)
-	}
-	return steps
+	return append(steps, s.cover(&loads)...)
 }
 
 // best returns the most useful group that the engines can form. After the
@@ -284,17 +290,26 @@
 	return slices.ContainsFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.distance(m, e) < farthest })
 }
 
-// cover stages, while loads cost nothing, a second model on each engine's host:
-// what is left of a broken group can then form one of another size at once.
-func (s *Snapshot) cover() []Step {
+// cover gives each engine a second model: one loaded, another on its host. What
+// is left of a broken group can then form one of another size at once, and a
+// spare can join any group. It takes only what the repair of groups leaves of
+// the bound for loads.
+func (s *Snapshot) cover(loads *int) []Step {
 	var steps []Step
 	for _, e := range s.Engines {
 		busy := e.Member.State == catalog.Joining || s.Reserved[e.ID] || s.Lost[e.ID] || e.Draining
-		if busy || s.Staging[e.ID] != "" || e.Model == "" {
+		if busy || s.Staging[e.ID] != "" || len(e.Staged) == 0 {
+			continue
+		}
+		if e.Model == "" && e.Member.State == catalog.NoGroup {
+			if m, ok := s.Service.Engine.Model(e.Staged[0]); ok {
+				steps = append(steps, Step{Preload: &Preload{Engine: e, Model: m}})
+			}
 			continue
 		}
 		i := slices.IndexFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.distance(m, e) == farthest })
-		if i >= 0 && !s.stagedOther(e) {
+		if i >= 0 && !s.stagedOther(e) && *loads > coverLeaves {
+			*loads--
 			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: s.Service.Engine.Models[i]}})
 		}
 	}
@@ -307,6 +322,8 @@
 }
 
 const (
+	// coverLeaves are the loads left to repairs when second models are staged.
+	coverLeaves = 4
 	// loadCost makes a group that must load weights less useful, for each load:
 	// it serves later and the load has its price.
 	loadCost = 0.2
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -29,9 +29,9 @@
 	// gatherBeats is the time, in heartbeats, that engines without any group get
 	// to announce themselves; each does so once in a heartbeat.
 	gatherBeats = 1.25
-	// loadPart is the part of the published rate of loads that is used; loads
-	// of an earlier planner may still count in the same window.
-	loadPart = 0.8
+	// loadPart is the part of the published rate of loads that is used: loads of
+	// an earlier planner may count in the same window.
+	loadPart = 0.55
 )
 
 // act takes the steps that the state asks for.
@@ -138,6 +138,8 @@
 		p.simple(step.Close.Group.Head(), Order{Op: Close, Group: step.Close.Group.ID, Abort: step.Close.Abort})
 	case step.Stage != nil:
 		p.stage(step.Stage)
+	case step.Preload != nil:
+		p.preload(step.Preload)
 	}
 }
 
@@ -165,6 +167,19 @@
 	}()
 }
 
+// preload joins a spare to a group of its own, which is never opened.
+func (p *Planner) preload(s *placement.Preload) {
+	number := p.number()
+	id := catalog.GroupID{Name: "p" + strconv.FormatInt(number, 36), Epoch: number}
+	p.reserve(s.Engine, time.Now().Add(orderPause+s.Model.Warm))
+	go func() {
+		o := Order{Op: Join, Group: id, Model: s.Model.Name, Members: []string{s.Engine.ID}}
+		if err := p.order(s.Engine, o); err != nil {
+			p.reserved.Delete(s.Engine.ID)
+		}
+	}()
+}
+
 func (p *Planner) reserve(e *catalog.Engine, until time.Time) { p.reserved.Set(e.ID, until) }
 
 // simple gives an order that concerns a head only.
