Close a head before its members are taken; admit by backlog

The planner had sent the order to open, the store went down before the head's announcement was read, the formation's time ran out, and its members were taken while the head was open. Change: a group that may have been ordered to open is closed first, and only an answered close, or a broken head, frees its members; nothing is planned on announcements older than 0.7 s.

--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -31,8 +31,10 @@
 	First time.Duration
 	// Gap is the usual pause between events after it.
 	Gap time.Duration
-	// Wait is the part of First that is spent waiting for a slot.
-	Wait time.Duration
+	// Wait is the part of First that is spent waiting for a slot, Backlog the
+	// part that others cause: that wait and the reading of their prompts.
+	Wait    time.Duration
+	Backlog time.Duration
 }
 
 // tokensPerK and pairsPerM scale the engine model's units.
@@ -60,9 +62,10 @@
 	// On the mean a request arrives in the middle of a pass.
 	first := wait + pass/2 + read + pass
 	return Prediction{
-		First: fromMS(first),
-		Gap:   fromMS(pass + factor*readMS(spec, math.Min(float64(l.Pending), float64(spec.Chunk)))),
-		Wait:  fromMS(wait),
+		First:   fromMS(first),
+		Gap:     fromMS(pass + factor*readMS(spec, math.Min(float64(l.Pending), float64(spec.Chunk)))),
+		Wait:    fromMS(wait),
+		Backlog: fromMS(wait + factor*readMS(spec, float64(l.Pending))),
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
@@ -28,6 +29,9 @@
 	// Own are the formations begun by this planner, with the time until which
 	// their members may take to join.
 	Own map[catalog.GroupID]time.Time
+	// Closed are groups whose head has answered this planner's order to close. An
+	// order to open that an earlier planner sent is refused from then on.
+	Closed map[catalog.GroupID]bool
 	// Released are groups whose absent head certainly serves no more.
 	Released map[catalog.GroupID]bool
 	// ZoneOut reports whether operators have taken a zone out of service.
@@ -71,6 +75,9 @@
 	Model  catalog.Model
 }
 
+// PreloadPrefix begins the names of groups that are never opened.
+const PreloadPrefix = "p"
+
 // Preload makes a spare the only member of a group that is never opened, so that
 // it has the model of its host loaded and its host may hold another one.
 type Preload struct {
@@ -95,6 +102,8 @@
 	Failed
 	// Ending groups are on their way out of service.
 	Ending
+	// Unfenced groups do not serve, but an order to open may be on its way.
+	Unfenced
 	// Over groups serve no more: their members may be taken.
 	Over
 )
@@ -129,10 +138,15 @@
 	case catalog.Broken:
 		return Over
 	}
+	if strings.HasPrefix(g.ID.Name, PreloadPrefix) {
+		return Over
+	}
 	until, own := s.Own[g.ID]
 	switch {
-	case !own || leaving || s.Now.After(until):
+	case s.Closed[g.ID]:
 		return Over
+	case !own || leaving || s.Now.After(until):
+		return Unfenced
 	case g.Complete() && !missing:
 		return Openable
 	default:
@@ -160,9 +174,9 @@
 			if !s.Reserved[g.Head().ID] {
 				steps = append(steps, Step{Open: g})
 			}
-		case Failed, Draining:
+		case Failed, Draining, Unfenced:
 			if !s.Reserved[g.Head().ID] {
-				steps = append(steps, Step{Close: &Close{Group: *g, Abort: Judge(s, g) == Failed}})
+				steps = append(steps, Step{Close: &Close{Group: *g, Abort: Judge(s, g) != Draining}})
 			}
 		case Over:
 			for _, e := range g.Present() {
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -8,7 +8,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
-var conditionNames = [...]string{"healthy", "forming", "openable", "draining", "failed", "ending", "over"}
+var conditionNames = [...]string{"healthy", "forming", "openable", "draining", "failed", "ending", "unfenced", "over"}
 
 // String returns the condition's name for logs.
 func (c Condition) String() string { return conditionNames[c] }
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -29,6 +29,9 @@
 	// gatherBeats is the time, in heartbeats, that engines without any group get
 	// to announce themselves; each does so once in a heartbeat.
 	gatherBeats = 1.25
+	// staleAfter is the age of the last read of announcements from which the
+	// planner waits: what it believes of the groups may be over.
+	staleAfter = 700 * time.Millisecond
 	// loadPart is the part of the published rate of loads that is used: loads of
 	// an earlier planner may count in the same window.
 	loadPart = 0.55
@@ -37,7 +40,7 @@
 // act takes the steps that the state asks for.
 func (p *Planner) act() {
 	cfg := p.o.Directory.Config()
-	if cfg == nil || !p.o.Directory.Loaded() {
+	if cfg == nil || !p.o.Directory.Loaded() || p.o.Directory.EnginesAge() > staleAfter {
 		return
 	}
 	for name, service := range cfg.Services {
@@ -90,6 +93,7 @@
 		Reserved: map[string]bool{},
 		Own:      map[catalog.GroupID]time.Time{},
 		Released: map[catalog.GroupID]bool{},
+		Closed:   map[catalog.GroupID]bool{},
 		ZoneOut:  p.o.Directory.ZoneOut,
 		Staging:  map[string]string{},
 		Loads:    p.loadsLeft(view.Service.Engine, now),
@@ -114,6 +118,10 @@
 		}
 		return true
 	})
+	p.closed.Range(func(_ string, id catalog.GroupID) bool {
+		s.Closed[id] = true
+		return true
+	})
 	p.own.Range(func(_ string, f formation) bool {
 		s.Own[f.id] = f.until
 		return true
@@ -134,8 +142,7 @@
 	case step.Open != nil:
 		p.simple(step.Open.Head(), Order{Op: Open, Group: step.Open.ID})
 	case step.Close != nil:
-		p.own.Delete(step.Close.Group.ID.Name)
-		p.simple(step.Close.Group.Head(), Order{Op: Close, Group: step.Close.Group.ID, Abort: step.Close.Abort})
+		p.close(step.Close)
 	case step.Stage != nil:
 		p.stage(step.Stage)
 	case step.Preload != nil:
@@ -170,7 +177,7 @@
 // preload joins a spare to a group of its own, which is never opened.
 func (p *Planner) preload(s *placement.Preload) {
 	number := p.number()
-	id := catalog.GroupID{Name: "p" + strconv.FormatInt(number, 36), Epoch: number}
+	id := catalog.GroupID{Name: placement.PreloadPrefix + strconv.FormatInt(number, 36), Epoch: number}
 	p.reserve(s.Engine, time.Now().Add(orderPause+s.Model.Warm))
 	go func() {
 		o := Order{Op: Join, Group: id, Model: s.Model.Name, Members: []string{s.Engine.ID}}
@@ -188,6 +195,22 @@
 	go func() { _ = p.order(e, o) }() // order logs its failure; the next look decides anew
 }
 
+// close ends a group's service. Once the head has answered, it refuses what
+// earlier planners ordered.
+func (p *Planner) close(c *placement.Close) {
+	id := c.Group.ID
+	p.own.Delete(id.Name)
+	head := c.Group.Head()
+	p.reserve(head, time.Now().Add(orderPause))
+	go func() {
+		err := p.order(head, Order{Op: Close, Group: id, Abort: c.Abort})
+		if err == nil || fault.Is(err, fault.Conflict) {
+			p.closed.Set(id.Name, id)
+			p.reserved.Delete(head.ID)
+		}
+	}()
+}
+
 // form sends the join to all members at once.
 func (p *Planner) form(service *catalog.Service, f *placement.Form) {
 	number := p.number()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -130,6 +130,7 @@
 	watched  *shard.Map[*watched]
 	reserved *shard.Map[time.Time]
 	own      *shard.Map[formation]
+	closed   *shard.Map[catalog.GroupID]
 	staging  *shard.Map[staging]
 	// firstSeen is when engines of a service were first seen without groups.
 	firstSeen *shard.Map[time.Time]
@@ -164,6 +165,7 @@
 		watched:    shard.NewMap[*watched](),
 		reserved:   shard.NewMap[time.Time](),
 		own:        shard.NewMap[formation](),
+		closed:     shard.NewMap[catalog.GroupID](),
 		staging:    shard.NewMap[staging](),
 		firstSeen:  shard.NewMap[time.Time](),
 		headless:   shard.NewMap[time.Time](),
@@ -251,14 +253,8 @@
 
 // forget drops what belonged to an earlier lease: another planner may have acted since.
 func (p *Planner) forget() {
-	var ids []string
-	p.own.Range(func(id string, _ formation) bool {
-		ids = append(ids, id)
-		return true
-	})
-	for _, id := range ids {
-		p.own.Delete(id)
-	}
+	p.own.Clear()
+	p.closed.Clear()
 }
 
 // number returns a number above all that this and earlier planners used.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -103,7 +103,6 @@
 // attempt sends the request once and reads the whole answer.
 func (j *job) attempt(c balance.Choice) (*whole, error) {
 	e := c.Candidate.Head
-	j.note.Engine = e.ID
 	ctx, cancel := context.WithDeadline(j.ctx, j.attemptEnd(c))
 	defer cancel()
 	began := time.Now()
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -19,6 +19,10 @@
 	Engine  string
 	Repeats int
 	Resumes int
+	// Predicted is the expected time from the last send to the first event, Load
+	// the requests that were under way at the engine.
+	Predicted time.Duration
+	Load      int
 	// First is the time to the first event or the whole answer.
 	First time.Duration
 	Total time.Duration
@@ -49,6 +53,7 @@
 	if notable || shard.Hash(j.req.ID)%sampleOneIn == 0 {
 		klog.InfoS("request", "request", j.req.ID, "outcome", j.note.Outcome, "kind", j.note.Kind, "engine", j.note.Engine,
 			"sends", j.sends, "resumes", j.note.Resumes, "late", j.note.Late,
+			"predicted_ms", j.note.Predicted.Milliseconds(), "engine_load", j.note.Load,
 			"first_ms", j.note.First.Milliseconds(), "total_ms", j.note.Total.Milliseconds())
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -210,6 +210,9 @@
 	if choice.Predicted.First > left {
 		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.comeBack(left), Reason: "the wait would outlast the client"}
 	}
+	if j.sends == 0 && !balance.Admit(choice, j.route.Aim) {
+		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.comeBack(left), Reason: "all engines are busy"}
+	}
 	if !j.keyTrusted() {
 		return choice, &Refusal{Cause: NotReady, RetryAfter: j.comeBack(left), Reason: "keys not confirmed"}
 	}
@@ -225,6 +228,7 @@
 func (j *job) send(ctx context.Context, c balance.Choice, lastEvent string) (Answer, error) {
 	e := c.Candidate.Head
 	now := time.Now()
+	j.note.Engine, j.note.Predicted, j.note.Load = e.ID, c.Predicted.First, c.Load.InFlight
 	if j.sends == 0 {
 		j.o.Retries.First(j.service, now)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -109,7 +109,6 @@
 // has the whole answer.
 func (j *job) run(c balance.Choice, ev *events, begun *bool) error {
 	e := c.Candidate.Head
-	j.note.Engine = e.ID
 	ctx, cancel := context.WithDeadline(j.ctx, j.end)
 	defer cancel()
 	watch := j.watch(c, cancel)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -80,6 +80,17 @@
 	return ok
 }
 
+// Clear removes all items, one shard after the other.
+func (m *Map[V]) Clear() {
+	for i := range m.parts {
+		p := &m.parts[i]
+		p.mu.Lock()
+		clear(p.items)
+		p.notify()
+		p.mu.Unlock()
+	}
+}
+
 // Update replaces the value under key by fn's result. fn receives the current
 // value (the zero value when absent) and returns the new value and whether the
 // key is kept. It runs under the shard's lock.
