Start no more loads at a time than the weight store carries

Cause: beyond loads_at_once each load takes proportionally longer; second models staged after the start doubled the time of those that repairs waited for.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -306,8 +306,8 @@
 
 // cover gives each engine a second model: one loaded, another on its host. What
 // is left of a broken group can then form one of another size at once, and a
-// spare can join any group. It takes only what the repair of groups leaves of
-// the bound for loads.
+// spare can join any group. Second models are staged only before the first
+// request: later each load slows those that repairs need.
 func (s *Snapshot) cover(loads *int) []Step {
 	var steps []Step
 	for _, e := range s.Engines {
@@ -322,7 +322,7 @@
 			continue
 		}
 		i := slices.IndexFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.distance(m, e) == farthest })
-		if i >= 0 && !s.stagedOther(e) && *loads > coverLeaves {
+		if i >= 0 && !s.stagedOther(e) && s.Starting && *loads > 0 {
 			*loads--
 			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: s.Service.Engine.Models[i]}})
 		}
@@ -336,8 +336,6 @@
 }
 
 const (
-	// coverLeaves are the loads left to repairs when second models are staged.
-	coverLeaves = 4
 	// loadCost makes a group that must load weights less useful, for each load:
 	// it serves later and the load has its price.
 	loadCost = 0.2
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -87,6 +87,7 @@
 
 func (p *Planner) snapshot(view *directory.ServiceView) *placement.Snapshot {
 	now := time.Now()
+	p.settleStaging(view)
 	s := &placement.Snapshot{
 		Service: view.Service, Engines: view.Engines, Groups: view.Groups, Now: now,
 		Lost:     map[string]bool{},
@@ -150,12 +151,29 @@
 	}
 }
 
-// loadsLeft returns how many loads may start now.
+// loadsLeft returns how many loads may start now: within the published rate, and
+// no more at a time than the weight store carries at full speed.
 func (p *Planner) loadsLeft(spec *catalog.EngineModel, now time.Time) int {
 	if p.starting() {
 		return unbounded
 	}
-	return p.loads.available(spec, now)
+	under := 0
+	p.staging.Range(func(_ string, st staging) bool {
+		if now.Before(st.until) {
+			under++
+		}
+		return true
+	})
+	return max(0, min(p.loads.available(spec, now), spec.LoadsAtOnce-under))
+}
+
+// settleStaging forgets the loads that have ended.
+func (p *Planner) settleStaging(view *directory.ServiceView) {
+	for _, e := range view.Engines {
+		if st, ok := p.staging.Get(e.ID); ok && e.HasStaged(st.model) {
+			p.staging.Delete(e.ID)
+		}
+	}
 }
 
 // starting reports whether the system has just started and served nothing yet.
