Stop judging engines by the age of their entries

Cause: an entry changes only when more than its heartbeat does, so an old entry is the normal case. Daemons took steady groups for late ones and used those that had just changed; the planner, which waited for fresh reads, stood still for seconds after a restart.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -15,9 +15,6 @@
 	// failurePenalty multiplies the predicted time of an engine by its share of
 	// recent failures.
 	failurePenalty = 12
-	// lateBeat is the age of an announcement, in heartbeats, from which its
-	// engine is used only if there is no other.
-	lateBeat = 1.7
 	// farPenalty prefers engines of the own zone among equals; it stands for the
 	// price of bytes between zones, not for the delay of a millisecond.
 	farPenalty = 1.05
@@ -30,17 +27,6 @@
 	// Service is the engine's service; Pace is its model's, 1 for plain ones.
 	Service *catalog.Service
 	Pace    float64
-	// Oldest is the age of the oldest announcement among the members.
-	Oldest time.Duration
-}
-
-// Policy are the settings of a choice.
-type Policy struct {
-	Zone string
-	// Heartbeat is the interval of announcements.
-	Heartbeat time.Duration
-	// Fresh tells that announcements arrive, so that a late one means something.
-	Fresh bool
 }
 
 // Choice is the engine chosen and what is expected of it.
@@ -51,24 +37,23 @@
 }
 
 // Choose returns the candidate with the shortest predicted time to the first
-// event. Engines under suspicion are used only if there is no other, and cold
+// event, those of the daemon's zone among equals. Engines under suspicion are used only if there is no other, and cold
 // ones only within their allowance. It returns false if none may be used.
-func Choose(cands []Candidate, t *Tracker, w Work, p Policy, now time.Time) (Choice, bool) {
-	best, found := pick(cands, t, w, p, now, false)
+func Choose(cands []Candidate, t *Tracker, w Work, zone string, now time.Time) (Choice, bool) {
+	best, found := pick(cands, t, w, zone, now, false)
 	if !found {
-		best, found = pick(cands, t, w, p, now, true)
+		best, found = pick(cands, t, w, zone, now, true)
 	}
 	return best, found
 }
 
-func pick(cands []Candidate, t *Tracker, w Work, p Policy, now time.Time, doubtful bool) (Choice, bool) {
+func pick(cands []Candidate, t *Tracker, w Work, zone string, now time.Time, doubtful bool) (Choice, bool) {
 	var best Choice
 	var bestScore float64
 	found := false
 	for _, c := range cands {
 		st := t.Status(c.Head, c.Service.ColdPerSecond, now)
-		late := p.Fresh && c.Oldest > time.Duration(lateBeat*float64(p.Heartbeat))
-		if (st.Suspect || late) != doubtful {
+		if st.Suspect != doubtful {
 			continue
 		}
 		if c.Head.Cold(now) > 0 && c.Service.ColdPerSecond > 0 && !st.ColdAllowed {
@@ -76,7 +61,7 @@
 		}
 		pred := c.predict(st, w)
 		score := float64(pred.First) * (1 + failurePenalty*st.FailureShare)
-		if c.Head.Zone != p.Zone {
+		if c.Head.Zone != zone {
 			score *= farPenalty
 		}
 		score *= 1 + nearEnough*rand.Float64()
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -18,6 +18,10 @@
 	// end renews the confirmation that the configuration is the newest, which
 	// must happen well within the bound for a configuration (2 s on the sheets).
 	operatorWait = time.Second
+	// engineWait is the store's time to wait for an engine's announcement. Entries
+	// change only when more than the heartbeat does, so it often runs out; what
+	// is planned needs to know that nothing has changed.
+	engineWait = 700 * time.Millisecond
 	// engineInterval paces the reads of engines' announcements. A change is
 	// known within it, against bounds of 2 s for a leaving engine.
 	engineInterval = 300 * time.Millisecond
@@ -195,7 +199,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		begun := boottime.Now()
-		records, whole, err := d.step(&c, operatorWait)
+		records, whole, err := d.step(&c, engineWait)
 		if err != nil {
 			sleep(ctx, r.failed(err))
 			continue
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -91,7 +91,6 @@
 		Directory: d.directory, Tracker: tracker, Engines: p.Codec, Demand: demand,
 		Retries:     retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleet),
 		Zone:        s.Zone,
-		Heartbeat:   s.Heartbeat,
 		ConfigBound: s.ConfigBound, StrictRevoke: s.StrictRevoke, RevokeBound: s.RevokeBound,
 		Observer:  d.stats,
 		Suspected: d.gossip.suspect,
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -31,7 +31,7 @@
 	gatherBeats = 1.25
 	// staleAfter is the age of the last read of announcements from which the
 	// planner waits: what it believes of the groups may be over.
-	staleAfter = 700 * time.Millisecond
+	staleAfter = 1200 * time.Millisecond
 	// loadPart is the part of the published rate of loads that is used: loads of
 	// an earlier planner may count in the same window.
 	loadPart = 0.55
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -15,9 +15,6 @@
 const (
 	// observeInterval is the pause between looks at who must be asked.
 	observeInterval = 100 * time.Millisecond
-	// lateBeats is the age of an announcement, in heartbeats, from which an
-	// engine is asked whether it lives.
-	lateBeats = 1.6
 	// askedAgain is the pause between two questions to the same engine.
 	askedAgain = 400 * time.Millisecond
 	// missesLost is the number of unanswered questions after which an engine
@@ -206,15 +203,13 @@
 		return
 	}
 	now := time.Now()
-	fresh := p.o.Directory.EnginesAge() < p.o.Heartbeat
 	var ask []*watched
 	p.watched.Range(func(_ string, w *watched) bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		late := fresh && now.Sub(w.engine.SeenAt) > time.Duration(lateBeats*float64(p.o.Heartbeat))
 		inGroup := w.engine.Member.State != catalog.NoGroup
 		goneHead := !w.present && w.engine.Member.Rank == 0 && inGroup
-		doubtful := w.present && inGroup && (w.suspect || late) || goneHead
+		doubtful := w.present && inGroup && w.suspect || goneHead
 		if doubtful && !w.dead && now.Sub(w.asked) >= askedAgain {
 			w.asked = now
 			ask = append(ask, w)
@@ -326,8 +321,9 @@
 }
 
 // over reports whether the head is dead, says that it serves no more, has left
-// the group, or has been silent for longer than the bound. Where it was cut
-// off, that was before its next announcement was due.
+// the group, or has been silent for longer than the bound. The store drops an
+// entry after three heartbeats without one, so a head that is gone was cut off
+// at least two heartbeats before.
 func (w *watched) over(group catalog.GroupID, heartbeat, bound time.Duration, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -336,8 +332,8 @@
 		return true
 	case w.misses >= missesLost:
 		quiet := w.firstMiss
-		if due := w.engine.SeenAt.Add(heartbeat); !w.engine.SeenAt.IsZero() && due.Before(quiet) {
-			quiet = due
+		if cut := w.goneSince.Add(-2 * heartbeat); !w.present && cut.Before(quiet) {
+			quiet = cut
 		}
 		return now.Sub(quiet) > bound
 	case w.reportedAt.IsZero():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -38,7 +39,6 @@
 	Demand    *balance.Demand
 	Retries   *retry.SharedBudget
 	Zone      string
-	Heartbeat time.Duration
 	// ConfigBound and RevokeBound are the bounds in force; StrictRevoke binds
 	// keys to the latter.
 	ConfigBound  time.Duration
@@ -150,26 +150,26 @@
 }
 
 // candidates returns the engines that may take the request and were not tried.
-func (j *job) candidates(now time.Time) []balance.Candidate {
+func (j *job) candidates() []balance.Candidate {
 	view, ok := j.o.Directory.Service(j.service)
 	if !ok {
 		return nil
 	}
 	if view.Service.Engine != nil {
-		return j.groups(view, now)
+		return j.groups(view)
 	}
 	out := make([]balance.Candidate, 0, len(view.Engines))
 	for _, e := range view.Engines {
 		if e.Draining || j.tried[e.ID] || j.o.Directory.ZoneOut(e.Zone) {
 			continue
 		}
-		out = append(out, balance.Candidate{Head: e, Service: view.Service, Pace: 1, Oldest: now.Sub(e.SeenAt)})
+		out = append(out, balance.Candidate{Head: e, Service: view.Service, Pace: 1})
 	}
 	return out
 }
 
 // groups returns the groups that serve the request's model.
-func (j *job) groups(view *directory.ServiceView, now time.Time) []balance.Candidate {
+func (j *job) groups(view *directory.ServiceView) []balance.Candidate {
 	out := make([]balance.Candidate, 0, len(view.Groups))
 	for i := range view.Groups {
 		g := &view.Groups[i]
@@ -180,12 +180,7 @@
 		if m, ok := view.Service.Engine.Model(g.Model); ok {
 			c.Pace = m.Pace
 		}
-		out2 := false
-		for _, e := range g.Members {
-			c.Oldest = max(c.Oldest, now.Sub(e.SeenAt))
-			out2 = out2 || j.o.Directory.ZoneOut(e.Zone)
-		}
-		if !out2 {
+		if !slices.ContainsFunc(g.Members, func(e *catalog.Engine) bool { return j.o.Directory.ZoneOut(e.Zone) }) {
 			out = append(out, c)
 		}
 	}
@@ -199,11 +194,7 @@
 	if left < time.Duration(leastLeft*float64(j.route.Aim)) || left <= 0 {
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "no time left"}
 	}
-	policy := balance.Policy{
-		Zone: j.o.Zone, Heartbeat: j.o.Heartbeat,
-		Fresh: j.o.Directory.EnginesAge() < j.o.Heartbeat,
-	}
-	choice, ok := balance.Choose(j.candidates(now), j.o.Tracker, j.req.Work, policy, now)
+	choice, ok := balance.Choose(j.candidates(), j.o.Tracker, j.req.Work, j.o.Zone, now)
 	if !ok {
 		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.comeBack(left), Reason: "no engine may take it"}
 	}
