Believe only fresh reports of heads that are gone; fence them too

A head was cut from the store while it served; a report from its previous group, 9 s old, was taken as proof that it had left the present one. Change: a report counts for one second and only if it came after the head was gone, and a head that says it is ready must have answered the order to close.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -220,13 +220,16 @@
 	p.own.Delete(id.Name)
 	head := c.Group.Head()
 	p.reserve(head, time.Now().Add(orderPause))
-	go func() {
-		err := p.order(head, Order{Op: Close, Group: id, Abort: c.Abort})
-		if err == nil || fault.Is(err, fault.Conflict) {
-			p.closed.Set(id.Name, id)
-			p.reserved.Delete(head.ID)
-		}
-	}()
+	go p.orderClose(head, id, c.Abort)
+}
+
+// orderClose orders a head to close and notes that it has answered.
+func (p *Planner) orderClose(head *catalog.Engine, id catalog.GroupID, abort bool) {
+	err := p.order(head, Order{Op: Close, Group: id, Abort: abort})
+	if err == nil || fault.Is(err, fault.Conflict) {
+		p.closed.Set(id.Name, id)
+		p.reserved.Delete(head.ID)
+	}
 }
 
 // form sends the join to all members at once.
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -20,6 +20,8 @@
 	// missesLost is the number of unanswered questions after which an engine
 	// counts as lost.
 	missesLost = 2
+	// reportFresh is the age up to which an engine's report says what it does now.
+	reportFresh = time.Second
 	// headMargin is added to the stall bound before a silent head counts as over;
 	// it covers the lag of the reads of announcements.
 	headMargin = 400 * time.Millisecond
@@ -265,13 +267,14 @@
 }
 
 // closeGone ends the service of a head that is gone from the directory but
-// still serves. The caller holds the lock of w.
+// serves, or may have been ordered to. The caller holds the lock of w.
 func (p *Planner) closeGone(w *watched, e catalog.Engine) {
-	if w.present || w.reported.Member.State != catalog.Open {
+	group, state := w.reported.Member.Group, w.reported.Member.State
+	_, closed := p.closed.Get(group.Name)
+	if w.present || (state != catalog.Open && state != catalog.Ready) || closed {
 		return
 	}
-	group := w.reported.Member.Group
-	go func() { _ = p.order(&e, Order{Op: Close, Group: group}) }() // order logs its failure; the next report decides anew
+	go p.orderClose(&e, group, false)
 }
 
 // headOver reports whether the absent or lost head of a group certainly serves
@@ -289,7 +292,8 @@
 	if !ok {
 		return p.headlessFor(g.ID, now) > unknownHead
 	}
-	return w.over(g.ID, p.o.Heartbeat, p.o.StallBound+headMargin, now)
+	_, closed := p.closed.Get(g.ID.Name)
+	return w.over(g.ID, closed, p.o.Heartbeat, p.o.StallBound+headMargin, now)
 }
 
 // headlessFor returns how long a group has been without a head that was ever
@@ -324,7 +328,7 @@
 // the group, or has been silent for longer than the bound. The store drops an
 // entry after three heartbeats without one, so a head that is gone was cut off
 // at least two heartbeats before.
-func (w *watched) over(group catalog.GroupID, heartbeat, bound time.Duration, now time.Time) bool {
+func (w *watched) over(group catalog.GroupID, closed bool, heartbeat, bound time.Duration, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
@@ -336,11 +340,11 @@
 			quiet = cut
 		}
 		return now.Sub(quiet) > bound
-	case w.reportedAt.IsZero():
+	case now.Sub(w.reportedAt) > reportFresh || w.reportedAt.Before(w.goneSince):
 		return false
 	case w.reported.Member.Group != group:
 		return true
 	}
 	state := w.reported.Member.State
-	return now.Sub(w.reportedAt) < time.Second && (state == catalog.Ready || state == catalog.Broken || state == catalog.NoGroup)
+	return (state == catalog.Ready && closed) || state == catalog.Broken || state == catalog.NoGroup
 }
