Let two daemons read the store for all

Cause: every daemon followed the store itself, some 80 calls a second. Change: the first two of a ranking of the daemons with a path to the store read; engines' records are passed on in datagrams, ends of topics stand in the reports with their age, dated by an echo, and a daemon reads itself as soon as that is old or something is missing. A few daemons compete for planning.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,13 +73,20 @@
 // Topics are the names of the topics to follow.
 type Topics struct{ Operator, Engines, Notes string }
 
+func (t *Topics) name(topic Topic) string {
+	return [...]string{t.Operator, t.Engines, t.Notes}[topic]
+}
+
 // Options configure a Directory. All fields are required.
 type Options struct {
 	Log     Log
 	Decoder Decoder
 	Topics  Topics
-	// Heartbeat is the interval at which engines announce themselves.
-	Heartbeat time.Duration
+	// Reads tells whether this daemon reads the store for the others; nil means
+	// that each reads for itself.
+	Reads func() bool
+	// Read is told of the engines' records that were read; it may be nil.
+	Read func(from uint64, records []Record)
 }
 
 // ServiceView is what is known of a service's engines at one moment. It must
@@ -100,11 +107,11 @@
 	views   *shard.Map[*ServiceView]
 	zones   *shard.Map[struct{}]
 	config  atomic.Pointer[catalog.Config]
-	// confirmed is the boot time in nanoseconds at which the last successful
-	// read of the operator's topic began; zero before the first.
-	confirmed atomic.Int64
-	enginesAt atomic.Int64
-	loaded    atomic.Bool
+	tracks  [topicCount]*track
+	loaded  atomic.Bool
+	// graceUntil is the end of the time after an outage within which removals
+	// are not believed. The lock of the engines' track guards it.
+	graceUntil time.Time
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -116,7 +123,13 @@
 
 // New returns an empty directory; Run fills it.
 func New(o Options) *Directory {
-	return &Directory{
+	if o.Reads == nil {
+		o.Reads = func() bool { return true }
+	}
+	if o.Read == nil {
+		o.Read = func(uint64, []Record) {}
+	}
+	d := &Directory{
 		opts:    o,
 		engines: shard.NewMap[*catalog.Engine](),
 		last:    shard.NewMap[identity](),
@@ -127,14 +140,28 @@
 		pending: shard.NewMap[time.Time](),
 		changed: make(chan struct{}),
 	}
+	for t := range d.tracks {
+		d.tracks[t] = newTrack()
+	}
+	return d
 }
 
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return d.followOperator(ctx) })
+	g.Go(func() error {
+		return d.follow(ctx, OperatorTopic, func(records []Record, whole, _ bool) {
+			d.applyOperator(records, whole)
+		})
+	})
 	g.Go(func() error { return d.followEngines(ctx) })
-	g.Go(func() error { return d.followNotes(ctx) })
+	g.Go(func() error {
+		return d.follow(ctx, NotesTopic, func(records []Record, _, _ bool) {
+			for _, rec := range records {
+				d.applyNote(rec)
+			}
+		})
+	})
 	return g.Wait()
 }
 
@@ -143,33 +170,17 @@
 
 // ConfigAge returns how long ago the configuration was known to be the newest,
 // on a clock that counts suspension.
-func (d *Directory) ConfigAge() time.Duration {
-	at := d.confirmed.Load()
-	if at == 0 {
-		return time.Duration(1<<63 - 1)
-	}
-	return boottime.Now() - time.Duration(at)
-}
+func (d *Directory) ConfigAge() time.Duration { return d.age(OperatorTopic) }
 
-// Confirm takes another daemon's word that a version of the configuration was
-// the newest at a boot time of this machine. It counts only if that version is
-// in force here, and never for a time to come.
-func (d *Directory) Confirm(version int64, now, at time.Duration) {
-	cfg := d.config.Load()
-	if cfg == nil || cfg.Version != version || at > now {
-		return
-	}
-	for {
-		old := d.confirmed.Load()
-		if int64(at) <= old || d.confirmed.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
-}
+// EnginesAge returns how long ago all announcements of engines were known.
+func (d *Directory) EnginesAge() time.Duration { return d.age(EnginesTopic) }
 
-// EnginesAge returns how long ago the engines' announcements were last read.
-func (d *Directory) EnginesAge() time.Duration {
-	return boottime.Now() - time.Duration(d.enginesAt.Load())
+func (d *Directory) age(t Topic) time.Duration {
+	c := d.tracks[t].get()
+	if !c.Known || c.Confirmed == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return boottime.Now() - c.Confirmed
 }
 
 // Loaded reports whether the configuration and the engines have been read once.
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -14,20 +14,6 @@
 )
 
 const (
-	// operatorWait is the store's time to wait for an operator's record. Its
-	// end renews the confirmation that the configuration is the newest, which
-	// must happen well within the bound for a configuration (2 s on the sheets).
-	operatorWait = time.Second
-	// engineWait is the store's time to wait for an engine's announcement. Entries
-	// change only when more than the heartbeat does, so it often runs out; what
-	// is planned needs to know that nothing has changed.
-	engineWait = 700 * time.Millisecond
-	// engineInterval paces the reads of engines' announcements. A change is
-	// known within it, against bounds of 2 s for a leaving engine.
-	engineInterval = 300 * time.Millisecond
-	// noteWait is the store's time to wait for a daemon's note. A read returns as
-	// soon as there is one; a longer wait only saves calls.
-	noteWait = 8 * time.Second
 	// retryPause and retryPauseMax bound the pause after a failed read.
 	retryPause    = 100 * time.Millisecond
 	retryPauseMax = 500 * time.Millisecond
@@ -39,38 +25,59 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// cursor is the position in one topic.
-type cursor struct {
-	topic string
-	next  uint64
-	known bool
-}
-
-// step reads what is new. whole means that the records are the newest of each
-// key, so that keys without one are gone.
-func (d *Directory) step(c *cursor, wait time.Duration) (records []Record, whole bool, err error) {
-	if !c.known {
-		records, end, err := d.opts.Log.Newest(c.topic)
-		if err != nil {
-			return nil, false, err
-		}
-		c.next, c.known = end, true
-		return records, true, nil
+// step reads what is new of a topic. whole means that the records are the
+// newest of each key, so that keys without one are gone. next is the offset to
+// go on from, which was the topic's end at the boot time at or later. The
+// position is advanced by the caller, as the records are applied.
+func (d *Directory) step(t Topic) (records []Record, next uint64, whole bool, at time.Duration, err error) {
+	begun := boottime.Now()
+	name := d.opts.Topics.name(t)
+	c := d.tracks[t].get()
+	if !c.Known {
+		records, next, err = d.opts.Log.Newest(name)
+		return records, next, true, begun, err
+	}
+	wait := pacings[t].wait
+	if d.tracks[t].behind() {
+		wait = 0
 	}
-	records, _, err = d.opts.Log.Read(c.topic, c.next, wait)
+	records, _, err = d.opts.Log.Read(name, c.Next, wait)
 	var cut *TruncatedError
 	if errors.As(err, &cut) {
-		klog.InfoS("topic was truncated; reading the newest records", "topic", c.topic, "offset", c.next)
-		c.known = false
-		return nil, false, nil
-	}
-	if err != nil {
-		return nil, false, err
+		klog.InfoS("topic was truncated; reading the newest records", "topic", name, "offset", c.Next)
+		d.tracks[t].reset()
+		records, next, err = d.opts.Log.Newest(name)
+		return records, next, true, begun, err
 	}
 	if n := len(records); n > 0 {
-		c.next = records[n-1].Offset + 1
+		return records, records[n-1].Offset + 1, false, begun, err
+	}
+	// The store waited before it said that there is nothing.
+	return nil, c.Next, false, min(begun+wait, boottime.Now()), err
+}
+
+// follow reads a topic until ctx ends, except while others do so for this
+// daemon, and applies what is new. returned tells apply that the store has come
+// back after an outage.
+func (d *Directory) follow(ctx context.Context, t Topic, apply func(records []Record, whole, returned bool)) error {
+	r := reach{topic: d.opts.Topics.name(t)}
+	for ctx.Err() == nil {
+		d.guided(ctx, t)
+		began := time.Now()
+		records, next, whole, at, err := d.step(t)
+		if err != nil {
+			sleep(ctx, r.failed(err))
+			continue
+		}
+		returned := r.succeeded()
+		if t == EnginesTopic && !whole && len(records) > 0 {
+			// Before the new position is known to others, so that they do not read.
+			d.opts.Read(records[0].Offset, records)
+		}
+		d.tracks[t].commit(records, next, whole, at, func(fresh []Record) { apply(fresh, whole, returned) })
+		sleep(ctx, pacings[t].pace-time.Since(began))
 	}
-	return records, false, nil
+	return nil
 }
 
 // reach tracks whether the store answers, and logs when that changes.
@@ -114,26 +121,6 @@
 	}
 }
 
-func (d *Directory) followOperator(ctx context.Context) error {
-	c := cursor{topic: d.opts.Topics.Operator}
-	r := reach{topic: c.topic}
-	for ctx.Err() == nil {
-		begun := boottime.Now()
-		records, whole, err := d.step(&c, operatorWait)
-		if err != nil {
-			sleep(ctx, r.failed(err))
-			continue
-		}
-		r.succeeded()
-		if !c.known {
-			continue
-		}
-		d.applyOperator(records, whole)
-		d.confirmed.Store(max(int64(begun), d.confirmed.Load()))
-	}
-	return nil
-}
-
 func (d *Directory) applyOperator(records []Record, whole bool) {
 	out := map[string]bool{}
 	for _, rec := range records {
@@ -193,39 +180,24 @@
 }
 
 func (d *Directory) followEngines(ctx context.Context) error {
-	c := cursor{topic: d.opts.Topics.Engines}
-	r := reach{topic: c.topic}
-	var graceUntil time.Time
-	for ctx.Err() == nil {
-		began := time.Now()
-		begun := boottime.Now()
-		records, whole, err := d.step(&c, engineWait)
-		if err != nil {
-			sleep(ctx, r.failed(err))
-			continue
+	return d.follow(ctx, EnginesTopic, func(records []Record, whole, returned bool) {
+		if returned {
+			d.graceUntil = time.Now().Add(lapseGrace)
 		}
-		if r.succeeded() {
-			graceUntil = time.Now().Add(lapseGrace)
-		}
-		d.applyEngines(records, whole, graceUntil)
-		if c.known {
-			d.enginesAt.Store(int64(begun))
-			d.loaded.Store(true)
-		}
-		sleep(ctx, engineInterval-time.Since(began))
-	}
-	return nil
+		d.applyEngines(records, whole)
+		d.loaded.Store(true)
+	})
 }
 
 // applyEngines takes announcements in. A removal is believed at once, but
 // within the grace time after an outage only when it ends.
-func (d *Directory) applyEngines(records []Record, whole bool, graceUntil time.Time) {
+func (d *Directory) applyEngines(records []Record, whole bool) {
 	changed := false
 	present := map[string]bool{}
 	for _, rec := range records {
 		present[rec.Key] = len(rec.Value) > 0
 		if len(rec.Value) == 0 {
-			changed = d.remove(rec.Key, graceUntil) || changed
+			changed = d.remove(rec.Key) || changed
 			continue
 		}
 		changed = d.announce(rec) || changed
@@ -233,7 +205,7 @@
 	if whole {
 		for _, id := range d.engineIDs() {
 			if !present[id] {
-				changed = d.remove(id, graceUntil) || changed
+				changed = d.remove(id) || changed
 			}
 		}
 	}
@@ -252,13 +224,17 @@
 	return ids
 }
 
-func (d *Directory) remove(id string, graceUntil time.Time) bool {
-	e, ok := d.engines.Get(id)
-	if !ok {
+func (d *Directory) remove(id string) bool {
+	if time.Now().Before(d.graceUntil) {
+		d.pending.Set(id, d.graceUntil)
 		return false
 	}
-	if time.Now().Before(graceUntil) {
-		d.pending.Set(id, graceUntil)
+	return d.drop(id)
+}
+
+func (d *Directory) drop(id string) bool {
+	e, ok := d.engines.Get(id)
+	if !ok {
 		return false
 	}
 	d.engines.Delete(id)
@@ -279,7 +255,7 @@
 	})
 	changed := false
 	for _, id := range due {
-		changed = d.remove(id, time.Time{}) || changed
+		changed = d.drop(id) || changed
 		d.pending.Delete(id)
 	}
 	return changed
@@ -317,23 +293,6 @@
 	return true
 }
 
-func (d *Directory) followNotes(ctx context.Context) error {
-	c := cursor{topic: d.opts.Topics.Notes}
-	r := reach{topic: c.topic}
-	for ctx.Err() == nil {
-		records, _, err := d.step(&c, noteWait)
-		if err != nil {
-			sleep(ctx, r.failed(err))
-			continue
-		}
-		r.succeeded()
-		for _, rec := range records {
-			d.applyNote(rec)
-		}
-	}
-	return nil
-}
-
 func (d *Directory) applyNote(rec Record) {
 	n, err := d.opts.Decoder.Note(rec)
 	switch {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/balance"
+	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/ingress"
 	"github.com/ragwortquay/ragwortquay/internal/mesh"
@@ -73,19 +74,21 @@
 		debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryBytes)))
 	}
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
-	d.directory = directory.New(directory.Options{Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Heartbeat: s.Heartbeat})
 	tracker := balance.NewTracker(s.Node, d.fleet)
+	d.gossip = &gossip{d: d, tracker: tracker, suspects: shard.NewMap[suspicion](), started: boottime.Now()}
+	d.directory = directory.New(directory.Options{
+		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Reads: d.gossip.reads, Read: d.gossip.read,
+	})
 	demand := balance.NewDemand()
 	boot := ulid.Make().String()
-	d.gossip = &gossip{d: d, tracker: tracker, suspects: shard.NewMap[suspicion]()}
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, Boot: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
 		Source: d.gossip, Sink: d.gossip,
 	})
 	d.planner = planner.New(planner.Options{
 		Member: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.Control, Notes: p.Notes, Demand: demand,
-		FirstStart: s.FirstStart,
-		Heartbeat:  s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
+		FirstStart: s.FirstStart, Competes: d.gossip.competes,
+		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Engines: p.Codec, Demand: demand,
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -7,6 +7,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
@@ -15,14 +16,27 @@
 	// tellFor is how long a suspicion is told to the others; it covers the loss
 	// of a few datagrams.
 	tellFor = time.Second
+	// readers is the number of daemons that read the store for all: one may be
+	// lost or cut off without a pause in following.
+	readers = 2
+	// candidates is the number of daemons that keep a place among the planners.
+	candidates = 4
+	// meeting is the time after a start in which the other daemons are heard of.
+	meeting = 500 * time.Millisecond
+	// rankPrefix sets this ranking of daemons apart from other uses of the hash.
+	rankPrefix = "rank/"
 )
 
+// topics are the store's topics in the order of a report.
+var topics = [...]directory.Topic{directory.OperatorTopic, directory.EnginesTopic, directory.NotesTopic}
+
 // gossip connects the mesh with what this daemon knows. It implements
 // mesh.Source and mesh.Sink.
 type gossip struct {
 	d        *Daemon
 	tracker  *balance.Tracker
 	suspects *shard.Map[suspicion]
+	started  time.Duration
 }
 
 type suspicion struct {
@@ -36,20 +50,24 @@
 
 // Fill adds loads, suspicions and the age of the configuration.
 func (g *gossip) Fill(r *wire.LoadReport) {
-	if cfg := g.d.directory.Config(); cfg != nil {
-		r.Version = cfg.Version
-		r.ConfirmedNS = int64(g.d.directory.ConfigAge())
-	} else {
-		r.ConfirmedNS = -1
+	now := boottime.Now()
+	for _, t := range topics {
+		c := g.d.directory.Cursor(t)
+		end := wire.TopicEnd{Next: c.Next, AgeNS: int64(now - c.Confirmed)}
+		if !c.Known {
+			end.AgeNS = -1
+		}
+		r.Topics = append(r.Topics, end)
 	}
+	r.Planning = g.d.planner.Holds()
 	r.Serving = g.d.stats.serving()
 	for id, l := range g.tracker.Own() {
 		r.Loads = append(r.Loads, wire.EngineLoad{Engine: id, InFlight: l.InFlight, Pending: l.Pending})
 	}
 	slices.SortFunc(r.Loads, func(a, b wire.EngineLoad) int { return b.InFlight - a.InFlight })
-	now := time.Now()
+	at := time.Now()
 	g.suspects.Range(func(_ string, s suspicion) bool {
-		if now.Before(s.until) {
+		if at.Before(s.until) {
 			r.Suspects = append(r.Suspects, wire.Suspect{Engine: s.engine, Group: s.group.Name, Epoch: s.group.Epoch})
 		}
 		return true
@@ -70,11 +88,72 @@
 	if r.Serving {
 		g.d.planner.Serving()
 	}
-	if r.ConfirmedNS >= 0 && r.EchoNS > 0 {
-		// The sender had the echoed report before it stated the age, so the
-		// configuration was the newest at the echoed time less that age.
-		g.d.directory.Confirm(r.Version, boottime.Now(), time.Duration(r.EchoNS)-time.Duration(r.ConfirmedNS))
+	if r.EchoNS <= 0 || len(r.Topics) != len(topics) {
+		return
+	}
+	for i, t := range topics {
+		if end := r.Topics[i]; end.AgeNS >= 0 {
+			// The sender had the echoed report before it stated the age, so the
+			// topic ended there at the echoed time less that age.
+			g.d.directory.Guide(t, end.Next, time.Duration(r.EchoNS-end.AgeNS))
+		}
+	}
+}
+
+// Passed takes records that another daemon has read.
+func (g *gossip) Passed(r *wire.RecordPush) {
+	records := make([]directory.Record, len(r.Records))
+	for i, kv := range r.Records {
+		records[i] = directory.Record{Offset: r.From + uint64(i), Key: kv.Key, Value: kv.Value}
+	}
+	g.d.directory.Pass(r.From, records)
+}
+
+// read passes on what this daemon has read, if it reads for the others.
+func (g *gossip) read(from uint64, records []directory.Record) {
+	if !g.reads() {
+		return
+	}
+	out := make([]wire.KeyedValue, len(records))
+	for i, rec := range records {
+		out[i] = wire.KeyedValue{Key: rec.Key, Value: rec.Value}
+	}
+	g.d.mesh.Push(from, out)
+	g.d.mesh.Wake()
+}
+
+// reads reports whether this daemon reads the store for the others: it is one
+// of the first readers by a hash of the names of those with a path to the store.
+func (g *gossip) reads() bool { return g.rank(readers) }
+
+// rank reports whether fewer than n live daemons with a path to the store come
+// before this one.
+func (g *gossip) rank(n int) bool {
+	own := shard.Hash(rankPrefix + g.d.settings.Node)
+	before := 0
+	for _, p := range g.d.mesh.Live() {
+		if p.Fresh && shard.Hash(rankPrefix+p.Name) < own {
+			before++
+		}
+	}
+	return before < n
+}
+
+// competes reports whether this daemon should be among the candidates for
+// planning: a few suffice while one of them plans.
+func (g *gossip) competes() bool {
+	if boottime.Now()-g.started < meeting {
+		return false
+	}
+	if g.rank(candidates) {
+		return true
+	}
+	for _, p := range g.d.mesh.Live() {
+		if p.Planning {
+			return false
+		}
 	}
+	return true
 }
 
 func loads(r *wire.LoadReport) map[string]balance.Load {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -28,10 +28,15 @@
 	perPeer = 8 * time.Millisecond
 	// maxDatagram keeps a report within one packet.
 	maxDatagram = 1400
+	// pushBytes leaves room in a datagram for keys and framing.
+	pushBytes = 1100
 	// maxLoads is the number of engines in a report that fits.
 	maxLoads = 40
 	// readBytes is the size of the receive buffer.
 	readBytes = 4096
+	// followedWithin is the age of the knowledge of the store that a peer with a
+	// path to it stays below.
+	followedWithin = 2 * time.Second
 	// peerGone is the number of intervals without a report after which a peer
 	// counts as gone.
 	peerGone = 10
@@ -49,6 +54,8 @@
 type Sink interface {
 	// Heard takes a report that arrived.
 	Heard(r *wire.LoadReport)
+	// Passed takes records that another daemon has read from the store.
+	Passed(r *wire.RecordPush)
 }
 
 // Options configure a Mesh. All fields are required.
@@ -64,17 +71,18 @@
 // Mesh sends and receives reports.
 type Mesh struct {
 	o     Options
-	conn  *net.UDPConn
+	conn  atomic.Pointer[net.UDPConn]
 	peers *shard.Map[peer]
 	wake  chan struct{}
 	sent  atomic.Uint64
 }
 
 type peer struct {
-	boot    string
-	echo    int64
-	at      time.Time
-	expires time.Time
+	fresh    bool
+	planning bool
+	boot     string
+	echo     int64
+	expires  time.Time
 }
 
 // New returns a mesh that Run starts.
@@ -92,10 +100,10 @@
 	if err != nil {
 		return fault.Wrap(fault.Unavailable, err, "free the internal port", "listen on %s", m.o.Addr)
 	}
-	m.conn = conn
+	m.conn.Store(conn)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return m.send(ctx) })
-	g.Go(func() error { return m.receive(ctx) })
+	g.Go(func() error { return m.receive(ctx, conn) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return conn.Close()
@@ -111,17 +119,25 @@
 	}
 }
 
-// Live returns the number of daemons heard of lately, this one included.
-func (m *Mesh) Live() int {
+// Peer is what the last report of another daemon said.
+type Peer struct {
+	Name string
+	// Fresh tells that the peer knew the store's newest state lately.
+	Fresh    bool
+	Planning bool
+}
+
+// Live returns the daemons heard of lately, without this one.
+func (m *Mesh) Live() []Peer {
 	now := time.Now()
-	n := 1
-	m.peers.Range(func(_ string, p peer) bool {
+	var out []Peer
+	m.peers.Range(func(name string, p peer) bool {
 		if now.Before(p.expires) {
-			n++
+			out = append(out, Peer{Name: name, Fresh: p.fresh, Planning: p.planning})
 		}
 		return true
 	})
-	return n
+	return out
 }
 
 func (m *Mesh) send(ctx context.Context) error {
@@ -162,21 +178,13 @@
 		klog.ErrorS(err, "report not sent", "bytes", len(b))
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", addr)
-	if err != nil {
-		klog.V(1).ErrorS(err, "peer's address ignored", "addr", addr)
-		return
-	}
-	// A lost datagram is made good by the next one.
-	if _, err := m.conn.WriteToUDP(b, to); err == nil {
-		m.sent.Add(1)
-	}
+	m.write(b, addr)
 }
 
-func (m *Mesh) receive(ctx context.Context) error {
+func (m *Mesh) receive(ctx context.Context, conn *net.UDPConn) error {
 	buf := make([]byte, readBytes)
 	for {
-		n, _, err := m.conn.ReadFromUDP(buf)
+		n, _, err := conn.ReadFromUDP(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -184,12 +192,60 @@
 			klog.V(1).ErrorS(err, "datagram not received")
 			continue
 		}
-		r, err := wire.DecodeLoadReport(buf[:n])
-		if err != nil || r.From == "" || r.From == m.o.Node {
-			klog.V(1).InfoS("datagram ignored", "bytes", n)
+		msg, err := wire.DecodeDatagram(buf[:n])
+		if err != nil {
+			klog.V(1).ErrorS(err, "datagram ignored", "bytes", n)
 			continue
 		}
-		m.heard(r)
+		switch r := msg.(type) {
+		case *wire.LoadReport:
+			if r.From != "" && r.From != m.o.Node {
+				m.heard(r)
+			}
+		case *wire.RecordPush:
+			m.o.Sink.Passed(r)
+		}
+	}
+}
+
+// Push passes records on to all daemons, in as many datagrams as they need. One
+// that is too large for a datagram is left out, and what follows it: the others
+// see the gap and read the store.
+func (m *Mesh) Push(from uint64, records []wire.KeyedValue) {
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size+len(records[n].Value) < pushBytes) {
+			size += len(records[n].Value)
+			n++
+		}
+		b, err := wire.EncodeRecordPush(&wire.RecordPush{From: from, Records: records[:n]})
+		if err != nil || len(b) > maxDatagram {
+			klog.V(1).InfoS("records not passed on", "from", from, "bytes", len(b))
+			return
+		}
+		for name, addr := range m.o.Source.Peers() {
+			if name != m.o.Node {
+				m.write(b, addr)
+			}
+		}
+		from += uint64(n)
+		records = records[n:]
+	}
+}
+
+func (m *Mesh) write(b []byte, addr string) {
+	conn := m.conn.Load()
+	if conn == nil {
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		klog.V(1).ErrorS(err, "peer's address ignored", "addr", addr)
+		return
+	}
+	// A lost datagram is made good by the next report, or by a read.
+	if _, err := conn.WriteToUDP(b, to); err == nil {
+		m.sent.Add(1)
 	}
 }
 
@@ -200,6 +256,18 @@
 		klog.InfoS("peer heard", "peer", r.From, "boot", r.Boot)
 	}
 	every := time.Duration(r.EveryMS) * time.Millisecond
-	m.peers.Set(r.From, peer{boot: r.Boot, echo: r.SentNS, at: now, expires: now.Add(peerGone * every)})
+	m.peers.Set(r.From, peer{
+		boot: r.Boot, echo: r.SentNS, expires: now.Add(peerGone * every),
+		fresh: followed(r), planning: r.Planning,
+	})
 	m.o.Sink.Heard(r)
 }
+
+// followed reports whether the sender knew the newest configuration lately.
+func followed(r *wire.LoadReport) bool {
+	if len(r.Topics) == 0 {
+		return false
+	}
+	age := time.Duration(r.Topics[0].AgeNS)
+	return age >= 0 && age < followedWithin
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -108,6 +108,8 @@
 	Notes     Notes
 	Demand    *balance.Demand
 	Heartbeat time.Duration
+	// Competes tells whether this daemon should be a candidate for the lease.
+	Competes func() bool
 	// FirstStart tells that the whole system has just started: until the first
 	// request, loads are not bounded.
 	FirstStart bool
@@ -201,7 +203,14 @@
 
 // renew keeps this daemon among the candidates.
 func (p *Planner) renew(ctx context.Context) error {
+	joined := false
 	for ctx.Err() == nil {
+		// A place once taken is kept: each change deals the lease anew.
+		if !joined && !p.o.Competes() {
+			pause(ctx, p.ttl/leaseRenewals)
+			continue
+		}
+		joined = true
 		begun := boottime.Now()
 		held, generation, err := p.o.Lease.Renew(p.o.Member, p.generation.Load(), p.ttl)
 		if err != nil {
@@ -214,10 +223,15 @@
 	if p.Holds() {
 		p.leaseEnd.Store(0)
 	}
-	return p.leave()
+	if joined {
+		p.resign()
+	}
+	return nil
 }
 
-func (p *Planner) leave() error {
+// resign gives up the place among the planners. It waits no longer than
+// leaveTimeout: the lease runs out by itself.
+func (p *Planner) resign() {
 	done := make(chan error, 1)
 	go func() { done <- p.o.Lease.Leave(p.o.Member) }()
 	t := time.NewTimer(leaveTimeout)
@@ -230,7 +244,6 @@
 	case <-t.C:
 		klog.InfoS("lease not given up in time; it will run out")
 	}
-	return nil
 }
 
 func (p *Planner) noteLease(held bool, generation int64, begun time.Duration) {
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/ragwortquay/ragwortquay/internal/fault"
+
 // LoadReport is what one daemon tells the others several times a second. It
 // travels as a datagram and may be lost or late.
 type LoadReport struct {
@@ -11,10 +13,11 @@
 	// SentNS is the sender's boot time, EchoNS that of the receiver's last report.
 	SentNS int64 `msgpack:"s"`
 	EchoNS int64 `msgpack:"r"`
-	// Version is the configuration in force; ConfirmedNS is its age as the
-	// newest one, or negative if unknown.
-	Version     int64 `msgpack:"v"`
-	ConfirmedNS int64 `msgpack:"c"`
+	// Topics tells how far the sender has followed the store's topics, in the
+	// order of package directory.
+	Topics []TopicEnd `msgpack:"t"`
+	// Planning tells that the sender holds the planners' lease.
+	Planning bool `msgpack:"p"`
 	// Serving tells that the sender has answered a request.
 	Serving  bool         `msgpack:"a"`
 	Loads    []EngineLoad `msgpack:"l"`
@@ -22,6 +25,26 @@
 	Crashes  []Crashed    `msgpack:"x"`
 }
 
+// TopicEnd says that a topic ended at Next so long ago.
+type TopicEnd struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Next     uint64
+	AgeNS    int64
+}
+
+// RecordPush passes on records that the sender has read from the store.
+type RecordPush struct {
+	From    uint64       `msgpack:"f"`
+	Records []KeyedValue `msgpack:"r"`
+}
+
+// KeyedValue is one record of a keyed topic.
+type KeyedValue struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      string
+	Value    []byte
+}
+
 // EngineLoad is the sender's work under way at an engine.
 type EngineLoad struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -46,11 +69,36 @@
 	Engine   string
 }
 
+// Datagrams of the mesh begin with a byte that tells what follows.
+const (
+	loadDatagram = 'L'
+	pushDatagram = 'R'
+)
+
 // EncodeLoadReport encodes a report.
-func EncodeLoadReport(r *LoadReport) ([]byte, error) { return Marshal(r) }
+func EncodeLoadReport(r *LoadReport) ([]byte, error) { return encodeDatagram(loadDatagram, r) }
+
+// EncodeRecordPush encodes records that are passed on.
+func EncodeRecordPush(r *RecordPush) ([]byte, error) { return encodeDatagram(pushDatagram, r) }
+
+func encodeDatagram(kind byte, v any) ([]byte, error) {
+	b, err := Marshal(v)
+	return append([]byte{kind}, b...), err
+}
 
-// DecodeLoadReport decodes a report.
-func DecodeLoadReport(b []byte) (*LoadReport, error) {
-	r := &LoadReport{}
-	return r, Unmarshal(b, r)
+// DecodeDatagram decodes a datagram of the mesh: a *LoadReport or a *RecordPush.
+func DecodeDatagram(b []byte) (any, error) {
+	if len(b) == 0 {
+		return nil, fault.Invalid("datagram", "send it again", "empty datagram")
+	}
+	switch b[0] {
+	case loadDatagram:
+		r := &LoadReport{}
+		return r, Unmarshal(b[1:], r)
+	case pushDatagram:
+		r := &RecordPush{}
+		return r, Unmarshal(b[1:], r)
+	default:
+		return nil, fault.Invalid("datagram", "run one version on all daemons", "unknown kind %d", b[0])
+	}
 }
