--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// nearEnough is the relative difference of predicted times below which two
-	// engines are taken as equal: daemons choose from the same knowledge, and
+	// nearEnough is, for each daemon, the relative difference of predicted times
+	// below which two engines are taken as equal, and nearMost its bound: daemons choose from the same knowledge, and
 	// all would choose the same engine otherwise.
-	nearEnough = 0.15
+	// In a large fleet reports are rarer and older, and the difference is larger.
+	nearEnough = 0.01
+	nearMost   = 0.8
 	// failurePenalty multiplies the predicted time of an engine by its share of
 	// recent failures.
 	failurePenalty = 12
@@ -64,7 +66,7 @@
 		if c.Head.Zone != zone {
 			score *= farPenalty
 		}
-		score *= 1 + nearEnough*rand.Float64()
+		score *= 1 + t.near()*rand.Float64()
 		if !found || score < bestScore {
 			best, bestScore, found = Choice{c, pred, st.Load}, score, true
 		}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -145,6 +145,9 @@
 	s.allowedAt = now
 }
 
+// near returns the relative difference of predicted times that means nothing.
+func (t *Tracker) near() float64 { return min(nearMost, nearEnough*float64(t.daemons())) }
+
 // Begin notes that a request is sent to the engine.
 func (t *Tracker) Begin(e *catalog.Engine, w Work, now time.Time) {
 	s := t.state(e.ID)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -82,6 +82,8 @@
 	Log     Log
 	Decoder Decoder
 	Topics  Topics
+	// ConfigBound is the time within which a configuration must be in force.
+	ConfigBound time.Duration
 	// Reads tells whether this daemon reads the store for the others; nil means
 	// that each reads for itself.
 	Reads func() bool
--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -34,19 +34,19 @@
 	wait time.Duration
 	// pace is the least time between two reads.
 	pace time.Duration
-	// guidedFor is how long another daemon's word on the topic's end is relied on:
-	// longer than the readers' wait, and short enough to read the store before
-	// what is in it is due.
-	guidedFor time.Duration
+	// guidedPart is the part of the bound for a configuration for which another
+	// daemon's word on the topic's end is relied on: longer than the readers'
+	// wait, and short enough to read the store before what is in it is due.
+	guidedPart float64
 }
 
 // pacings are those of the topics. Configurations and leaving engines are due
 // within 2 s on the sheets; notes matter for shares of budgets and the next
 // planner only. The engines' pace gathers the announcements of a group's members.
 var pacings = [topicCount]pacing{
-	OperatorTopic: {wait: 500 * time.Millisecond, guidedFor: 1100 * time.Millisecond},
-	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedFor: 1100 * time.Millisecond},
-	NotesTopic:    {wait: 2 * time.Second, guidedFor: 5 * time.Second},
+	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.6},
+	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.6},
+	NotesTopic:    {wait: 2 * time.Second, guidedPart: 3},
 }
 
 // Cursor is how far a topic has been followed.
@@ -160,7 +160,7 @@
 	tr := d.tracks[t]
 	for ctx.Err() == nil {
 		c := tr.get()
-		old := boottime.Now()-c.Confirmed > pacings[t].guidedFor
+		old := boottime.Now()-c.Confirmed > time.Duration(pacings[t].guidedPart*float64(d.opts.ConfigBound))
 		if !c.Known || old || d.opts.Reads() {
 			return
 		}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -77,13 +77,14 @@
 	tracker := balance.NewTracker(s.Node, d.fleet)
 	d.gossip = &gossip{d: d, tracker: tracker, suspects: shard.NewMap[suspicion](), started: boottime.Now()}
 	d.directory = directory.New(directory.Options{
-		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, Reads: d.gossip.reads, Read: d.gossip.read,
+		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
+		Reads: d.gossip.reads, Read: d.gossip.read,
 	})
 	demand := balance.NewDemand()
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, Boot: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
-		Source: d.gossip, Sink: d.gossip,
+		Source: d.gossip, Sink: d.gossip, Often: d.gossip.reads,
 	})
 	d.planner = planner.New(planner.Options{
 		Member: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.Control, Notes: p.Notes, Demand: demand,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -25,7 +25,9 @@
 	leastInterval = 120 * time.Millisecond
 	// perPeer stretches the interval with the fleet, so that a daemon's reports
 	// cost the same share of its processor at any size.
-	perPeer = 8 * time.Millisecond
+	perPeer = 5 * time.Millisecond
+	// often is the interval of a daemon on whose word others rely.
+	often = 250 * time.Millisecond
 	// maxDatagram keeps a report within one packet.
 	maxDatagram = 1400
 	// pushBytes leaves room in a datagram for keys and framing.
@@ -66,6 +68,9 @@
 	Addr   string
 	Source Source
 	Sink   Sink
+	// Often tells whether this daemon reports often whatever the fleet's size,
+	// because others rely on its word.
+	Often func() bool
 }
 
 // Mesh sends and receives reports.
@@ -144,6 +149,9 @@
 	for ctx.Err() == nil {
 		addrs := m.o.Source.Peers()
 		every := max(leastInterval, time.Duration(len(addrs))*perPeer)
+		if m.o.Often() {
+			every = min(every, often)
+		}
 		m.report(addrs, every)
 		t := time.NewTimer(every)
 		select {
