Take a refused connection for silence, not for the end of a head

By reading: a path that is cut with resets makes a live head refuse the planner's connections, and its members were taken at once. Change: only another engine at the address or another start ends a head; a refused one counts as silent.

--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -44,7 +44,8 @@
 	misses    int
 	// firstMiss is the first unanswered question in a row.
 	firstMiss time.Time
-	// dead means that the address refuses connections or belongs to another engine.
+	// dead means that the engine has ended: another one answers for it. A refused
+	// connection does not prove that, since a path may be cut with resets.
 	dead bool
 	// reported is the last answer.
 	reported   Report
@@ -254,6 +255,9 @@
 			w.firstMiss = began
 		}
 		w.misses++
+		if fault.Is(err, fault.Unavailable) {
+			w.misses = max(w.misses, missesLost)
+		}
 		if w.misses == missesLost {
 			klog.InfoS("engine is silent", "engine", e.ID, "group", e.Member.Group.Name, "rank", e.Member.Rank, "error", errText(err))
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -90,8 +90,8 @@
 
 // Engines asks and orders engines.
 type Engines interface {
-	// Report fails with kind NotFound if the address refuses connections or
-	// belongs to another engine now.
+	// Report fails with kind NotFound if the address belongs to another engine
+	// now, and with Unavailable if it refuses connections.
 	Report(e *catalog.Engine) (Report, error)
 	// Order returns nil if the engine has taken the order or was there already.
 	Order(e *catalog.Engine, o Order) error
