--- /dev/null
+++ b/internal/edge/session_test.go
@@ -0,0 +1,364 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/ragwortquay/ragwortquay/internal/edge"
+	"github.com/ragwortquay/ragwortquay/internal/standin/site"
+	"github.com/ragwortquay/ragwortquay/internal/upstream"
+	"github.com/ragwortquay/ragwortquay/platform"
+)
+
+const (
+	host      = "shop.example"
+	streamURL = "/draft/1"
+	plainURL  = "/book/1"
+	goodKey   = "key-1"
+	largeName = "large"
+	smallName = "small"
+)
+
+// fixture is one store, its engines and daemons.
+type fixture struct {
+	t       *testing.T
+	store   *site.Store
+	engines []*site.Engine
+	daemons []string // the callers' addresses
+	stops   []func()
+	// grace is the daemons' time to stop.
+	grace time.Duration
+}
+
+// loopback numbers the daemons' addresses: each gets one of its own.
+var loopback atomic.Int64
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	t.Parallel()
+	f := &fixture{t: t, store: site.NewStore(), grace: time.Second}
+	t.Cleanup(func() {
+		for _, stop := range f.stops {
+			stop()
+		}
+		for _, e := range f.engines {
+			e.Close()
+		}
+		f.store.Close()
+	})
+	return f
+}
+
+// publish puts a configuration with the given version and keys in force.
+func (f *fixture) publish(version int, keys ...string) {
+	model := func(name string, size int) map[string]any {
+		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}
+	}
+	raw, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{
+				"name": "draft", "host": host, "path_prefix": "/draft/", "kind": "stream", "timeout_ms": 20000,
+				"target_latency_ms": 300, "target_gap_ms": 200, "priority": 1, "service": "llm", "max_attempts": 2, "resumable": true,
+			},
+			{
+				"name": "book", "host": host, "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 5000,
+				"target_latency_ms": 300, "priority": 2, "service": "ledger", "max_attempts": 1,
+			},
+		},
+		"services": []map[string]any{
+			{"name": "llm", "health_path": "/healthz", "max_conns": 100, "cold_s": 0.0, "cold_per_s": 0.0, "engine": map[string]any{
+				"slots": 8, "stride": 1, "models": []any{model(largeName, 4), model(smallName, 3)}, "step_ms": 5.0, "read_per_s": 50000.0,
+				"chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 4.0, "loads_at_once": 6,
+				"usual": map[string]any{"prompt": 100, "answer": 10}, "keeps": 1, "form_ms": 10.0,
+			}},
+			{"name": "ledger", "health_path": "/healthz", "max_conns": 100, "cold_s": 0.0, "cold_per_s": 0.0},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"tenants": []map[string]any{{"name": "tenant-1", "api_keys": keys}},
+	})
+	must.NoError(f.t, err)
+	f.store.Put("keyed.op", "config", raw)
+}
+
+// addEngines starts n model engines in a fabric domain.
+func (f *fixture) addEngines(domain string, n, events int, pause time.Duration) []*site.Engine {
+	var out []*site.Engine
+	for range n {
+		out = append(out, site.StartEngine(f.store, site.Config{
+			ID: fmt.Sprintf("i-%d", len(f.engines)), Service: "llm", Zone: "a", Domain: domain, Slots: 8, Events: events, Pause: pause,
+		}))
+		f.engines = append(f.engines, out[len(out)-1])
+	}
+	return out
+}
+
+func (f *fixture) addLedger() *site.Engine {
+	e := site.StartEngine(f.store, site.Config{ID: "ledger-0", Service: "ledger", Zone: "a", Slots: 4})
+	f.engines = append(f.engines, e)
+	return e
+}
+
+// addDaemon starts a daemon and returns the function that stops it gracefully.
+func (f *fixture) addDaemon() (stop func()) {
+	n := loopback.Add(1)
+	ip := fmt.Sprintf("127.7.%d.%d", n/250, 1+n%250)
+	s := edge.Settings{
+		Node: "front-" + ip, Zone: "a", IP: ip, FrontAddr: ip + ":8227", ReadyAddr: ip + ":8220", MeshPort: 7340,
+		Store: f.store.Addr(), FirstStart: true, Heartbeat: 400 * time.Millisecond, Grace: f.grace,
+		ConfigBound: 2 * time.Second, StrictRevoke: true, RevokeBound: 3 * time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100,
+		StallBound: 2 * time.Second, MinLeaseTTL: time.Second,
+	}
+	must.NoError(f.t, s.Check())
+	store := platform.NewStore(s.Store)
+	d := edge.New(s, edge.Platform{
+		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Notes: store, Announcer: store,
+		Control: platform.NewControl(), Codec: platform.NewCodec(upstream.NewClient()),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		must.NoError(f.t, <-done)
+	}
+	f.stops = append(f.stops, stop)
+	f.daemons = append(f.daemons, s.FrontAddr)
+	return stop
+}
+
+var requests atomic.Int64
+
+// call sends a request to the n-th daemon.
+func (f *fixture) call(n int, method, path, key, model string) (*http.Response, error) {
+	r, err := http.NewRequest(method, "http://"+f.daemons[n]+path, strings.NewReader("body"))
+	must.NoError(f.t, err)
+	r.Host = host
+	r.Header.Set("Request-Id", fmt.Sprintf("request-%d", requests.Add(1)))
+	r.Header.Set("Deadline-Ms", "20000")
+	r.Header.Set("Authorization", "Bearer "+key)
+	if model != "" {
+		r.Header.Set("Model", model)
+		r.Header.Set("Token-Counts", "100,10")
+	}
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+}
+
+// status returns the status of a request's answer, or 0 without one.
+func (f *fixture) status(n int, method, path, key, model string) int {
+	resp, err := f.call(n, method, path, key, model)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// eventually waits for a condition; the bound only ends a test that hangs.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(40*time.Second), wait.Gap(50*time.Millisecond)), must.Sprint(what))
+}
+
+func (f *fixture) serves(n int, model string) {
+	f.t.Helper()
+	eventually(f.t, "the daemon serves "+model, func() bool {
+		return f.status(n, http.MethodPost, streamURL, goodKey, model) == http.StatusOK
+	})
+}
+
+func TestFormsGroupsAndServesStreams(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	f.addEngines("d0", 7, 3, time.Millisecond)
+	f.addDaemon()
+	f.addDaemon()
+	for n := range f.daemons {
+		f.serves(n, largeName)
+		f.serves(n, smallName)
+	}
+	resp, err := f.call(1, http.MethodPost, streamURL, goodKey, smallName)
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n", string(body))
+	must.StrHasPrefix(t, "seal-", resp.Header.Get("Response-Seal"))
+}
+
+func TestAnswersByConfiguration(t *testing.T) {
+	f := newFixture(t)
+	ledger := f.addLedger()
+	f.addDaemon()
+	eventually(t, "the daemon answers", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") != 0 })
+	must.Eq(t, http.StatusServiceUnavailable, f.status(0, http.MethodPost, plainURL, goodKey, ""))
+	must.Len(t, 0, ledger.Runs())
+
+	f.publish(1, goodKey)
+	eventually(t, "the configuration is in force", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusOK })
+	must.Eq(t, http.StatusNotFound, f.status(0, http.MethodPost, "/nowhere/", goodKey, ""))
+	must.Eq(t, http.StatusUnauthorized, f.status(0, http.MethodPost, plainURL, "stolen", ""))
+
+	resp, err := f.call(0, http.MethodPost, plainURL, goodKey, "")
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "tenant=tenant-1", string(body))
+
+	f.publish(2, "key-2")
+	eventually(t, "the key is revoked", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusUnauthorized })
+	f.publish(1, goodKey)
+	eventually(t, "the new key is served", func() bool { return f.status(0, http.MethodPost, plainURL, "key-2", "") == http.StatusOK })
+	must.Eq(t, http.StatusUnauthorized, f.status(0, http.MethodPost, plainURL, goodKey, ""), must.Sprint("an older version came back"))
+}
+
+func TestKeysAreNotTrustedWithoutTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	ledger := f.addLedger()
+	f.addDaemon()
+	eventually(t, "the daemon serves", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusOK })
+	f.store.SetDown(true)
+	eventually(t, "the key is not trusted any more", func() bool {
+		return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusServiceUnavailable
+	})
+	ran := len(ledger.Runs())
+	must.Eq(t, http.StatusServiceUnavailable, f.status(0, http.MethodPost, plainURL, goodKey, ""))
+	must.Eq(t, ran, len(ledger.Runs()))
+	f.store.SetDown(false)
+	eventually(t, "the daemon serves again", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusOK })
+}
+
+func TestFollowsTruncatedTopics(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	f.addLedger()
+	f.addDaemon()
+	eventually(t, "the daemon serves", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusOK })
+	f.store.SetDown(true)
+	f.publish(2, "key-2")
+	f.store.Truncate("keyed.op")
+	f.store.Truncate("keyed.servers")
+	f.store.SetDown(false)
+	eventually(t, "the newest configuration is in force", func() bool {
+		return f.status(0, http.MethodPost, plainURL, "key-2", "") == http.StatusOK
+	})
+}
+
+// TestStreamGoesOnAtAnotherGroup stalls the group that serves a stream: the
+// rest comes from another one, without a gap, under the first one's seal.
+func TestStreamGoesOnAtAnotherGroup(t *testing.T) {
+	const events = 40
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.addEngines("d0", 3, events, 20*time.Millisecond)
+	engines = append(engines, f.addEngines("d1", 3, events, 20*time.Millisecond)...)
+	f.addDaemon()
+	f.serves(0, smallName)
+	eventually(t, "both groups are open", func() bool {
+		open := 0
+		for _, e := range engines {
+			if _, state := e.State(); state == "open" {
+				open++
+			}
+		}
+		return open == 2
+	})
+	resp, err := f.call(0, http.MethodPost, streamURL, goodKey, smallName)
+	must.NoError(t, err)
+	lines := bufio.NewScanner(resp.Body)
+	must.True(t, lines.Scan())
+	id := resp.Request.Header.Get("Request-Id")
+	for _, e := range engines {
+		runs := e.Runs()
+		if len(runs) > 0 && runs[len(runs)-1] == id {
+			e.Stall()
+		}
+	}
+	got := 1
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "id: ") {
+			got++
+			must.Eq(t, fmt.Sprintf("id: %d", got), lines.Text())
+		}
+	}
+	must.NoError(t, lines.Err())
+	must.Eq(t, events, got)
+}
+
+// TestMembersAreTakenAfterTheClose ends a member of the only group that its
+// domain can form and adds a spare: the head must be closed before any member
+// joins another group.
+func TestMembersAreTakenAfterTheClose(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.addEngines("d0", 4, 3, time.Millisecond)
+	f.addDaemon()
+	f.serves(0, largeName)
+	var head, lost *site.Engine
+	for _, e := range engines {
+		if _, state := e.State(); state == "open" {
+			head = e
+		} else {
+			lost = e
+		}
+	}
+	old, _ := head.State()
+	lost.Crash()
+	lost.Lapse()
+	f.addEngines("d0", 1, 3, time.Millisecond)
+	eventually(t, "the group is formed anew", func() bool {
+		name, state := head.State()
+		return name != old && state != ""
+	})
+	closed := site.OrderNumber(head, "close "+old)
+	must.Positive(t, closed, must.Sprint("the head was not closed"))
+	for _, e := range f.engines {
+		for _, o := range e.Orders() {
+			if strings.HasPrefix(o.What, "join ") && !strings.HasPrefix(o.What, "join p") && o.What != "join "+old {
+				must.Greater(t, closed, o.Number, must.Sprintf("%s before the close of %s", o.What, old))
+			}
+		}
+	}
+}
+
+func TestGracefulStopFinishesStreams(t *testing.T) {
+	const events = 100
+	f := newFixture(t)
+	f.grace = 8 * time.Second
+	f.publish(1, goodKey)
+	f.addEngines("d0", 3, events, 10*time.Millisecond)
+	stop := f.addDaemon()
+	f.serves(0, smallName)
+	resp, err := f.call(0, http.MethodPost, streamURL, goodKey, smallName)
+	must.NoError(t, err)
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(body), fmt.Sprintf("id: %d\n", events))
+	<-stopped
+}
