--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,168 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+var spec = &catalog.EngineModel{
+	Slots: 10, Stride: 5, StepMS: 6, ReadPerSecond: 50_000, Chunk: 2048, UsualPrompt: 1000, UsualAnswer: 100,
+}
+
+func fleetOf(n int) func() int { return func() int { return n } }
+
+func head(id string) *catalog.Engine {
+	return &catalog.Engine{ID: id, Zone: "a", Slots: 4, Member: catalog.Membership{Group: catalog.GroupID{Name: "g" + id, Epoch: 1}}}
+}
+
+func llm(e *catalog.Engine) Candidate {
+	return Candidate{Head: e, Service: &catalog.Service{Name: "llm", ColdPerSecond: 38, Engine: spec}, Pace: 1}
+}
+
+func TestPredict(t *testing.T) {
+	idle := Predict(spec, 1, 1, Load{}, Work{PromptTokens: 1000})
+	cases := []struct {
+		name string
+		pred Prediction
+		more bool
+	}{
+		{"a busy group", Predict(spec, 1, 1, Load{InFlight: 9, Pending: 5000}, Work{PromptTokens: 1000}), true},
+		{"a full group", Predict(spec, 1, 1, Load{InFlight: 12}, Work{PromptTokens: 1000}), true},
+		{"a slow group", Predict(spec, 1, 2, Load{}, Work{PromptTokens: 1000}), true},
+		{"a long prompt", Predict(spec, 1, 1, Load{}, Work{PromptTokens: 4000}), true},
+		{"a quick model", Predict(spec, 0.6, 1, Load{}, Work{PromptTokens: 1000}), false},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.more, c.pred.First > idle.First, must.Sprint(c.name))
+	}
+	// Half a pass to begin with, 20 ms to read 1,000 tokens, and one pass of five steps.
+	must.Eq(t, 65*time.Millisecond, idle.First)
+	must.Zero(t, idle.Backlog)
+	must.Positive(t, cases[1].pred.Wait)
+}
+
+func TestChoosesTheLeastLoadedThatIsNotSuspected(t *testing.T) {
+	now := time.Now()
+	tr := NewTracker("n", fleetOf(1))
+	a, b := head("a"), head("b")
+	cands := []Candidate{llm(a), llm(b)}
+	for range 8 {
+		tr.Begin(a, Work{PromptTokens: 1000}, now)
+	}
+	c, ok := Choose(cands, tr, Work{PromptTokens: 100}, "a", now)
+	must.True(t, ok)
+	must.Eq(t, "b", c.Candidate.Head.ID)
+
+	must.True(t, tr.Suspect("b", b.Member.Group, now))
+	must.False(t, tr.Suspect("b", b.Member.Group, now), must.Sprint("a suspicion is news once"))
+	c, _ = Choose(cands, tr, Work{}, "a", now)
+	must.Eq(t, "a", c.Candidate.Head.ID)
+
+	tr.Suspect("a", a.Member.Group, now)
+	_, ok = Choose(cands, tr, Work{}, "a", now)
+	must.True(t, ok, must.Sprint("suspected engines serve if there is no other"))
+
+	tr.Progress(b, now)
+	c, _ = Choose(cands, tr, Work{}, "a", now)
+	must.Eq(t, "b", c.Candidate.Head.ID)
+}
+
+func TestASuspicionEndsWithTheGroup(t *testing.T) {
+	now := time.Now()
+	tr := NewTracker("n", fleetOf(1))
+	e := head("a")
+	tr.Suspect("a", e.Member.Group, now)
+	must.True(t, tr.Status(e, 0, now).Suspect)
+	must.False(t, tr.Status(e, 0, now.Add(suspectFor)).Suspect)
+	e.Member.Group.Epoch++
+	must.False(t, tr.Status(e, 0, now).Suspect)
+}
+
+// TestColdEnginesStayBelowTheirBound lets all daemons send to a cold engine as
+// fast as they may, and counts what arrives within any one second.
+func TestColdEnginesStayBelowTheirBound(t *testing.T) {
+	const bound, tick, ticks = 38.0, 10 * time.Millisecond, 500
+	for _, n := range []int{1, 3, 15, 40, 117, 350} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			start := time.Now()
+			e := head("cold")
+			e.ColdFor, e.SeenAt = time.Hour, start
+			daemons := make([]*Tracker, n)
+			for i := range daemons {
+				daemons[i] = NewTracker(fmt.Sprintf("node-%d", i), fleetOf(n))
+			}
+			var sent []time.Time
+			for k := range ticks {
+				now := start.Add(time.Duration(k) * tick)
+				for _, tr := range daemons {
+					if _, ok := Choose([]Candidate{llm(e)}, tr, Work{}, "a", now); ok {
+						tr.Begin(e, Work{}, now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			most, first := 0, 0
+			for i := range sent {
+				for sent[i].Sub(sent[first]) >= time.Second {
+					first++
+				}
+				most = max(most, i-first+1)
+			}
+			// The stated bound is 1.5 times the rate and 5 more.
+			must.LessEq(t, int(bound*1.5+5), most)
+			must.Positive(t, most)
+		})
+	}
+}
+
+func TestRemoteLoadsCountUntilTheirTime(t *testing.T) {
+	now := time.Now()
+	tr := NewTracker("n", fleetOf(2))
+	e := head("a")
+	tr.RemoteAll("peer", map[string]Load{"a": {InFlight: 5, Pending: 700}}, now.Add(time.Second), now)
+	must.Eq(t, Load{InFlight: 5, Pending: 700}, tr.Status(e, 0, now).Load)
+	must.Zero(t, tr.Status(e, 0, now.Add(2*time.Second)).Load.InFlight)
+	tr.RemoteAll("peer", map[string]Load{"a": {InFlight: 5}}, now.Add(time.Second), now)
+	tr.RemoteAll("peer", nil, now.Add(time.Second), now)
+	must.Zero(t, tr.Status(e, 0, now).Load.InFlight)
+}
+
+func TestAdmit(t *testing.T) {
+	aim := 200 * time.Millisecond
+	cases := []struct {
+		name string
+		load Load
+		want bool
+	}{
+		{"idle", Load{}, true},
+		{"a long backlog before few requests", Load{InFlight: 4, Pending: 50_000}, true},
+		{"half full, no backlog", Load{InFlight: 6}, true},
+		{"half full, a long backlog", Load{InFlight: 6, Pending: 6000}, false},
+		{"over full", Load{InFlight: 20}, false},
+	}
+	for _, c := range cases {
+		cand := llm(head("a"))
+		choice := Choice{Candidate: cand, Load: c.load, Predicted: Predict(spec, 1, 1, c.load, Work{PromptTokens: 4000})}
+		must.Eq(t, c.want, Admit(choice, aim), must.Sprint(c.name))
+	}
+}
+
+func TestNeedsFollowWhatIsAskedFor(t *testing.T) {
+	now := time.Now()
+	s := &catalog.Service{Name: "llm", Engine: &catalog.EngineModel{
+		Slots: 10, StepMS: 6, ReadPerSecond: 50_000,
+		Models: []catalog.Model{{Name: "x", Size: 4, Share: 0.9, Pace: 1}, {Name: "y", Size: 3, Share: 0.1, Pace: 1}},
+	}}
+	d := NewDemand()
+	must.Greater(t, d.Needs(s, now)["y"], d.Needs(s, now)["x"], must.Sprint("published shares count first"))
+	for range 2 * demandEnough {
+		d.Add(s, "y", Work{PromptTokens: 1000, AnswerTokens: 100}, now)
+	}
+	must.Greater(t, d.Needs(s, now)["x"], d.Needs(s, now)["y"])
+	must.Greater(t, d.Needs(s, now.Add(time.Hour))["y"], d.Needs(s, now.Add(time.Hour))["x"], must.Sprint("old demand is forgotten"))
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+var (
+	large = catalog.Model{Name: "large", Size: 4, Share: 0.5, Pace: 1}
+	small = catalog.Model{Name: "small", Size: 3, Share: 0.5, Pace: 1}
+)
+
+func service() *catalog.Service {
+	return &catalog.Service{Name: "llm", Engine: &catalog.EngineModel{
+		Slots: 8, LoadsPerSecond: 4, LoadsAtOnce: 6, Models: []catalog.Model{large, small},
+	}}
+}
+
+// engine returns an engine in a group; an empty name puts it in none.
+func engine(id, group string, rank int, state catalog.GroupState) *catalog.Engine {
+	e := &catalog.Engine{ID: id, Service: "llm", Zone: "a", Domain: "d0"}
+	if group != "" {
+		e.Member = catalog.Membership{Group: catalog.GroupID{Name: group, Epoch: 7}, Rank: rank, State: state}
+		e.Model = small.Name
+		e.Staged = []string{small.Name}
+	}
+	return e
+}
+
+func snapshot(engines ...*catalog.Engine) *Snapshot {
+	s := service()
+	return &Snapshot{
+		Service: s, Engines: engines, Groups: catalog.Groups(s, engines), Now: time.Unix(1000, 0),
+		Lost: map[string]bool{}, Reserved: map[string]bool{}, Staging: map[string]string{},
+		Own: map[catalog.GroupID]time.Time{}, Closed: map[catalog.GroupID]bool{}, Released: map[catalog.GroupID]bool{},
+		ZoneOut: func(string) bool { return false }, Needs: map[string]float64{"large": 1, "small": 1}, Loads: 6,
+	}
+}
+
+func trio(state catalog.GroupState) []*catalog.Engine {
+	return []*catalog.Engine{
+		engine("i-0", "g1", 0, state), engine("i-1", "g1", 1, catalog.Ready), engine("i-2", "g1", 2, catalog.Ready),
+	}
+}
+
+func TestJudge(t *testing.T) {
+	id := catalog.GroupID{Name: "g1", Epoch: 7}
+	cases := []struct {
+		name    string
+		engines []*catalog.Engine
+		change  func(*Snapshot)
+		want    Condition
+	}{
+		{"open and complete", trio(catalog.Open), nil, Healthy},
+		{"open, a member gone", trio(catalog.Open)[:2], nil, Failed},
+		{"open, a member silent", trio(catalog.Open), func(s *Snapshot) { s.Lost["i-2"] = true }, Failed},
+		{"open, a member drains", trio(catalog.Open), func(s *Snapshot) { s.Engines[1].Draining = true }, Draining},
+		{"closing", trio(catalog.Closing), nil, Ending},
+		{"broken", trio(catalog.Broken), nil, Over},
+		{"ready, ours", trio(catalog.Ready), func(s *Snapshot) { s.Own[id] = s.Now.Add(time.Second) }, Openable},
+		{"ready, ours, a member not yet in", trio(catalog.Ready)[:2], func(s *Snapshot) { s.Own[id] = s.Now.Add(time.Second) }, Forming},
+		{"ready, ours, too late", trio(catalog.Ready), func(s *Snapshot) { s.Own[id] = s.Now.Add(-time.Second) }, Unfenced},
+		{"ready, another planner's", trio(catalog.Ready), nil, Unfenced},
+		{"ready, closed by us", trio(catalog.Ready), func(s *Snapshot) { s.Closed[id] = true }, Over},
+		{"open, closed by us but not yet seen", trio(catalog.Open)[:2], func(s *Snapshot) { s.Closed[id] = true }, Failed},
+		{"head gone", trio(catalog.Open)[1:], nil, Ending},
+		{"head gone and released", trio(catalog.Open)[1:], func(s *Snapshot) { s.Released[id] = true }, Over},
+		{"head silent", trio(catalog.Open), func(s *Snapshot) { s.Lost["i-0"] = true }, Ending},
+		{"preloaded spare", []*catalog.Engine{engine("i-0", "p1", 0, catalog.Ready)}, nil, Over},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := snapshot(c.engines...)
+			if c.change != nil {
+				c.change(s)
+			}
+			must.Eq(t, c.want, Judge(s, &s.Groups[0]))
+		})
+	}
+}
+
+func TestTheFirstGroupOfEachModelComesFirst(t *testing.T) {
+	var engines []*catalog.Engine
+	for i := range 9 {
+		engines = append(engines, engine(fmt.Sprintf("i-%d", i), "", 0, catalog.NoGroup))
+	}
+	s := snapshot(engines...)
+	s.Starting, s.Loads = true, 100
+	sizes := map[string]int{}
+	for _, step := range Plan(s) {
+		if step.Form != nil {
+			sizes[step.Form.Model.Name] += len(step.Form.Members)
+		}
+	}
+	must.Eq(t, map[string]int{"large": 4, "small": 3}, sizes)
+}
+
+func TestSurvivorsAndASpareFormAtOnce(t *testing.T) {
+	spare := engine("i-9", "", 0, catalog.NoGroup)
+	spare.Staged = []string{small.Name}
+	s := snapshot(append(trio(catalog.Broken)[:2], spare)...)
+	steps := Plan(s)
+	must.Positive(t, len(steps))
+	must.NotNil(t, steps[0].Form)
+	must.Eq(t, small.Name, steps[0].Form.Model.Name)
+	must.Zero(t, steps[0].Form.Loads)
+}
+
+func TestAnEmptySpareIsStagedBeforeItJoins(t *testing.T) {
+	s := snapshot(append(trio(catalog.Broken)[:2], engine("i-9", "", 0, catalog.NoGroup))...)
+	steps := Plan(s)
+	must.Len(t, 1, steps)
+	must.NotNil(t, steps[0].Stage)
+	must.Eq(t, "i-9", steps[0].Stage.Engine.ID)
+	s.Loads = 0
+	must.Len(t, 0, Plan(s), must.Sprint("a load beyond the bound"))
+}
+
+func TestEnginesOfAWithdrawnZoneAreLeftAlone(t *testing.T) {
+	s := snapshot(trio(catalog.Broken)...)
+	s.ZoneOut = func(string) bool { return true }
+	must.Len(t, 0, Plan(s))
+}
+
+// TestNoMemberIsTakenFromAGroupThatMayServe checks for arbitrary states that
+// steps take engines only of groups that are over, and open only complete ones.
+func TestNoMemberIsTakenFromAGroupThatMayServe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []catalog.GroupState{catalog.NoGroup, catalog.Joining, catalog.Ready, catalog.Open, catalog.Closing, catalog.Broken}
+		var engines []*catalog.Engine
+		for i := range rapid.IntRange(1, 14).Draw(t, "engines") {
+			group := ""
+			state := rapid.SampledFrom(states).Draw(t, "state")
+			if state != catalog.NoGroup {
+				group = fmt.Sprintf("g%d", i/4)
+			}
+			e := engine(fmt.Sprintf("i-%d", i), group, i%4, state)
+			e.Draining = rapid.Bool().Draw(t, "draining")
+			engines = append(engines, e)
+		}
+		s := snapshot(engines...)
+		for _, e := range engines {
+			id := e.Member.Group
+			if rapid.Bool().Draw(t, "lost") {
+				s.Lost[e.ID] = true
+			}
+			if rapid.Bool().Draw(t, "own") {
+				s.Own[id] = s.Now.Add(time.Second)
+			}
+			if rapid.Bool().Draw(t, "closed") {
+				s.Closed[id] = true
+			}
+		}
+		condition := map[catalog.GroupID]Condition{}
+		for i := range s.Groups {
+			condition[s.Groups[i].ID] = Judge(s, &s.Groups[i])
+		}
+		taken := map[string]bool{}
+		for _, step := range Plan(s) {
+			if step.Open != nil && !step.Open.Complete() {
+				t.Fatalf("opens the incomplete group %v", step.Open.ID)
+			}
+			if step.Form == nil {
+				continue
+			}
+			for _, e := range step.Form.Members {
+				if e.Member.State != catalog.NoGroup && condition[e.Member.Group] != Over {
+					t.Fatalf("takes %s of a group that is %s", e.ID, condition[e.Member.Group])
+				}
+				if taken[e.ID] || s.Lost[e.ID] || e.Draining {
+					t.Fatalf("takes %s twice, or though it is lost or leaves", e.ID)
+				}
+				taken[e.ID] = true
+			}
+		}
+	})
+}
