--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -4,6 +4,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -20,6 +21,7 @@
 // pure are the packages that decide: typed state and a time in, typed actions out.
 var pure = []string{
 	"fault", "ids", "shard", "table", "state", "replica", "quorum", "member", "group", "limit", "retry", "once", "audit",
+	"catalog", "placement", "balance",
 }
 
 // transports must not be reachable from a pure package.
@@ -115,3 +117,27 @@
 		}
 	}
 }
+
+// TestOnlyThePlatformFolderKnowsItsNames looks for the platform's headers, calls
+// and fields outside platform/ and the stand-ins.
+func TestOnlyThePlatformFolderKnowsItsNames(t *testing.T) {
+	names := []string{
+		"Response-Seal", "Not-Executed", "Token-Counts", "Prompt-Prefix", "Expect-Instance", "Server-Load", "Deadline-Ms",
+		"fencing_token", "close_mode", "api_keys", "cold_remaining_ms", "keyed.op", "keyed.servers", "log-read", "log-newest", "log-join",
+	}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		allowed := strings.HasPrefix(path, root+"/platform/") || strings.HasPrefix(path, root+"/internal/standin/")
+		if err != nil || d.IsDir() || allowed || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		src, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range names {
+			must.False(t, strings.Contains(string(src), name), must.Sprintf("%s names %s", path, name))
+		}
+		return nil
+	})
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,124 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+const (
+	heartbeat = 400 * time.Millisecond
+	stall     = 2 * time.Second
+)
+
+// TestHeadIsOver lists what proves that an absent or silent head serves no
+// more, and what does not.
+func TestHeadIsOver(t *testing.T) {
+	now := time.Now()
+	group := catalog.GroupID{Name: "g1", Epoch: 5}
+	said := func(id catalog.GroupID, state catalog.GroupState) Report {
+		return Report{Member: catalog.Membership{Group: id, State: state}}
+	}
+	gone := now.Add(-500 * time.Millisecond)
+	cases := []struct {
+		name   string
+		w      watched
+		closed bool
+		want   bool
+	}{
+		{"nothing known", watched{goneSince: gone}, false, false},
+		{"another engine answers for it", watched{dead: true}, false, true},
+		{"silent for a short time", watched{misses: missesLost, firstMiss: now.Add(-time.Second), present: true}, false, false},
+		{"silent for longer than the stall", watched{misses: missesLost, firstMiss: now.Add(-3 * time.Second), present: true}, false, true},
+		{"gone for long before it was asked", watched{misses: missesLost, firstMiss: now, goneSince: now.Add(-3 * time.Second)}, false, true},
+		{"gone lately, silent lately", watched{misses: missesLost, firstMiss: now, goneSince: now.Add(-time.Second)}, false, false},
+		{"asked only once", watched{misses: 1, firstMiss: now.Add(-time.Hour), goneSince: now.Add(-time.Hour)}, false, false},
+		{"says that it is open", watched{goneSince: gone, reportedAt: now, reported: said(group, catalog.Open)}, false, false},
+		{"says that it is broken", watched{goneSince: gone, reportedAt: now, reported: said(group, catalog.Broken)}, false, true},
+		{"says that it is ready, may have been ordered to open", watched{goneSince: gone, reportedAt: now, reported: said(group, catalog.Ready)}, false, false},
+		{"says that it is ready, has answered the close", watched{goneSince: gone, reportedAt: now, reported: said(group, catalog.Ready)}, true, true},
+		{"says that it is in another group", watched{goneSince: gone, reportedAt: now, reported: said(catalog.GroupID{Name: "g2", Epoch: 6}, catalog.Open)}, false, true},
+		// From a run in which a head was cut off 9 s after a report of its previous group.
+		{"said so before it was gone", watched{goneSince: gone, reportedAt: gone.Add(-time.Second), reported: said(catalog.GroupID{Name: "g0", Epoch: 4}, catalog.Open)}, false, false},
+		{"said so too long ago", watched{goneSince: now.Add(-time.Minute), reportedAt: now.Add(-5 * time.Second), reported: said(group, catalog.Broken)}, false, false},
+	}
+	for i := range cases {
+		c := &cases[i]
+		c.w.engine.Member.Group = group
+		must.Eq(t, c.want, c.w.over(group, c.closed, heartbeat, stall, now), must.Sprint(c.name))
+	}
+	left := watched{engine: catalog.Engine{Member: catalog.Membership{Group: catalog.GroupID{Name: "g2", Epoch: 6}}}}
+	must.True(t, left.over(group, false, heartbeat, stall, now), must.Sprint("announces itself in another group"))
+}
+
+func TestAnAnnouncementClearsDoubt(t *testing.T) {
+	now := time.Now()
+	e := &catalog.Engine{ID: "i-1", Born: 1, SeenAt: now}
+	w := &watched{}
+	w.announced(e)
+	w.misses, w.suspect = missesLost, true
+	must.True(t, w.lost())
+	w.announced(e)
+	must.True(t, w.lost(), must.Sprint("the same announcement is no news"))
+	later := *e
+	later.SeenAt = now.Add(time.Second)
+	w.announced(&later)
+	must.False(t, w.lost())
+}
+
+func TestLoadsStayBelowTheRate(t *testing.T) {
+	spec := &catalog.EngineModel{LoadsPerSecond: 4.5}
+	now := time.Now()
+	var two [2]loadBudget // two planners, one after the other
+	started := 0
+	for i := range two {
+		n := two[i].available(spec, now)
+		two[i].take(n, now)
+		started += n
+		must.Zero(t, two[i].available(spec, now))
+	}
+	// The stated bound for any five seconds is 1.1 times the rate and 3 more.
+	must.LessEq(t, 27, started)
+	must.Positive(t, two[0].available(spec, now.Add(loadWindow+time.Millisecond)))
+}
+
+// scripted is a lease whose answers are given in advance.
+type scripted struct {
+	held       bool
+	generation int64
+}
+
+func (s *scripted) Renew(string, int64, time.Duration) (bool, int64, error) {
+	return s.held, s.generation, nil
+}
+func (s *scripted) Leave(string) error { return nil }
+
+func TestNumbersGrowOverGenerations(t *testing.T) {
+	p := New(Options{Lease: &scripted{}})
+	p.noteLease(true, 3, 0)
+	last := int64(0)
+	for range 5 {
+		n := p.number()
+		must.Greater(t, last, n)
+		last = n
+	}
+	next := New(Options{Lease: &scripted{}})
+	next.noteLease(true, 4, 0)
+	must.Greater(t, last, next.number(), must.Sprint("the next planner's orders must win"))
+}
+
+func TestALostLeaseForgetsWhatWasClosed(t *testing.T) {
+	p := New(Options{Lease: &scripted{}})
+	p.noteLease(true, 3, 1<<62-1<<40)
+	must.True(t, p.Holds())
+	p.closed.Set("g1", catalog.GroupID{Name: "g1"})
+	p.own.Set("g2", formation{})
+	p.noteLease(false, 4, 0)
+	must.False(t, p.Holds())
+	p.noteLease(true, 5, 1<<62-1<<40)
+	must.Zero(t, p.closed.Len())
+	must.Zero(t, p.own.Len())
+}
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+)
+
+// server answers each request on each connection with what script returns for
+// its number, counted from 0, and closes the connection where that is empty.
+type server struct {
+	addr     string
+	accepted atomic.Int64
+	received atomic.Int64
+}
+
+func serve(t *testing.T, script func(n int64, id string) string) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.handle(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *server) handle(c net.Conn, script func(int64, string) string) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		out := script(s.received.Add(1)-1, r.Header.Get("Request-Id"))
+		if out == "" {
+			return
+		}
+		if _, err := c.Write([]byte(out)); err != nil {
+			return
+		}
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string([]byte{byte('0' + n/10), byte('0' + n%10)}) }
+
+func get(c *Client, addr, id string, fresh bool) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, &Request{
+		Addr: addr, Method: http.MethodPost, Target: "/x", Body: []byte("b"), Fresh: fresh,
+		Header: http.Header{"Host": {"h"}, "Request-Id": {id}}, ID: id, IDHeader: "Request-Id",
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
+
+func TestConnectionsAreKeptAfterWholeAnswers(t *testing.T) {
+	s := serve(t, func(_ int64, id string) string { return answer(id, "ok") })
+	c := NewClient()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := get(c, s.addr, id, false)
+		must.NoError(t, err)
+		must.Eq(t, "ok", body)
+	}
+	must.Eq(t, 1, s.accepted.Load())
+	_, err := get(c, s.addr, "4", true)
+	must.NoError(t, err)
+	must.Eq(t, 2, s.accepted.Load(), must.Sprint("a fresh connection was asked for"))
+}
+
+func TestAnAnswerToAnotherRequestIsNotDelivered(t *testing.T) {
+	late := serve(t, func(_ int64, id string) string { return answer("old", "theirs") + answer(id, "ours") })
+	body, err := get(NewClient(), late.addr, "1", false)
+	must.NoError(t, err)
+	must.Eq(t, "ours", body)
+
+	wrong := serve(t, func(int64, string) string { return strings.Repeat(answer("old", "theirs"), 5) })
+	_, err = get(NewClient(), wrong.addr, "1", false)
+	must.Error(t, err)
+	must.Eq(t, fault.Unknown, fault.As(err).Outcome)
+}
+
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	s := serve(t, func(n int64, id string) string {
+		if n == 0 {
+			return answer(id, "ok") + answer("extra", "surplus")
+		}
+		return answer(id, "ok")
+	})
+	c := NewClient()
+	for _, id := range []string{"1", "2"} {
+		body, err := get(c, s.addr, id, false)
+		must.NoError(t, err)
+		must.Eq(t, "ok", body)
+	}
+	must.Eq(t, 2, s.accepted.Load())
+}
+
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		head         bool // the head itself can't be read
+	}{
+		{"no answer", "", true},
+		{"no HTTP", "\x00\x01garbage\r\n\r\n", true},
+		{"cut body", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok", false},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false},
+	}
+	for _, c := range cases {
+		var sent atomic.Bool
+		s := serve(t, func(int64, string) string {
+			if sent.Swap(true) {
+				return ""
+			}
+			return c.answer
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		resp, err := NewClient().Do(ctx, &Request{
+			Addr: s.addr, Method: http.MethodGet, Target: "/x", Header: http.Header{"Host": {"h"}}, ID: "1", IDHeader: "Request-Id",
+		})
+		if c.head {
+			must.Error(t, err, must.Sprint(c.name))
+			must.Eq(t, fault.Unknown, fault.As(err).Outcome, must.Sprint(c.name))
+		} else {
+			must.NoError(t, err, must.Sprint(c.name))
+			_, err = io.ReadAll(resp)
+			must.Error(t, err, must.Sprint(c.name))
+			must.False(t, errors.Is(err, io.EOF), must.Sprint(c.name))
+			resp.Close()
+		}
+		cancel()
+	}
+}
+
+func TestARefusedConnectionProvesThatNothingRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := l.Addr().String()
+	must.NoError(t, l.Close())
+	_, err = get(NewClient(), addr, "1", false)
+	must.Error(t, err)
+	must.Eq(t, fault.NotRun, fault.As(err).Outcome)
+}
+
+func TestAConnectionWhoseRequestWasNotReadIsNotKept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	conns := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			if _, err := c.Write([]byte(answer("1", "no"))); err != nil {
+				return
+			}
+		}
+	}()
+	c := NewClient()
+	for range 2 {
+		resp, err := c.Do(context.Background(), &Request{
+			Addr: l.Addr().String(), Method: http.MethodPost, Target: "/x", Body: make([]byte, 8<<20),
+			Header: http.Header{"Host": {"h"}}, ID: "1", IDHeader: "Request-Id",
+		})
+		must.NoError(t, err)
+		_, err = io.ReadAll(resp)
+		must.NoError(t, err)
+		resp.Close()
+	}
+	must.Eq(t, 2, len(conns))
+}
+
+func TestKeepAlive(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": idleTimeout, "timeout=2": 1500 * time.Millisecond, "timeout=60, max=5": idleTimeout, "timeout=0": 0, "max=5": idleTimeout,
+	} {
+		must.Eq(t, want, keepAlive(header), must.Sprint(header))
+	}
+}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -6,48 +6,45 @@
 // travels as a datagram and may be lost or late.
 type LoadReport struct {
 	// From is the sender's name, Boot the name of its process.
-	From string `msgpack:"f"`
-	Boot string `msgpack:"b"`
+	From string
+	Boot string
 	// EveryMS is the sender's interval between reports.
-	EveryMS int64 `msgpack:"e"`
+	EveryMS int64
 	// SentNS is the sender's boot time, EchoNS that of the receiver's last report.
-	SentNS int64 `msgpack:"s"`
-	EchoNS int64 `msgpack:"r"`
+	SentNS int64
+	EchoNS int64
 	// Topics tells how far the sender has followed the store's topics, in the
 	// order of package directory.
-	Topics []TopicEnd `msgpack:"t"`
+	Topics []TopicEnd
 	// Planning tells that the sender holds the planners' lease.
-	Planning bool `msgpack:"p"`
+	Planning bool
 	// Serving tells that the sender has answered a request.
-	Serving  bool         `msgpack:"a"`
-	Loads    []EngineLoad `msgpack:"l"`
-	Suspects []Suspect    `msgpack:"u"`
-	Crashes  []Crashed    `msgpack:"x"`
+	Serving  bool
+	Loads    []EngineLoad
+	Suspects []Suspect
+	Crashes  []Crashed
 }
 
 // TopicEnd says that a topic ended at Next so long ago.
 type TopicEnd struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Next     uint64
-	AgeNS    int64
+	Next  uint64
+	AgeNS int64
 }
 
 // RecordPush passes on records that the sender has read from the store.
 type RecordPush struct {
-	From    uint64       `msgpack:"f"`
-	Records []KeyedValue `msgpack:"r"`
+	From    uint64
+	Records []KeyedValue
 }
 
 // KeyedValue is one record of a keyed topic.
 type KeyedValue struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      string
-	Value    []byte
+	Key   string
+	Value []byte
 }
 
 // EngineLoad is the sender's work under way at an engine.
 type EngineLoad struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Engine   string
 	InFlight int
 	// Pending are the prompt tokens without a first event.
@@ -56,17 +53,15 @@
 
 // Suspect is an engine that stands still, with its group.
 type Suspect struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Engine   string
-	Group    string
-	Epoch    int64
+	Engine string
+	Group  string
+	Epoch  int64
 }
 
 // Crashed is a request, by its fingerprint, that was under way at an engine's crash.
 type Crashed struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Print    uint64
-	Engine   string
+	Print  uint64
+	Engine string
 }
 
 // Datagrams of the mesh begin with a byte that tells what follows.
@@ -82,7 +77,7 @@
 func EncodeRecordPush(r *RecordPush) ([]byte, error) { return encodeDatagram(pushDatagram, r) }
 
 func encodeDatagram(kind byte, v any) ([]byte, error) {
-	b, err := Marshal(v)
+	b, err := encodeCompact(v)
 	return append([]byte{kind}, b...), err
 }
 
--- /dev/null
+++ b/internal/wire/load_test.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestDatagramsComeBackAsTheyWere(t *testing.T) {
+	report := &LoadReport{
+		From: "front-1", Boot: "b", EveryMS: 120, SentNS: 1 << 50, EchoNS: 7, Planning: true,
+		Topics: []TopicEnd{{Next: 5, AgeNS: -1}}, Loads: []EngineLoad{{"i-1", 3, 4000}}, Suspects: []Suspect{{"i-2", "g", 1 << 40}},
+	}
+	b, err := EncodeLoadReport(report)
+	must.NoError(t, err)
+	got, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, any(report), got)
+
+	push := &RecordPush{From: 9, Records: []KeyedValue{{"i-1", []byte("{}")}, {"i-2", nil}}}
+	b, err = EncodeRecordPush(push)
+	must.NoError(t, err)
+	got, err = DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, any(push), got)
+}
+
+func TestAReportOfABusyDaemonFitsOnePacket(t *testing.T) {
+	r := &LoadReport{From: strings.Repeat("n", 24), Boot: strings.Repeat("b", 26), SentNS: 1 << 60, EchoNS: 1 << 60}
+	for range 40 {
+		r.Loads = append(r.Loads, EngineLoad{"i-0123456789", 20, 40_000})
+	}
+	r.Topics = make([]TopicEnd, 3)
+	b, err := EncodeLoadReport(r)
+	must.NoError(t, err)
+	must.LessEq(t, 1400, len(b))
+}
+
+func FuzzDecodeDatagram(f *testing.F) {
+	b, err := EncodeLoadReport(&LoadReport{From: "x"})
+	must.NoError(f, err)
+	f.Add(b)
+	f.Add([]byte{pushDatagram, 0x92})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if v, err := DecodeDatagram(b); err == nil {
+			must.NotNil(t, v)
+		}
+	})
+}
