--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -5,6 +5,7 @@
 	return []entry{
 		serveEntry(e),
 		frontEntry(e),
+		explainEntry(e),
 		checkEntry(e),
 		demoEntry(e),
 		applyEntry(e),
--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/ragwortquay/ragwortquay/internal/edge"
@@ -12,7 +14,8 @@
 )
 
 type frontCommand struct {
-	env env
+	MetricsPort int `long:"metrics-port" value-name:"PORT" description:"port of the metrics page; 0 for none"`
+	env         env
 }
 
 func frontEntry(e env) entry {
@@ -27,13 +30,18 @@
 
 // Execute runs the daemon until it was told to stop and has drained.
 func (c *frontCommand) Execute([]string) error {
-	if err := logging.Setup(c.env.out, 0); err != nil {
+	out := logging.NewAsync(c.env.out)
+	defer out.Close()
+	if err := logging.Setup(out, 0); err != nil {
 		return err
 	}
 	settings, err := platform.ReadSettings(platform.SettingsPath())
 	if err != nil {
 		return err
 	}
+	if c.MetricsPort > 0 {
+		settings.MetricsAddr = net.JoinHostPort(settings.IP, strconv.Itoa(c.MetricsPort))
+	}
 	store := platform.NewStore(settings.Store)
 	d := edge.New(settings, edge.Platform{
 		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Notes: store, Announcer: store,
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -116,6 +116,8 @@
 	g.Go(func() error { return d.planner.Run(ctx) })
 	g.Go(func() error { return d.announce(work) })
 	g.Go(func() error { return d.mesh.Run(work) })
+	g.Go(func() error { return d.gauges(work) })
+	g.Go(func() error { return d.stats.serve(work, d.settings.MetricsAddr) })
 	g.Go(func() error {
 		// The store is followed until the last request is answered.
 		defer cancel()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -21,6 +21,8 @@
 	// FrontAddr takes callers, ReadyAddr the balancer's question.
 	FrontAddr string
 	ReadyAddr string
+	// MetricsAddr shows the metrics; empty for none.
+	MetricsAddr string
 	// Store is the address of the metadata store.
 	Store          string
 	MemoryBytes    int64
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -1,18 +1,139 @@
 package edge
 
 import (
+	"context"
+	"net"
 	"sync/atomic"
+	"time"
 
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/metrics"
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 )
 
-// stats counts requests.
-type stats struct{ requests atomic.Int64 }
+// Names of the metrics; docs/OPERATIONS.md lists them. Times are in seconds.
+const (
+	metricRequests      = "requests"
+	metricRepeats       = "repeats"
+	metricResumes       = "resumes"
+	metricLate          = "late_answers"
+	metricFirst         = "first_event_seconds"
+	metricTotal         = "request_seconds"
+	metricConfigVersion = "config_version"
+	metricConfigAge     = "config_age_seconds"
+	metricEnginesAge    = "engines_age_seconds"
+	metricDaemons       = "daemons"
+	metricPlanning      = "planning"
+	metricGroups        = "groups_serving"
+)
+
+// gaugeInterval is how often gauges are set; scrapers come every few seconds.
+const gaugeInterval = time.Second
+
+// latencyBuckets are the bounds of the latency histograms: the aims on the
+// sheets are 120 to 400 ms, deadlines up to 8 s.
+var latencyBuckets = tally.DurationBuckets{
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+	400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 8 * time.Second,
+}
 
-func newStats() *stats { return &stats{} }
+// stats counts requests and shows what the daemon knows.
+type stats struct {
+	registry *metrics.Registry
+	requests atomic.Int64
+}
+
+func newStats() *stats { return &stats{registry: metrics.New()} }
 
 // Request takes the outcome of a request.
-func (s *stats) Request(relay.Note) { s.requests.Add(1) }
+func (s *stats) Request(n relay.Note) {
+	s.requests.Add(1)
+	scope := s.registry.Scope().Tagged(map[string]string{"kind": n.Kind})
+	scope.Tagged(map[string]string{"outcome": n.Outcome}).Counter(metricRequests).Inc(1)
+	scope.Counter(metricRepeats).Inc(int64(n.Repeats))
+	scope.Counter(metricResumes).Inc(int64(n.Resumes))
+	scope.Histogram(metricTotal, latencyBuckets).RecordDuration(n.Total)
+	if n.First > 0 {
+		scope.Histogram(metricFirst, latencyBuckets).RecordDuration(n.First)
+	}
+	if n.Late {
+		scope.Counter(metricLate).Inc(1)
+	}
+}
 
 // serving reports whether a request was answered here.
 func (s *stats) serving() bool { return s.requests.Load() > 0 }
+
+// serve shows the metrics at addr until ctx ends. Without the address the
+// daemon serves on: its requests do not depend on being measured.
+func (s *stats) serve(ctx context.Context, addr string) error {
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		klog.ErrorS(err, "metrics are not served", "addr", addr)
+		return nil
+	}
+	server := &fasthttp.Server{Handler: s.registry.Page, NoDefaultServerHeader: true}
+	go func() {
+		<-ctx.Done()
+		if err := server.Shutdown(); err != nil {
+			klog.ErrorS(err, "metrics server not shut down")
+		}
+	}()
+	return server.Serve(l)
+}
+
+// gauges sets what the daemon knows until ctx ends.
+func (d *Daemon) gauges(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.setGauges()
+		}
+	}
+}
+
+func (d *Daemon) setGauges() {
+	scope := d.stats.registry.Scope()
+	cfg := d.directory.Config()
+	if cfg == nil {
+		return
+	}
+	scope.Gauge(metricConfigVersion).Update(float64(cfg.Version))
+	scope.Gauge(metricConfigAge).Update(min(d.directory.ConfigAge(), boottime.Now()).Seconds())
+	scope.Gauge(metricEnginesAge).Update(min(d.directory.EnginesAge(), boottime.Now()).Seconds())
+	scope.Gauge(metricDaemons).Update(float64(1 + len(d.mesh.Live())))
+	planning := 0.0
+	if d.planner.Holds() {
+		planning = 1
+	}
+	scope.Gauge(metricPlanning).Update(planning)
+	for name := range cfg.Services {
+		view, ok := d.directory.Service(name)
+		if !ok || view.Service.Engine == nil {
+			continue
+		}
+		serving := map[string]float64{}
+		for _, m := range view.Service.Engine.Models {
+			serving[m.Name] = 0
+		}
+		for i := range view.Groups {
+			if view.Groups[i].Serving() {
+				serving[view.Groups[i].Model]++
+			}
+		}
+		for model, n := range serving {
+			scope.Tagged(map[string]string{"service": name, "model": model}).Gauge(metricGroups).Update(n)
+		}
+	}
+}
