Pass notes on; open groups as soon as they are ready; keep the lease over slow answers

Causes: each note made every daemon read the store; the reservation of a join held the order to open back by half a second; with a slow store the lease lapsed between renewals and each regain waited anew; a new planner did not know what had been suspected.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -87,8 +87,9 @@
 	// Reads tells whether this daemon reads the store for the others; nil means
 	// that each reads for itself.
 	Reads func() bool
-	// Read is told of the engines' records that were read; it may be nil.
-	Read func(from uint64, records []Record)
+	// Read is told of the records that were read, but for the operator's; it may
+	// be nil.
+	Read func(t Topic, from uint64, records []Record)
 }
 
 // ServiceView is what is known of a service's engines at one moment. It must
@@ -129,7 +130,7 @@
 		o.Reads = func() bool { return true }
 	}
 	if o.Read == nil {
-		o.Read = func(uint64, []Record) {}
+		o.Read = func(Topic, uint64, []Record) {}
 	}
 	d := &Directory{
 		opts:    o,
@@ -159,9 +160,7 @@
 	g.Go(func() error { return d.followEngines(ctx) })
 	g.Go(func() error {
 		return d.follow(ctx, NotesTopic, func(records []Record, _, _ bool) {
-			for _, rec := range records {
-				d.applyNote(rec)
-			}
+			d.applyNotes(records)
 		})
 	})
 	return g.Wait()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -122,13 +122,13 @@
 	d := newDirectory()
 	tr := d.tracks[EnginesTopic]
 	apply := func(rs []Record) { d.applyEngines(rs, false) }
-	d.Pass(0, []Record{rec(0, "a", "engine 1 1")})
+	d.Pass(EnginesTopic, 0, []Record{rec(0, "a", "engine 1 1")})
 	must.Eq(t, "", ids(d), must.Sprint("nothing follows an unknown position"))
 
 	tr.commit([]Record{rec(4, "a", "engine 1 1")}, 5, true, 1, apply)
-	d.Pass(7, []Record{rec(7, "b", "engine 1 1")})
+	d.Pass(EnginesTopic, 7, []Record{rec(7, "b", "engine 1 1")})
 	must.Eq(t, "a", ids(d), must.Sprint("a gap was passed over"))
-	d.Pass(4, []Record{rec(4, "a", "engine 1 1"), rec(5, "a", ""), rec(6, "b", "engine 1 1")})
+	d.Pass(EnginesTopic, 4, []Record{rec(4, "a", "engine 1 1"), rec(5, "a", ""), rec(6, "b", "engine 1 1")})
 	must.Eq(t, "b", ids(d))
 	must.Eq(t, 7, d.Cursor(EnginesTopic).Next)
 	tr.commit([]Record{rec(5, "a", "")}, 6, false, 2, apply)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -70,9 +70,9 @@
 			continue
 		}
 		returned := r.succeeded()
-		if t == EnginesTopic && !whole && len(records) > 0 {
+		if t != OperatorTopic && !whole && len(records) > 0 {
 			// Before the new position is known to others, so that they do not read.
-			d.opts.Read(records[0].Offset, records)
+			d.opts.Read(t, records[0].Offset, records)
 		}
 		d.tracks[t].commit(records, next, whole, at, func(fresh []Record) { apply(fresh, whole, returned) })
 		sleep(ctx, pacings[t].pace-time.Since(began))
@@ -293,6 +293,12 @@
 	return true
 }
 
+func (d *Directory) applyNotes(records []Record) {
+	for _, rec := range records {
+		d.applyNote(rec)
+	}
+}
+
 func (d *Directory) applyNote(rec Record) {
 	n, err := d.opts.Decoder.Note(rec)
 	switch {
--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -23,9 +23,6 @@
 	// guidedPause bounds a wait for such a word; the next one comes within a few
 	// report intervals, or reading begins.
 	guidedPause = 250 * time.Millisecond
-	// passPause is the time that records which are known to exist get to be
-	// passed on before the store is read for them.
-	passPause = 40 * time.Millisecond
 )
 
 // pacing says how a topic is read.
@@ -38,6 +35,9 @@
 	// daemon's word on the topic's end is relied on: longer than the readers'
 	// wait, and short enough to read the store before what is in it is due.
 	guidedPart float64
+	// passPause is the time that records which are known to exist get to be
+	// passed on before the store is read for them.
+	passPause time.Duration
 }
 
 // pacings are those of the topics. Configurations and leaving engines are due
@@ -45,8 +45,8 @@
 // planner only. The engines' pace gathers the announcements of a group's members.
 var pacings = [topicCount]pacing{
 	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.6},
-	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.6},
-	NotesTopic:    {wait: 2 * time.Second, guidedPart: 3},
+	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.6, passPause: 40 * time.Millisecond},
+	NotesTopic:    {wait: 2 * time.Second, guidedPart: 3, passPause: 500 * time.Millisecond},
 }
 
 // Cursor is how far a topic has been followed.
@@ -147,11 +147,15 @@
 	}
 }
 
-// Pass takes engines' records that another daemon has read.
-func (d *Directory) Pass(from uint64, records []Record) {
-	d.tracks[EnginesTopic].extend(from, records, func(fresh []Record) {
-		d.applyEngines(fresh, false)
-	})
+// Pass takes records of a topic that another daemon has read. The operator's
+// records are not passed on: a configuration is larger than a datagram.
+func (d *Directory) Pass(t Topic, from uint64, records []Record) {
+	switch t {
+	case EnginesTopic:
+		d.tracks[t].extend(from, records, func(fresh []Record) { d.applyEngines(fresh, false) })
+	case NotesTopic:
+		d.tracks[t].extend(from, records, d.applyNotes)
+	}
 }
 
 // guided waits while others follow the topic and nothing is missing here. It
@@ -168,9 +172,7 @@
 			tr.wait(ctx, guidedPause)
 			continue
 		}
-		if t == EnginesTopic {
-			sleep(ctx, passPause)
-		}
+		sleep(ctx, pacings[t].passPause)
 		if tr.behind() {
 			return
 		}
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -106,11 +106,11 @@
 	for i, kv := range r.Records {
 		records[i] = directory.Record{Offset: r.From + uint64(i), Key: kv.Key, Value: kv.Value}
 	}
-	g.d.directory.Pass(r.From, records)
+	g.d.directory.Pass(directory.Topic(r.Topic), r.From, records)
 }
 
 // read passes on what this daemon has read, if it reads for the others.
-func (g *gossip) read(from uint64, records []directory.Record) {
+func (g *gossip) read(t directory.Topic, from uint64, records []directory.Record) {
 	if !g.reads() {
 		return
 	}
@@ -118,7 +118,7 @@
 	for i, rec := range records {
 		out[i] = wire.KeyedValue{Key: rec.Key, Value: rec.Value}
 	}
-	g.d.mesh.Push(from, out)
+	g.d.mesh.Push(int(t), from, out)
 	g.d.mesh.Wake()
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -216,17 +216,17 @@
 	}
 }
 
-// Push passes records on to all daemons, in as many datagrams as they need. One
+// Push passes records of a topic on to all daemons, in as many datagrams as they need. One
 // that is too large for a datagram is left out, and what follows it: the others
 // see the gap and read the store.
-func (m *Mesh) Push(from uint64, records []wire.KeyedValue) {
+func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
 	for len(records) > 0 {
 		n, size := 0, 0
 		for n < len(records) && (n == 0 || size+len(records[n].Value) < pushBytes) {
 			size += len(records[n].Value)
 			n++
 		}
-		b, err := wire.EncodeRecordPush(&wire.RecordPush{From: from, Records: records[:n]})
+		b, err := wire.EncodeRecordPush(&wire.RecordPush{Topic: topic, From: from, Records: records[:n]})
 		if err != nil || len(b) > maxDatagram {
 			klog.V(1).InfoS("records not passed on", "from", from, "bytes", len(b))
 			return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,8 @@
 	Lost map[string]bool
 	// Reserved engines have an order under way.
 	Reserved map[string]bool
+	// Opening groups were ordered to open just now.
+	Opening map[string]bool
 	// Staging are the models on their way to engines' hosts, by engine.
 	Staging map[string]string
 	// Own are the formations begun by this planner, with the time until which
@@ -171,7 +173,7 @@
 			counts[g.Model]++
 		case Openable:
 			counts[g.Model]++
-			if !s.Reserved[g.Head().ID] {
+			if !s.Opening[g.ID.Name] {
 				steps = append(steps, Step{Open: g})
 			}
 		case Failed, Draining, Unfenced:
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -95,6 +95,7 @@
 		Own:      map[catalog.GroupID]time.Time{},
 		Released: map[catalog.GroupID]bool{},
 		Closed:   map[catalog.GroupID]bool{},
+		Opening:  map[string]bool{},
 		ZoneOut:  p.o.Directory.ZoneOut,
 		Staging:  map[string]string{},
 		Loads:    p.loadsLeft(view.Service.Engine, now),
@@ -119,6 +120,12 @@
 		}
 		return true
 	})
+	p.opening.Range(func(name string, until time.Time) bool {
+		if now.Before(until) {
+			s.Opening[name] = true
+		}
+		return true
+	})
 	p.closed.Range(func(_ string, id catalog.GroupID) bool {
 		s.Closed[id] = true
 		return true
@@ -141,7 +148,7 @@
 	case step.Form != nil:
 		p.form(service, step.Form)
 	case step.Open != nil:
-		p.simple(step.Open.Head(), Order{Op: Open, Group: step.Open.ID})
+		p.open(step.Open)
 	case step.Close != nil:
 		p.close(step.Close)
 	case step.Stage != nil:
@@ -207,10 +214,12 @@
 
 func (p *Planner) reserve(e *catalog.Engine, until time.Time) { p.reserved.Set(e.ID, until) }
 
-// simple gives an order that concerns a head only.
-func (p *Planner) simple(e *catalog.Engine, o Order) {
-	p.reserve(e, time.Now().Add(orderPause))
-	go func() { _ = p.order(e, o) }() // order logs its failure; the next look decides anew
+// open lets a complete group serve. The head is free for it as soon as it has
+// announced that it is ready.
+func (p *Planner) open(g *catalog.Group) {
+	p.opening.Set(g.ID.Name, time.Now().Add(orderPause))
+	// order logs its failure; the next look decides anew.
+	go func() { _ = p.order(g.Head(), Order{Op: Open, Group: g.ID}) }()
 }
 
 // close ends a group's service. Once the head has answered, it refuses what
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -104,6 +104,17 @@
 	})
 }
 
+// doubtAll marks all members of groups to be asked: what others suspected was
+// told to the planner before.
+func (p *Planner) doubtAll() {
+	p.watched.Range(func(_ string, w *watched) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.suspect = w.engine.Member.State != catalog.NoGroup
+		return true
+	})
+}
+
 // follow takes the announcements in.
 func (p *Planner) follow(view *directory.ServiceView) {
 	present := map[string]bool{}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -127,11 +127,14 @@
 	leaseEnd   atomic.Int64
 	heldSince  atomic.Int64
 	generation atomic.Int64
-	counter    atomic.Int64
+	// heldAs is the generation in which the lease was held last.
+	heldAs  atomic.Int64
+	counter atomic.Int64
 
 	watched  *shard.Map[*watched]
 	reserved *shard.Map[time.Time]
 	own      *shard.Map[formation]
+	opening  *shard.Map[time.Time]
 	closed   *shard.Map[catalog.GroupID]
 	staging  *shard.Map[staging]
 	// firstSeen is when engines of a service were first seen without groups.
@@ -167,6 +170,7 @@
 		watched:    shard.NewMap[*watched](),
 		reserved:   shard.NewMap[time.Time](),
 		own:        shard.NewMap[formation](),
+		opening:    shard.NewMap[time.Time](),
 		closed:     shard.NewMap[catalog.GroupID](),
 		staging:    shard.NewMap[staging](),
 		firstSeen:  shard.NewMap[time.Time](),
@@ -218,7 +222,7 @@
 		} else {
 			p.noteLease(held, generation, begun)
 		}
-		pause(ctx, p.ttl/leaseRenewals)
+		pause(ctx, p.ttl/leaseRenewals-(boottime.Now()-begun))
 	}
 	if p.Holds() {
 		p.leaseEnd.Store(0)
@@ -256,11 +260,14 @@
 		}
 		return
 	}
-	if !was {
+	// While the generation stays the same nobody else can have held the lease.
+	if !was && p.heldAs.Load() != generation {
 		p.heldSince.Store(int64(boottime.Now()))
 		p.forget()
+		p.doubtAll()
 		klog.InfoS("planner gained", "generation", generation)
 	}
+	p.heldAs.Store(generation)
 	p.leaseEnd.Store(int64(begun + p.ttl - leaseMargin))
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -20,7 +20,7 @@
 	firstPatience = 3
 	gapPatience   = 4
 	firstAim      = 1.5
-	gapAim        = 1.5
+	gapAim        = 1.0
 	// busyPatience is how long a stream may be silent while its engine sends
 	// others; clients leave after two seconds at the earliest.
 	busyPatience = 1300 * time.Millisecond
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -33,6 +33,8 @@
 
 // RecordPush passes on records that the sender has read from the store.
 type RecordPush struct {
+	// Topic is the topic's place in the order of package directory.
+	Topic   int
 	From    uint64
 	Records []KeyedValue
 }
--- a/internal/wire/load_test.go
+++ b/internal/wire/load_test.go
@@ -18,7 +18,7 @@
 	must.NoError(t, err)
 	must.Eq(t, any(report), got)
 
-	push := &RecordPush{From: 9, Records: []KeyedValue{{"i-1", []byte("{}")}, {"i-2", nil}}}
+	push := &RecordPush{Topic: 2, From: 9, Records: []KeyedValue{{"i-1", []byte("{}")}, {"i-2", nil}}}
 	b, err = EncodeRecordPush(push)
 	must.NoError(t, err)
 	got, err = DecodeDatagram(b)
