--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -218,7 +218,7 @@
 		begun := boottime.Now()
 		held, generation, err := p.o.Lease.Renew(p.o.Member, p.generation.Load(), p.ttl)
 		if err != nil {
-			klog.V(1).ErrorS(err, "lease not renewed")
+			klog.ErrorS(err, "lease not renewed")
 		} else {
 			p.noteLease(held, generation, begun)
 		}
