Count as attempts only the engines that may have run a request

Cause: a stream whose group was lost was cut because the next engine refused it unrun, which used up its second attempt.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -130,7 +130,7 @@
 // attemptEnd returns until when the engine is waited for: to the end of the
 // request's time, or for a part of it if another engine may still be asked.
 func (j *job) attemptEnd(c balance.Choice) time.Time {
-	if j.route.Kind != catalog.Idempotent || j.sends+1 >= j.route.MaxAttempts {
+	if j.route.Kind != catalog.Idempotent || j.runs+1 >= j.route.MaxAttempts {
 		return j.end
 	}
 	wait := max(time.Duration(hedgeAim*float64(j.route.Aim)), hedgeMean*c.Predicted.First)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 	comeBack = 2 * time.Second
 	// comeBackPart bounds that time by the client's time left; clients honour a third.
 	comeBackPart = 0.3
+	// maxRejections is how many engines may refuse a request unrun beside those
+	// that may run it; each of them counts as a repeat in the shared budget.
+	maxRejections = 2
 	// defaultPatience is assumed of a client that names no deadline.
 	defaultPatience = 30 * time.Second
 )
@@ -68,8 +71,11 @@
 	prio    int
 	service string
 	end     time.Time // of the client's patience and the route's timeout
-	sends   int
-	tried   map[string]bool
+	// sends counts the engines that were tried, runs those that may have begun
+	// the request.
+	sends int
+	runs  int
+	tried map[string]bool
 	// mayHaveRun is set once an engine may have begun the request.
 	mayHaveRun bool
 	note       Note
@@ -235,7 +241,11 @@
 // mayRepeat reports whether another engine may be tried, and takes it from the
 // budget. ran says that the last attempt may have run.
 func (j *job) mayRepeat(ran bool, why string) bool {
-	if j.ctx.Err() != nil || (ran && !j.route.Repeatable()) || j.sends >= j.route.MaxAttempts {
+	if ran {
+		j.runs++
+	}
+	tried := j.runs >= j.route.MaxAttempts || j.sends >= j.route.MaxAttempts+maxRejections
+	if j.ctx.Err() != nil || (ran && !j.route.Repeatable()) || tried {
 		return false
 	}
 	if !j.o.Retries.Spend(j.service, time.Now()) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -143,7 +143,7 @@
 	j.o.Tracker.Answered(e, false, 0, answer.Load(), time.Now())
 	body, err := readWhole(answer)
 	failed := answer.Status() >= http.StatusInternalServerError
-	if err != nil || begun || (failed && j.route.Repeatable() && j.sends < j.route.MaxAttempts) {
+	if err != nil || begun || (failed && j.route.Repeatable() && j.runs+1 < j.route.MaxAttempts) {
 		return fault.New(fault.Interrupted, "check the engine", "engine %s answered a stream with status %d", e.ID, answer.Status())
 	}
 	j.deliver(&whole{answer.Status(), answer.Header(), body})
@@ -237,7 +237,7 @@
 func (j *job) watch(c balance.Choice, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{
 		j: j, engine: c.Candidate.Head, cancel: cancel, started: time.Now(),
-		canRepeat: j.route.Repeatable() && j.sends+1 < j.route.MaxAttempts,
+		canRepeat: j.route.Repeatable() && j.runs+1 < j.route.MaxAttempts,
 		patience:  max(firstPatience*c.Predicted.First, time.Duration(firstAim*float64(j.route.Aim))),
 		gap:       max(gapPatience*c.Predicted.Gap, time.Duration(gapAim*float64(j.route.MaxGap))),
 	}
