--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -44,8 +44,8 @@
 // within 2 s on the sheets; notes matter for shares of budgets and the next
 // planner only. The engines' pace gathers the announcements of a group's members.
 var pacings = [topicCount]pacing{
-	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.6},
-	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.6, passPause: 40 * time.Millisecond},
+	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.7},
+	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.7, passPause: 120 * time.Millisecond},
 	NotesTopic:    {wait: 2 * time.Second, guidedPart: 3, passPause: 500 * time.Millisecond},
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -32,6 +32,8 @@
 	// readyPart is the part of the bound for revoked keys, or for configurations,
 	// within which the configuration must be confirmed for new callers.
 	readyPart = 0.6
+	// endTimeout bounds the end of a daemon after its last answer.
+	endTimeout = 250 * time.Millisecond
 	// fleetGuess is the number of daemons assumed before any has announced itself.
 	fleetGuess = 16
 )
@@ -123,7 +125,9 @@
 		defer cancel()
 		return d.server.Run(ctx)
 	})
-	err := g.Wait()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Wait() }()
+	err := d.wait(work, ended)
 	klog.InfoS("stop", "node", d.settings.Node)
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -131,6 +135,24 @@
 	return err
 }
 
+// wait waits for the parts to end. Once the last request is answered they get
+// endTimeout: a read of the store that is under way would hold the process up.
+func (d *Daemon) wait(work context.Context, ended <-chan error) error {
+	select {
+	case err := <-ended:
+		return err
+	case <-work.Done():
+	}
+	t := time.NewTimer(endTimeout)
+	defer t.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-t.C:
+		return nil
+	}
+}
+
 // announce makes this daemon known until it stops.
 func (d *Daemon) announce(ctx context.Context) error {
 	addr := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MeshPort))
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -362,3 +362,36 @@
 	must.StrContains(t, string(body), fmt.Sprintf("id: %d\n", events))
 	<-stopped
 }
+
+// TestNoNewWorkLateInAStop keeps a connection open over a stop: what comes late
+// is refused as not run, since it might not end within the grace time.
+func TestNoNewWorkLateInAStop(t *testing.T) {
+	const events = 150
+	f := newFixture(t)
+	f.grace = 6 * time.Second
+	f.publish(1, goodKey)
+	f.addEngines("d0", 3, events, 10*time.Millisecond)
+	ledger := f.addLedger()
+	stop := f.addDaemon()
+	f.serves(0, smallName)
+	eventually(t, "the ledger is served", func() bool { return f.status(0, http.MethodPost, plainURL, goodKey, "") == http.StatusOK })
+	resp, err := f.call(0, http.MethodPost, streamURL, goodKey, smallName)
+	must.NoError(t, err)
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	refused := false
+	eventually(t, "new work is refused", func() bool {
+		before := len(ledger.Runs())
+		status := f.status(0, http.MethodPost, plainURL, goodKey, "")
+		refused = refused || (status == http.StatusServiceUnavailable && len(ledger.Runs()) == before)
+		return status != http.StatusOK
+	})
+	must.True(t, refused)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(body), fmt.Sprintf("id: %d\n", events))
+	<-stopped
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,6 +32,13 @@
 	// lingering is how long connections stay open after the request to stop, so
 	// that the balancer has noticed it by two missed questions a second apart.
 	lingering = 3500 * time.Millisecond
+	// takesFor is how long after the request to stop new work is taken: what comes
+	// later might not end within the grace time (8 s on the sheets), and the
+	// balancer has stopped sending connections.
+	takesFor = 2500 * time.Millisecond
+	// goElsewhere is the time to return of a request that comes after that; any
+	// other daemon can take it.
+	goElsewhere = 50 * time.Millisecond
 	// stopMargin is left of the grace time for the end of the process.
 	stopMargin = 400 * time.Millisecond
 )
@@ -61,6 +68,8 @@
 	front    *http.Server
 	ready    *http.Server
 	stopping atomic.Bool
+	// full is set when a daemon that stops takes no more work.
+	full     atomic.Bool
 	inFlight atomic.Int64
 }
 
@@ -105,7 +114,10 @@
 	began := time.Now()
 	s.stopping.Store(true)
 	klog.InfoS("stopping", "in_flight", s.inFlight.Load(), "grace_ms", s.o.Grace.Milliseconds())
-	time.Sleep(min(lingering, s.o.Grace/2))
+	takes := min(takesFor, s.o.Grace/3)
+	time.Sleep(takes)
+	s.full.Store(true)
+	time.Sleep(min(lingering, s.o.Grace/2) - takes)
 	s.front.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.o.Grace-stopMargin))
 	defer cancel()
@@ -142,6 +154,10 @@
 		// The caller broke off within its request; there is nobody to answer.
 		panic(http.ErrAbortHandler)
 	}
+	if s.full.Load() {
+		out.Refuse(relay.Refusal{Cause: relay.NotReady, RetryAfter: goElsewhere, Reason: "this daemon stops"})
+		return
+	}
 	s.o.Relay.Serve(r.Context(), s.o.Codec.Request(r, body, arrived), out)
 	if out.aborted {
 		panic(http.ErrAbortHandler)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,7 +38,7 @@
 	readBytes = 4096
 	// followedWithin is the age of the knowledge of the store that a peer with a
 	// path to it stays below.
-	followedWithin = 2 * time.Second
+	followedWithin = 4 * time.Second
 	// peerGone is the number of intervals without a report after which a peer
 	// counts as gone.
 	peerGone = 10
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -349,9 +349,12 @@
 	switch {
 	case w.dead || w.engine.Member.Group != group:
 		return true
+	case w.misses >= missesLost && w.present:
+		// It still reaches the store, and may serve those that it can reach.
+		return false
 	case w.misses >= missesLost:
 		quiet := w.firstMiss
-		if cut := w.goneSince.Add(-2 * heartbeat); !w.present && cut.Before(quiet) {
+		if cut := w.goneSince.Add(-2 * heartbeat); cut.Before(quiet) {
 			quiet = cut
 		}
 		return now.Sub(quiet) > bound
