Write nothing on a stand-in's connection once its cut has begun

Cause of the known failure of TestColdEngineFallsOver: while one goroutine cut a connection, another found it closed already and wrote the end of the body before the reset. The write chose between 'running' and 'gone' at random. Change: a connection that is being closed takes no bytes.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -119,7 +119,7 @@
 	case "/v1/audit":
 		s.serve(r, fasthttp.MethodGet, s.audit)
 	default:
-		fail(r, fault.Refuse(fault.NotFound, "see docs/OPERATING.md for the paths", "no such path: %s", r.Path()))
+		fail(r, fault.Refuse(fault.NotFound, "see docs/OPERATIONS.md for the paths", "no such path: %s", r.Path()))
 	}
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,5 @@
 // Package metrics makes the daemon's metric scope and the page that shows it.
-// Names carry their unit; see docs/OPERATING.md for the list.
+// Names carry their unit; see docs/OPERATIONS.md for the list.
 package metrics
 
 import (
--- a/internal/standin/host/conn.go
+++ b/internal/standin/host/conn.go
@@ -87,8 +87,15 @@
 	return c.Conn.Write(p)
 }
 
-// hold waits while the host is paused, and until the close when silent.
+// hold waits while the host is paused, and until the close when silent. A
+// connection that is being closed is gone: bytes written between the decision
+// to cut and the reset would end an answer properly.
 func (c *Conn) hold() error {
+	select {
+	case <-c.gone:
+		return net.ErrClosed
+	default:
+	}
 	select {
 	case <-c.silent:
 		<-c.gone
