Give an engine no other order before it has answered

Where workers leave orders unanswered, a join or an open was sent again with a higher fence while the same engine was already closed or joined to another group, or an unanswered join was carried out seconds later. Ruled out: the takeover of the lease, whose close was answered. Change: one order at a time for an engine; one that is never answered keeps the engine back for 13 s, longer than an order may be late.

--- /dev/null
+++ b/internal/edge/page_test.go
@@ -0,0 +1,20 @@
+package edge
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestThePageNamesAllMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	must.NoError(t, err)
+	for _, name := range []string{
+		metricRequests, metricRepeats, metricResumes, metricLate, metricFirst, metricTotal, metricConfigVersion,
+		metricConfigAge, metricEnginesAge, metricDaemons, metricPlanning, metricGroups,
+	} {
+		must.True(t, strings.Contains(string(page), "`"+name+"`"), must.Sprintf("docs/OPERATIONS.md does not name %s", name))
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,9 @@
 	Lost map[string]bool
 	// Reserved engines have an order under way.
 	Reserved map[string]bool
+	// Unanswered engines have an order under way that they have not answered; they
+	// are among the reserved ones.
+	Unanswered map[string]bool
 	// Opening groups were ordered to open just now.
 	Opening map[string]bool
 	// Staging are the models on their way to engines' hosts, by engine.
@@ -173,7 +176,7 @@
 			counts[g.Model]++
 		case Openable:
 			counts[g.Model]++
-			if !s.Opening[g.ID.Name] {
+			if !s.Opening[g.ID.Name] && !s.Unanswered[g.Head().ID] {
 				steps = append(steps, Step{Open: g})
 			}
 		case Failed, Draining, Unfenced:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -101,6 +101,20 @@
 	must.Eq(t, map[string]int{"large": 4, "small": 3}, sizes)
 }
 
+// TestAHeadGetsOneOrderAtATime is the cause of a head that was opened again after
+// its close: the order to open was still being sent again.
+func TestAHeadGetsOneOrderAtATime(t *testing.T) {
+	id := catalog.GroupID{Name: "g1", Epoch: 7}
+	s := snapshot(trio(catalog.Ready)...)
+	s.Own[id] = s.Now.Add(time.Second)
+	must.Len(t, 1, Plan(s))
+	s.Unanswered = map[string]bool{"i-0": true}
+	must.Len(t, 0, Plan(s), must.Sprint("opened twice"))
+	s.Own[id] = s.Now.Add(-time.Second)
+	s.Reserved["i-0"] = true
+	must.Len(t, 0, Plan(s), must.Sprint("closed while the order to open is under way"))
+}
+
 func TestSurvivorsAndASpareFormAtOnce(t *testing.T) {
 	spare := engine("i-9", "", 0, catalog.NoGroup)
 	spare.Staged = []string{small.Name}
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -24,8 +24,9 @@
 	orderPause = 600 * time.Millisecond
 	// unbounded is more than all engines that a plan may load.
 	unbounded = 1 << 20
-	// orderTries bounds the sends of one order without an answer.
-	orderTries = 3
+	// lateOrders is how long after its sending an order without an answer may
+	// still be carried out: 2 to 12 s on the users' pages, and a margin.
+	lateOrders = 13 * time.Second
 	// gatherBeats is the time, in heartbeats, that engines without any group get
 	// to announce themselves; each does so once in a heartbeat.
 	gatherBeats = 1.25
@@ -90,17 +91,18 @@
 	p.settleStaging(view)
 	s := &placement.Snapshot{
 		Service: view.Service, Engines: view.Engines, Groups: view.Groups, Now: now,
-		Lost:     map[string]bool{},
-		Reserved: map[string]bool{},
-		Own:      map[catalog.GroupID]time.Time{},
-		Released: map[catalog.GroupID]bool{},
-		Closed:   map[catalog.GroupID]bool{},
-		Opening:  map[string]bool{},
-		ZoneOut:  p.o.Directory.ZoneOut,
-		Staging:  map[string]string{},
-		Loads:    p.loadsLeft(view.Service.Engine, now),
-		Starting: p.starting(),
-		Needs:    p.o.Demand.Needs(view.Service, now),
+		Lost:       map[string]bool{},
+		Reserved:   map[string]bool{},
+		Own:        map[catalog.GroupID]time.Time{},
+		Released:   map[catalog.GroupID]bool{},
+		Closed:     map[catalog.GroupID]bool{},
+		Opening:    map[string]bool{},
+		Unanswered: map[string]bool{},
+		ZoneOut:    p.o.Directory.ZoneOut,
+		Staging:    map[string]string{},
+		Loads:      p.loadsLeft(view.Service.Engine, now),
+		Starting:   p.starting(),
+		Needs:      p.o.Demand.Needs(view.Service, now),
 	}
 	p.watched.Range(func(id string, w *watched) bool {
 		if w.lost() {
@@ -114,6 +116,13 @@
 		}
 		return true
 	})
+	p.unanswered.Range(func(id string, until time.Time) bool {
+		if now.Before(until) {
+			s.Reserved[id] = true
+			s.Unanswered[id] = true
+		}
+		return true
+	})
 	p.reserved.Range(func(id string, until time.Time) bool {
 		if now.Before(until) {
 			s.Reserved[id] = true
@@ -283,10 +292,14 @@
 }
 
 // order sends an order until the engine has answered it, each time with a
-// higher fence, so that a late arrival of an earlier send is refused.
+// higher fence, so that a late arrival of an earlier send is refused. Until
+// then the engine gets no other order, and one that was never answered keeps it
+// back for as long as it may still be carried out: its fence would not be the
+// lower one.
 func (p *Planner) order(e *catalog.Engine, o Order) error {
+	p.unanswered.Set(e.ID, time.Now().Add(lateOrders))
 	var err error
-	for range orderTries {
+	for deadline := time.Now().Add(lateOrders); time.Now().Before(deadline); {
 		if !p.Holds() {
 			klog.InfoS("order dropped: not the planner any more", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name)
 			return fault.Refuse(fault.Conflict, "leave it to the planner", "this daemon does not plan")
@@ -295,6 +308,11 @@
 		err = p.o.Engines.Order(e, o)
 		klog.InfoS("order", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name, "model", o.Model, "fence", o.Fence, "error", errText(err))
 		if err == nil || fault.As(err).Outcome == fault.NotRun {
+			p.unanswered.Delete(e.ID)
+			return err
+		}
+		p.unanswered.Set(e.ID, time.Now().Add(lateOrders))
+		if w, ok := p.watched.Get(e.ID); ok && w.lost() {
 			return err
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,10 +133,13 @@
 
 	watched  *shard.Map[*watched]
 	reserved *shard.Map[time.Time]
-	own      *shard.Map[formation]
-	opening  *shard.Map[time.Time]
-	closed   *shard.Map[catalog.GroupID]
-	staging  *shard.Map[staging]
+	// unanswered tells until when an order that an engine has not answered may
+	// be carried out.
+	unanswered *shard.Map[time.Time]
+	own        *shard.Map[formation]
+	opening    *shard.Map[time.Time]
+	closed     *shard.Map[catalog.GroupID]
+	staging    *shard.Map[staging]
 	// firstSeen is when engines of a service were first seen without groups.
 	firstSeen *shard.Map[time.Time]
 	// memberless tells since when a noted group has had no members.
@@ -169,6 +172,7 @@
 		ttl:        max(leaseTTL, o.MinLeaseTTL),
 		watched:    shard.NewMap[*watched](),
 		reserved:   shard.NewMap[time.Time](),
+		unanswered: shard.NewMap[time.Time](),
 		own:        shard.NewMap[formation](),
 		opening:    shard.NewMap[time.Time](),
 		closed:     shard.NewMap[catalog.GroupID](),
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/fault"
 )
 
 const (
@@ -111,6 +114,36 @@
 	must.Greater(t, last, next.number(), must.Sprint("the next planner's orders must win"))
 }
 
+// silent is a set of engines that answer orders only when they are told to.
+type silent struct{ answers chan error }
+
+func (s *silent) Report(*catalog.Engine) (Report, error) { return Report{}, nil }
+func (s *silent) Order(*catalog.Engine, Order) error     { return <-s.answers }
+
+// TestAnEngineGetsNoOtherOrderBeforeItHasAnswered is the cause of an engine that
+// was joined to a second group while the first was open: its first join was sent
+// again while the second one, with a fence in between, was carried out late.
+func TestAnEngineGetsNoOtherOrderBeforeItHasAnswered(t *testing.T) {
+	engines := &silent{answers: make(chan error)}
+	p := New(Options{Lease: &scripted{}, Engines: engines, Directory: directory.New(directory.Options{}), Demand: balance.NewDemand()})
+	p.noteLease(true, 3, 1<<62-1<<40)
+	view := &directory.ServiceView{Service: &catalog.Service{Name: "llm", Engine: &catalog.EngineModel{}}}
+	e := &catalog.Engine{ID: "i-1"}
+	done := make(chan error, 1)
+	go func() { done <- p.order(e, Order{Op: Join}) }()
+	engines.answers <- fault.New(fault.Timeout, "", "no answer")
+	must.True(t, p.snapshot(view).Reserved["i-1"], must.Sprint("sent again, not answered"))
+	engines.answers <- nil
+	must.NoError(t, <-done)
+	must.False(t, p.snapshot(view).Reserved["i-1"], must.Sprint("answered"))
+
+	p.watched.Set("i-1", &watched{dead: true})
+	go func() { done <- p.order(e, Order{Op: Join}) }()
+	engines.answers <- fault.New(fault.Timeout, "", "no answer")
+	must.Error(t, <-done)
+	must.True(t, p.snapshot(view).Reserved["i-1"], must.Sprint("an order that was never answered may be carried out late"))
+}
+
 func TestALostLeaseForgetsWhatWasClosed(t *testing.T) {
 	p := New(Options{Lease: &scripted{}})
 	p.noteLease(true, 3, 1<<62-1<<40)
