--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -24,17 +24,14 @@
 	// MetricsAddr shows the metrics; empty for none.
 	MetricsAddr string
 	// Store is the address of the metadata store.
-	Store          string
-	MemoryBytes    int64
-	MaxDescriptors int
+	Store       string
+	MemoryBytes int64
 	// MeshPort is the UDP port for datagrams between daemons.
 	MeshPort int
 	// FirstStart is set when the whole system starts for the first time.
 	FirstStart bool
 	// Heartbeat is the interval at which engines announce themselves.
 	Heartbeat time.Duration
-	// DrainBound is the time within which new work to a leaving engine must stop.
-	DrainBound time.Duration
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// ConfigBound is the time within which a configuration must be in force.
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -67,7 +67,6 @@
 	relay.Expired:    http.StatusServiceUnavailable,
 	relay.Failed:     http.StatusBadGateway,
 	relay.TimedOut:   http.StatusGatewayTimeout,
-	relay.Crashing:   http.StatusBadGateway,
 }
 
 // Refuse sends an answer of the system's own.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -79,7 +79,6 @@
 	conn  atomic.Pointer[net.UDPConn]
 	peers *shard.Map[peer]
 	wake  chan struct{}
-	sent  atomic.Uint64
 }
 
 type peer struct {
@@ -252,8 +251,8 @@
 		return
 	}
 	// A lost datagram is made good by the next report, or by a read.
-	if _, err := conn.WriteToUDP(b, to); err == nil {
-		m.sent.Add(1)
+	if _, err := conn.WriteToUDP(b, to); err != nil {
+		klog.V(1).ErrorS(err, "datagram not sent", "addr", addr)
 	}
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -111,11 +111,9 @@
 	Failed
 	// TimedOut means that the answer did not come in time.
 	TimedOut
-	// Crashing means that the request has crashed the engines that ran it.
-	Crashing
 )
 
-var causeNames = [...]string{"not_ready", "no_route", "unknown_key", "no_engine", "expired", "failed", "timed_out", "crashing"}
+var causeNames = [...]string{"not_ready", "no_route", "unknown_key", "no_engine", "expired", "failed", "timed_out"}
 
 // String returns the cause's name for logs and metrics.
 func (c Cause) String() string { return causeNames[c] }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -22,7 +22,6 @@
 	Serving  bool
 	Loads    []EngineLoad
 	Suspects []Suspect
-	Crashes  []Crashed
 }
 
 // TopicEnd says that a topic ended at Next so long ago.
@@ -60,12 +59,6 @@
 	Epoch  int64
 }
 
-// Crashed is a request, by its fingerprint, that was under way at an engine's crash.
-type Crashed struct {
-	Print  uint64
-	Engine string
-}
-
 // Datagrams of the mesh begin with a byte that tells what follows.
 const (
 	loadDatagram = 'L'
