--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -3,13 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
 
 	"github.com/ragwortquay/ragwortquay/internal/auth"
 	"github.com/ragwortquay/ragwortquay/internal/config"
+	"github.com/ragwortquay/ragwortquay/platform"
 )
 
 type checkCommand struct {
-	Config []string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings file (TOML); repeat it to check daemons against each other"`
+	Config []string `short:"c" long:"config" value-name:"FILE" required:"true" description:"settings file: TOML, or the platform's YAML; repeat it to check daemons against each other"`
 	env    env
 }
 
@@ -28,6 +30,11 @@
 	var errs []error
 	var all []config.Settings
 	for _, path := range c.Config {
+		if ext := filepath.Ext(path); ext == ".yaml" || ext == ".yml" {
+			_, err := platform.ReadSettings(path)
+			errs = append(errs, err)
+			continue
+		}
 		s, err := config.Read(path)
 		errs = append(errs, err, checkSecrets(s))
 		all = append(all, s)
@@ -36,7 +43,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(c.env.out, "%d settings files are good\n", len(all))
+	_, err := fmt.Fprintf(c.env.out, "%d settings files are good\n", len(c.Config))
 	return err
 }
 
