Send no order or report past its deadline

Ruled out: the test, whose check is right. Change: a deadline that has passed is refused as not run. A test with such a context failed before and passes after.

--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -114,6 +114,10 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	if !time.Now().Before(deadline) {
+		// The context's own timer may fire later than its deadline.
+		return fault.Refuse(fault.Timeout, "try again", "the deadline passed before the call to a target")
+	}
 	err := c.http.DoDeadline(req, resp, deadline)
 	switch {
 	case err == nil:
--- a/internal/target/control_test.go
+++ b/internal/target/control_test.go
@@ -110,3 +110,20 @@
 	_, err = NewControl().Report(ctx, addr)
 	must.Eq(t, fault.NotRun, fault.As(err).Outcome)
 }
+
+// lateContext is a context whose deadline has passed and whose timer has not
+// fired yet.
+type lateContext struct{ context.Context }
+
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+func (lateContext) Err() error                  { return nil }
+
+// TestControlSendsNothingPastTheDeadline is the cause of a failure of
+// TestControlKeepsToTheContext: the connection's deadline fired before the
+// context's timer, and the next call was said to have an unknown outcome.
+func TestControlSendsNothingPastTheDeadline(t *testing.T) {
+	addr := serveControl(t, func(*fasthttp.RequestCtx) { t.Error("a request was sent") })
+	_, err := NewControl().Report(lateContext{t.Context()}, addr)
+	must.Eq(t, fault.Timeout, fault.KindOf(err))
+	must.Eq(t, fault.NotRun, fault.As(err).Outcome)
+}
