--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -9,9 +9,9 @@
 
 const (
 	// nearEnough is, for each daemon, the relative difference of predicted times
-	// below which two engines are taken as equal, and nearMost its bound: daemons choose from the same knowledge, and
-	// all would choose the same engine otherwise.
-	// In a large fleet reports are rarer and older, and the difference is larger.
+	// below which two engines are taken as equal, and nearMost its bound: daemons
+	// choose from the same knowledge, and all would choose the same engine
+	// otherwise. In a large fleet reports are rarer and older.
 	nearEnough = 0.01
 	nearMost   = 0.8
 	// failurePenalty multiplies the predicted time of an engine by its share of
@@ -39,8 +39,9 @@
 }
 
 // Choose returns the candidate with the shortest predicted time to the first
-// event, those of the daemon's zone among equals. Engines under suspicion are used only if there is no other, and cold
-// ones only within their allowance. It returns false if none may be used.
+// event, those of the daemon's zone among equals. Engines under suspicion are
+// used only if there is no other, and cold ones only within their allowance. It
+// returns false if none may be used.
 func Choose(cands []Candidate, t *Tracker, w Work, zone string, now time.Time) (Choice, bool) {
 	best, found := pick(cands, t, w, zone, now, false)
 	if !found {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 const (
@@ -66,7 +67,7 @@
 		began := time.Now()
 		records, next, whole, at, err := d.step(t)
 		if err != nil {
-			sleep(ctx, r.failed(err))
+			pause.For(ctx, r.failed(err))
 			continue
 		}
 		returned := r.succeeded()
@@ -75,7 +76,7 @@
 			d.opts.Read(t, records[0].Offset, records)
 		}
 		d.tracks[t].commit(records, next, whole, at, func(fresh []Record) { apply(fresh, whole, returned) })
-		sleep(ctx, pacings[t].pace-time.Since(began))
+		pause.For(ctx, pacings[t].pace-time.Since(began))
 	}
 	return nil
 }
@@ -112,15 +113,6 @@
 	return back
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (d *Directory) applyOperator(records []Record, whole bool) {
 	out := map[string]bool{}
 	for _, rec := range records {
@@ -261,8 +253,8 @@
 	return changed
 }
 
-// announce takes an engine's entry in and reports whether more than its
-// heartbeat changed. An entry that can't be read names no engine to use.
+// announce takes an engine's entry in and reports whether it is news: entries
+// change only when more than the heartbeat does. An entry that can't be read names no engine to use.
 func (d *Directory) announce(rec Record) bool {
 	e, err := d.opts.Decoder.Engine(rec)
 	if err != nil {
--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 // Topic is one of the topics that a directory follows.
@@ -172,7 +173,7 @@
 			tr.wait(ctx, guidedPause)
 			continue
 		}
-		sleep(ctx, pacings[t].passPause)
+		pause.For(ctx, pacings[t].passPause)
 		if tr.behind() {
 			return
 		}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/ingress"
 	"github.com/ragwortquay/ragwortquay/internal/mesh"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/planner"
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
@@ -162,12 +163,7 @@
 			break
 		}
 		klog.V(1).ErrorS(err, "address not announced")
-		t := time.NewTimer(announceRetry)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		pause.For(ctx, announceRetry)
 	}
 	<-ctx.Done()
 	return nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 )
 
@@ -114,13 +115,13 @@
 	began := time.Now()
 	s.stopping.Store(true)
 	klog.InfoS("stopping", "in_flight", s.inFlight.Load(), "grace_ms", s.o.Grace.Milliseconds())
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.o.Grace-stopMargin))
+	defer cancel()
 	takes := min(takesFor, s.o.Grace/3)
-	time.Sleep(takes)
+	pause.For(ctx, takes)
 	s.full.Store(true)
-	time.Sleep(min(lingering, s.o.Grace/2) - takes)
+	pause.For(ctx, min(lingering, s.o.Grace/2)-takes)
 	s.front.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.o.Grace-stopMargin))
-	defer cancel()
 	err := s.front.Shutdown(ctx)
 	klog.InfoS("stopped", "in_flight", s.inFlight.Load(), "took_ms", time.Since(began).Milliseconds())
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -215,9 +215,9 @@
 	}
 }
 
-// Push passes records of a topic on to all daemons, in as many datagrams as they need. One
-// that is too large for a datagram is left out, and what follows it: the others
-// see the gap and read the store.
+// Push passes records of a topic on to all daemons, in as many datagrams as they
+// need. One that is too large for a datagram is left out, and what follows it:
+// the others see the gap and read the store.
 func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
 	for len(records) > 0 {
 		n, size := 0, 0
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,17 @@
+// Package pause waits for a time that a context may cut short.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, or until ctx ends. It returns at once if d is not positive.
+func For(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -171,7 +171,8 @@
 	}
 	for i := range s.Groups {
 		g := &s.Groups[i]
-		switch Judge(s, g) {
+		condition := Judge(s, g)
+		switch condition {
 		case Healthy, Forming:
 			counts[g.Model]++
 		case Openable:
@@ -181,7 +182,7 @@
 			}
 		case Failed, Draining, Unfenced:
 			if !s.Reserved[g.Head().ID] {
-				steps = append(steps, Step{Close: &Close{Group: *g, Abort: Judge(s, g) != Draining}})
+				steps = append(steps, Step{Close: &Close{Group: *g, Abort: condition != Draining}})
 			}
 		case Over:
 			for _, e := range g.Present() {
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -10,6 +10,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 			}
 			p.askDoubtful()
 		}
-		pause(ctx, observeInterval)
+		pause.For(ctx, observeInterval)
 	}
 	return nil
 }
@@ -210,8 +211,8 @@
 	w.engine, w.present = *e, true
 }
 
-// askDoubtful asks the engines that are suspected, late, or gone while they
-// may still head a group.
+// askDoubtful asks the engines that are suspected, or gone while they may still
+// head a group.
 func (p *Planner) askDoubtful() {
 	if !p.Holds() {
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -15,6 +15,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -56,8 +57,6 @@
 type Report struct {
 	Born   int64
 	Member catalog.Membership
-	// Slow is the factor by which the engine is slower than its model; 1 is normal.
-	Slow float64
 }
 
 // Order is one instruction to an engine.
@@ -215,7 +214,7 @@
 	for ctx.Err() == nil {
 		// A place once taken is kept: each change deals the lease anew.
 		if !joined && !p.o.Competes() {
-			pause(ctx, p.ttl/leaseRenewals)
+			pause.For(ctx, p.ttl/leaseRenewals)
 			continue
 		}
 		joined = true
@@ -226,7 +225,7 @@
 		} else {
 			p.noteLease(held, generation, begun)
 		}
-		pause(ctx, p.ttl/leaseRenewals-(boottime.Now()-begun))
+		pause.For(ctx, p.ttl/leaseRenewals-(boottime.Now()-begun))
 	}
 	if p.Holds() {
 		p.leaseEnd.Store(0)
@@ -293,7 +292,7 @@
 		if p.Holds() && boottime.Now()-time.Duration(p.heldSince.Load()) > settle {
 			p.act()
 		}
-		pause(ctx, leastPause)
+		pause.For(ctx, leastPause)
 		t := time.NewTimer(tick)
 		select {
 		case <-changed:
@@ -304,12 +303,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,7 +51,6 @@
 			return
 		case err == nil:
 			// The engine's own failure: it ran.
-			j.mayHaveRun = true
 			if j.mayRepeat(true, "the engine failed") {
 				failed = out
 				continue
@@ -60,7 +59,6 @@
 			return
 		}
 		ran := fault.As(err).Outcome != fault.NotRun
-		j.mayHaveRun = j.mayHaveRun || ran
 		if !j.mayRepeat(ran, err.Error()) {
 			j.settle(failed, j.failure(err, ran))
 			return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,7 +65,6 @@
 	ctx     context.Context
 	req     *Request
 	w       Writer
-	cfg     *catalog.Config
 	route   *catalog.Route
 	tenant  string
 	prio    int
@@ -76,9 +75,7 @@
 	sends int
 	runs  int
 	tried map[string]bool
-	// mayHaveRun is set once an engine may have begun the request.
-	mayHaveRun bool
-	note       Note
+	note  Note
 }
 
 // Serve answers the request. It returns when the answer is complete, broken
@@ -103,7 +100,6 @@
 	if cfg == nil || !j.o.Directory.Loaded() {
 		return &Refusal{Cause: NotReady, RetryAfter: comeBack, Reason: "no configuration yet"}
 	}
-	j.cfg = cfg
 	fresh := j.o.Directory.ConfigAge() < time.Duration(freshPart*float64(j.o.ConfigBound))
 	route, ok := cfg.Route(j.req.Host, j.req.Path)
 	if !ok {
@@ -220,8 +216,8 @@
 	return min(comeBack, time.Duration(comeBackPart*float64(left)))
 }
 
-// send sends the request to the chosen engine. The answer's end must be
-// followed by a call of end.
+// send sends the request to the chosen engine. Whatever it returns, the caller
+// tells the tracker of the end.
 func (j *job) send(ctx context.Context, c balance.Choice, lastEvent string) (Answer, error) {
 	e := c.Candidate.Head
 	now := time.Now()
@@ -259,7 +255,7 @@
 
 // giveUp ends a request without an answer of an engine.
 func (j *job) giveUp(r Refusal) {
-	if j.mayHaveRun {
+	if j.runs > 0 {
 		r.RetryAfter = 0
 		if r.Cause != TimedOut && r.Cause != Expired {
 			r.Cause = Failed
@@ -277,7 +273,7 @@
 	}
 	j.note.Outcome = r.Cause.String()
 	j.log("refused", "cause", r.Cause.String(), "reason", r.Reason, "retry_after_ms", r.RetryAfter.Milliseconds(),
-		"config_age_ms", j.o.Directory.ConfigAge().Milliseconds(), "may_have_run", j.mayHaveRun)
+		"config_age_ms", j.o.Directory.ConfigAge().Milliseconds(), "may_have_run", j.runs > 0)
 	j.w.Refuse(r)
 	j.finish()
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,7 +55,6 @@
 			return
 		}
 		ran := fault.As(err).Outcome != fault.NotRun
-		j.mayHaveRun = j.mayHaveRun || ran
 		if !j.mayRepeat(ran, err.Error()) {
 			j.endStream(begun, j.failure(err, ran))
 			return
