Let one timed wait serve all packages

The same function stood in keyed, control, peer, gossip and bench, to the letter; they call pause.For now. No behaviour or assertion changes; two test files call it under its new name.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/ragwortquay/ragwortquay/internal/admin"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/operate"
@@ -105,21 +107,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for !cond() {
-		if !pause(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return fault.New(fault.Timeout, "read the daemons' logs with --keep", "no %s within %s", what, settleTimeout)
 		}
 	}
 	return nil
 }
-
-// pause waits for d; false if ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/bench/rest.go
+++ b/internal/bench/rest.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortquay/ragwortquay/internal/procs"
@@ -120,14 +122,14 @@
 		return cost{}, err
 	}
 	defer c.Close()
-	if !pause(ctx, restSettle) {
+	if !pause.For(ctx, restSettle) {
 		return cost{}, ctx.Err()
 	}
 	before, err := readings(c)
 	if err != nil {
 		return cost{}, err
 	}
-	pause(ctx, restSpan)
+	pause.For(ctx, restSpan)
 	after, err := readings(c)
 	if err != nil {
 		return cost{}, err
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/ragwortquay/ragwortquay/internal/procs"
 )
 
@@ -127,14 +129,14 @@
 		return cost{}, err
 	}
 	home, _ := homeAndOther(c, p)
-	if !pause(ctx, watchSettle) {
+	if !pause.For(ctx, watchSettle) {
 		return cost{}, ctx.Err()
 	}
 	before, err := read(home)
 	if err != nil {
 		return cost{}, err
 	}
-	pause(ctx, watchSpan)
+	pause.For(ctx, watchSpan)
 	after, err := read(home)
 	return meanCost([]reading{before}, []reading{after}), err
 }
--- a/internal/bench/spread.go
+++ b/internal/bench/spread.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortquay/ragwortquay/internal/admin"
@@ -91,7 +93,7 @@
 	var wg sync.WaitGroup
 	for i := range w.clients {
 		wg.Go(func() {
-			for pause(ctx, watchInterval) {
+			for pause.For(ctx, watchInterval) {
 				w.look(ctx, i)
 			}
 		})
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/ids"
@@ -50,7 +52,7 @@
 // waitUnless waits for d unless there is nothing to wait for.
 func waitUnless(ctx context.Context, d time.Duration, done bool) {
 	if !done {
-		waitFor(ctx, d)
+		pause.For(ctx, d)
 	}
 }
 
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/ragwortquay/ragwortquay/internal/quorum"
 	"github.com/ragwortquay/ragwortquay/internal/state"
 )
@@ -38,7 +40,7 @@
 			}
 		}
 		out = m.spread(pos, others, reached)
-		if len(out.Missing) == 0 || !waitFor(ctx, spreadPause) {
+		if len(out.Missing) == 0 || !pause.For(ctx, spreadPause) {
 			return out
 		}
 	}
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/ids"
 	"github.com/ragwortquay/ragwortquay/internal/platform"
@@ -85,7 +87,7 @@
 		if verdict, ok := m.opts.View.Verdict(id); ok {
 			return verdict, nil
 		}
-		if !waitFor(ctx, appendPause) {
+		if !pause.For(ctx, appendPause) {
 			return state.Verdict{}, appendFailed(err, unknown)
 		}
 	}
@@ -108,15 +110,3 @@
 	e := fault.Wrap(fault.LogDown, err, "try again once the platform's log is back", "record was not appended")
 	return e.WithOutcome(fault.NotRun)
 }
-
-// waitFor waits for d and reports whether ctx is still alive.
-func waitFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
@@ -77,7 +79,7 @@
 		if err != nil {
 			// Such as an ICMP refusal that belongs to an earlier send.
 			klog.V(2).InfoS("Failed to read a datagram", "err", err)
-			if !pause(ctx, readBackoff) {
+			if !pause.For(ctx, readBackoff) {
 				return nil
 			}
 			continue
@@ -86,17 +88,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (m *Manager) receive(datagram []byte) {
 	m.meter.received(len(datagram))
 	body, ok := open(m.opt.Keys.Keys(), datagram)
--- a/internal/keyed/client.go
+++ b/internal/keyed/client.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
@@ -239,11 +241,11 @@
 	}
 	switch e := fault.As(err); e.Kind {
 	case fault.Overload:
-		return pause(ctx, max(e.RetryAfter, overloadPause))
+		return pause.For(ctx, max(e.RetryAfter, overloadPause))
 	case fault.Timeout, fault.Unavailable, fault.ShuttingDown:
 		a.client.opt.Members.Check(a.asked)
 		a.tried = append(a.tried, a.asked)
-		return len(a.tried) < len(a.client.opt.Members.Live()) || pause(ctx, a.client.opt.ProbeInterval)
+		return len(a.tried) < len(a.client.opt.Members.Live()) || pause.For(ctx, a.client.opt.ProbeInterval)
 	case fault.LogDown:
 		a.tried = append(a.tried, a.asked)
 		a.logDown++
@@ -253,17 +255,5 @@
 	}
 }
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // errDropped ends a record that became too old to matter.
 var errDropped = errors.New("record is older than any key")
--- a/internal/keyed/fake_test.go
+++ b/internal/keyed/fake_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/shoenig/test/must"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
@@ -73,7 +75,7 @@
 		return fault.Wrap(fault.LogDown, ctx.Err(), "", "no answer")
 	}
 	if latency > 0 {
-		pause(ctx, latency)
+		pause.For(ctx, latency)
 	}
 	return nil
 }
--- a/internal/keyed/outbox.go
+++ b/internal/keyed/outbox.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
@@ -110,7 +112,7 @@
 			continue
 		}
 		klog.V(1).InfoS("Results wait for the log", "shard", b.shard, "err", err)
-		if !pause(ctx, b.client.opt.ProbeInterval) {
+		if !pause.For(ctx, b.client.opt.ProbeInterval) {
 			return
 		}
 	}
--- a/internal/keyed/storm_test.go
+++ b/internal/keyed/storm_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -130,7 +132,7 @@
 // trouble changes the faults every few milliseconds until ctx ends.
 func (c *cluster) trouble(ctx context.Context, r *rand.Rand) {
 	names := []string{"d0", "d1", "d2"}
-	for pause(ctx, time.Duration(5+r.IntN(30))*time.Millisecond) {
+	for pause.For(ctx, time.Duration(5+r.IntN(30))*time.Millisecond) {
 		n := c.nodes[names[r.IntN(3)]]
 		switch r.IntN(8) {
 		case 0:
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,12 +6,15 @@
 	"time"
 )
 
-// For waits for d, or until ctx ends. It returns at once if d is not positive.
-func For(ctx context.Context, d time.Duration) {
+// For waits for d, or until ctx ends, and reports whether ctx is still alive. It
+// returns at once if d is not positive.
+func For(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-ctx.Done():
 	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
+
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -120,7 +122,7 @@
 		}
 		if err != nil {
 			klog.ErrorS(err, "Failed to accept a peer connection")
-			if !pause(ctx, defaultDialTimeout) {
+			if !pause.For(ctx, defaultDialTimeout) {
 				return nil
 			}
 			continue
@@ -129,18 +131,6 @@
 	}
 }
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) admit(ctx context.Context, conn net.Conn) {
 	select {
 	case s.open <- struct{}{}:
