Open no group while a member has an unanswered order

The head of a new formation had not answered its join and still announced its previous group; that counted as having left the new one, so a member was taken for another group, whose join was left unanswered; the head answered, and the group was opened before that join was carried out. Ruled out: the clean-up, the same steps stand in the code before it; the lease, one planner gave all orders. Change: a formation under way whose head is not in yet is forming, and no group is opened while any member has an order that it has not answered. Tests failed before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -116,6 +116,12 @@
 // Judge returns the condition of a group.
 func Judge(s *Snapshot, g *catalog.Group) Condition {
 	head := g.Head()
+	until, own := s.Own[g.ID]
+	joining := own && !s.Now.After(until)
+	if head == nil && joining {
+		// It still announces its previous group; its join is on its way.
+		return Forming
+	}
 	if head == nil || s.Lost[head.ID] {
 		if s.Released[g.ID] {
 			return Over
@@ -146,11 +152,10 @@
 	if strings.HasPrefix(g.ID.Name, PreloadPrefix) {
 		return Over
 	}
-	until, own := s.Own[g.ID]
 	switch {
 	case s.Closed[g.ID]:
 		return Over
-	case !own || leaving || s.Now.After(until):
+	case !joining || leaving:
 		return Unfenced
 	case g.Complete() && !missing:
 		return Openable
@@ -177,7 +182,7 @@
 			counts[g.Model]++
 		case Openable:
 			counts[g.Model]++
-			if !s.Opening[g.ID.Name] && !s.Unanswered[g.Head().ID] {
+			if !s.Opening[g.ID.Name] && !s.awaits(g) {
 				steps = append(steps, Step{Open: g})
 			}
 		case Failed, Draining, Unfenced:
@@ -194,6 +199,12 @@
 	return append(steps, s.fill(free, counts)...)
 }
 
+// awaits reports whether a member has not answered an order: it may yet be
+// joined to another group.
+func (s *Snapshot) awaits(g *catalog.Group) bool {
+	return slices.ContainsFunc(g.Present(), func(e *catalog.Engine) bool { return s.Unanswered[e.ID] })
+}
+
 // release adds an engine to those that may be taken, by domain.
 func (s *Snapshot) release(free map[string][]*catalog.Engine, e *catalog.Engine) {
 	if e.Draining || s.Lost[e.ID] || s.Reserved[e.ID] || s.ZoneOut(e.Zone) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -71,6 +71,13 @@
 		{"open, closed by us but not yet seen", trio(catalog.Open)[:2], func(s *Snapshot) { s.Closed[id] = true }, Failed},
 		{"head gone", trio(catalog.Open)[1:], nil, Ending},
 		{"head gone and released", trio(catalog.Open)[1:], func(s *Snapshot) { s.Released[id] = true }, Over},
+		{"head not yet in, ours", trio(catalog.Ready)[1:], func(s *Snapshot) {
+			// The head still announces its previous group, which looks as if it had left this one.
+			s.Released[id], s.Own[id] = true, s.Now.Add(time.Second)
+		}, Forming},
+		{"head never came, ours, too late", trio(catalog.Ready)[1:], func(s *Snapshot) {
+			s.Released[id], s.Own[id] = true, s.Now.Add(-time.Second)
+		}, Over},
 		{"head silent", trio(catalog.Open), func(s *Snapshot) { s.Lost["i-0"] = true }, Ending},
 		{"preloaded spare", []*catalog.Engine{engine("i-0", "p1", 0, catalog.Ready)}, nil, Over},
 	}
@@ -110,6 +117,8 @@
 	must.Len(t, 1, Plan(s))
 	s.Unanswered = map[string]bool{"i-0": true}
 	must.Len(t, 0, Plan(s), must.Sprint("opened twice"))
+	s.Unanswered = map[string]bool{"i-2": true}
+	must.Len(t, 0, Plan(s), must.Sprint("opened while a member may be joined to another group"))
 	s.Own[id] = s.Now.Add(-time.Second)
 	s.Reserved["i-0"] = true
 	must.Len(t, 0, Plan(s), must.Sprint("closed while the order to open is under way"))
