--- a/internal/procs/daemon.go
+++ b/internal/procs/daemon.go
@@ -31,7 +31,7 @@
 // AddDaemon starts a further daemon; it does not wait until it is ready.
 func (c *Cluster) AddDaemon() (*Daemon, error) {
 	n := len(c.Daemons)
-	d := &Daemon{ID: fmt.Sprintf("entry-%02d", n+1), IP: fmt.Sprintf("127.0.1.%d", n+1)}
+	d := &Daemon{ID: fmt.Sprintf("entry-%02d", n+1), IP: loopbackIP(os.Getpid(), n+1)}
 	if err := c.link(d); err != nil {
 		return nil, err
 	}
@@ -77,10 +77,13 @@
 	if !c.opts.Partitions {
 		return nil
 	}
-	if d.LinkTCP, err = c.proxy(d.ID+"-tcp", faultproxy.TCP, "127.0.0.1:0", d.Peers); err != nil {
+	// One port serves both links, so it has to be free for both networks.
+	if d.advertise, err = freePort(d.IP); err != nil {
+		return err
+	}
+	if d.LinkTCP, err = c.proxy(d.ID+"-tcp", faultproxy.TCP, d.advertise, d.Peers); err != nil {
 		return err
 	}
-	d.advertise = d.LinkTCP.Addr()
 	d.LinkUDP, err = c.proxy(d.ID+"-udp", faultproxy.UDP, d.advertise, d.Peers)
 	return err
 }
