Drop what the planner noted of formations that are over

Cause: the maps of closed, opening, headless and memberless groups and of own formations were emptied only when the lease changed hands, so they grew with each formation of a long lease, and each look walked them.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -44,6 +44,7 @@
 	if cfg == nil || !p.o.Directory.Loaded() || p.o.Directory.EnginesAge() > staleAfter {
 		return
 	}
+	p.pruneDue(cfg)
 	for name, service := range cfg.Services {
 		if service.Engine == nil {
 			continue
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -150,6 +150,9 @@
 	suspects chan string
 	serving  atomic.Bool
 	loads    loadBudget
+	// pruned is the time of the last walk that dropped old notes; only the loop
+	// that plans uses it.
+	pruned time.Time
 }
 
 // staging is a model on its way to an engine's host.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -156,3 +156,28 @@
 	must.Zero(t, p.closed.Len())
 	must.Zero(t, p.own.Len())
 }
+
+// The notes of formations do not grow with a lease's length.
+func TestPruneDropsWhatIsOver(t *testing.T) {
+	now := time.Now()
+	p := New(Options{})
+	past, later := now.Add(-time.Second), now.Add(time.Second)
+	for name, until := range map[string]time.Time{"old": past, "new": later} {
+		p.reserved.Set(name, until)
+		p.unanswered.Set(name, until)
+		p.opening.Set(name, until)
+		p.own.Set(name, formation{until: until})
+		p.staging.Set(name, staging{until: until})
+		p.closed.Set(name, catalog.GroupID{Name: name})
+		p.headless.Set(name, past)
+		p.memberless.Set(name, past)
+	}
+	p.prune(map[string]bool{"new": true}, map[string]bool{"new": true}, now)
+	sizes := []int{
+		p.reserved.Len(), p.unanswered.Len(), p.opening.Len(), p.own.Len(),
+		p.staging.Len(), p.closed.Len(), p.headless.Len(), p.memberless.Len(),
+	}
+	must.Eq(t, []int{1, 1, 1, 1, 1, 1, 1, 1}, sizes)
+	_, ok := p.closed.Get("new")
+	must.True(t, ok)
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -5,6 +5,7 @@
 package shard
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,23 @@
 	}
 }
 
+// DeleteFunc removes the items for which del returns true, shard by shard.
+func (m *Map[V]) DeleteFunc(del func(key string, v V) bool) {
+	for i := range m.parts {
+		m.parts[i].deleteFunc(del)
+	}
+}
+
+func (p *part[V]) deleteFunc(del func(key string, v V) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := len(p.items)
+	maps.DeleteFunc(p.items, del)
+	if len(p.items) < before {
+		p.notify()
+	}
+}
+
 // Update replaces the value under key by fn's result. fn receives the current
 // value (the zero value when absent) and returns the new value and whether the
 // key is kept. It runs under the shard's lock.
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -58,3 +58,19 @@
 	m.Range(func(string, int) bool { n++; return n < 3 })
 	must.Eq(t, 3, n)
 }
+
+func TestDeleteFuncWakesWaiters(t *testing.T) {
+	m := NewMap[int]()
+	m.Set("a", 1)
+	m.Set("b", 2)
+	changed := m.Changed("a")
+	m.DeleteFunc(func(_ string, v int) bool { return v == 1 })
+	must.Eq(t, 1, m.Len())
+	select {
+	case <-changed:
+	default:
+		t.Fatal("the waiter for a removed key was not woken")
+	}
+	_, ok := m.Get("b")
+	must.True(t, ok)
+}
