Let the larger machines read the store and plan

The daemon, on a link of 14 Mbit/s, was chosen by hash to pass all announcements on to 116 others; what it sent to engines waited behind that. Ruled out: the cancellation (the log shows the client's leave noticed at once, and the connection to the first engine closed 3 s earlier). Change: daemons tell their processor share times link rate; the largest machines read and plan, equal ones by hash as before.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/balance"
@@ -21,10 +22,12 @@
 	readers = 2
 	// candidates is the number of daemons that keep a place among the planners.
 	candidates = 4
+	// unplanned is how long nobody must have planned before the daemons compete
+	// that are not among the candidates: two leases, within which a candidate
+	// that reaches the store takes over.
+	unplanned = 2400 * time.Millisecond
 	// meeting is the time after a start in which the other daemons are heard of.
 	meeting = 500 * time.Millisecond
-	// rankPrefix sets this ranking of daemons apart from other uses of the hash.
-	rankPrefix = "rank/"
 )
 
 // topics are the store's topics in the order of a report.
@@ -37,6 +40,8 @@
 	tracker  *balance.Tracker
 	suspects *shard.Map[suspicion]
 	started  time.Duration
+	// lastPlanned is the boot time at which another daemon was last known to plan.
+	lastPlanned atomic.Int64
 }
 
 type suspicion struct {
@@ -59,6 +64,7 @@
 		}
 		r.Topics = append(r.Topics, end)
 	}
+	r.Capacity = g.d.settings.capacity()
 	r.Planning = g.d.planner.Holds()
 	r.Serving = g.d.stats.serving()
 	for id, l := range g.tracker.Own() {
@@ -123,16 +129,16 @@
 }
 
 // reads reports whether this daemon reads the store for the others: it is one
-// of the first readers by a hash of the names of those with a path to the store.
+// of the first readers among those with a path to the store.
 func (g *gossip) reads() bool { return g.rank(readers) }
 
 // rank reports whether fewer than n live daemons with a path to the store come
 // before this one.
 func (g *gossip) rank(n int) bool {
-	own := shard.Hash(rankPrefix + g.d.settings.Node)
+	own := contender{g.d.settings.Node, g.d.settings.capacity()}
 	before := 0
 	for _, p := range g.d.mesh.Live() {
-		if p.Fresh && shard.Hash(rankPrefix+p.Name) < own {
+		if p.Fresh && (contender{p.Name, p.Capacity}).before(own) {
 			before++
 		}
 	}
@@ -140,20 +146,29 @@
 }
 
 // competes reports whether this daemon should be among the candidates for
-// planning: a few suffice while one of them plans.
+// planning: a few suffice, unless none of them has planned for a while.
 func (g *gossip) competes() bool {
-	if boottime.Now()-g.started < meeting {
+	now := boottime.Now()
+	if now-g.started < meeting {
 		return false
 	}
 	if g.rank(candidates) {
 		return true
 	}
+	return now-g.planned(now) > unplanned
+}
+
+// planned returns when another daemon was last known to plan; before that it is
+// the end of the first meeting.
+func (g *gossip) planned(now time.Duration) time.Duration {
+	last := max(g.lastPlanned.Load(), int64(g.started+meeting))
 	for _, p := range g.d.mesh.Live() {
 		if p.Planning {
-			return false
+			last = int64(now)
 		}
 	}
-	return true
+	g.lastPlanned.Store(last)
+	return time.Duration(last)
 }
 
 func loads(r *wire.LoadReport) map[string]balance.Load {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -26,6 +26,10 @@
 	// Store is the address of the metadata store.
 	Store       string
 	MemoryBytes int64
+	// Cores is this machine's processor time in cores, LinkMbps its link's rate in
+	// Mbit/s; 0 where they are not known.
+	Cores    float64
+	LinkMbps float64
 	// MeshPort is the UDP port for datagrams between daemons.
 	MeshPort int
 	// FirstStart is set when the whole system starts for the first time.
@@ -49,6 +53,10 @@
 	MinLeaseTTL time.Duration
 }
 
+// capacity compares what machines can do for others: a machine that is short of
+// either processor time or bandwidth should do little.
+func (s *Settings) capacity() float64 { return s.Cores * s.LinkMbps }
+
 // Check reports all mistakes of the settings as one BadInput error, or nil.
 func (s *Settings) Check() error {
 	var wrong []string
@@ -63,6 +71,7 @@
 	require(isAddr(s.ReadyAddr), "the address for readiness is not an address with a port")
 	require(isAddr(s.Store), "the store's address is not an address with a port")
 	require(s.MeshPort > 0, "the internal port is missing")
+	require(s.Cores >= 0 && s.LinkMbps >= 0, "the processor's share or the link's rate is negative")
 	require(s.Heartbeat > 0, "the engines' heartbeat is not positive")
 	require(s.Grace > 0, "the grace time is not positive")
 	require(s.ConfigBound > 0, "the bound for configurations is not positive")
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -84,6 +84,7 @@
 type peer struct {
 	fresh    bool
 	planning bool
+	capacity float64
 	boot     string
 	echo     int64
 	expires  time.Time
@@ -129,6 +130,8 @@
 	// Fresh tells that the peer knew the store's newest state lately.
 	Fresh    bool
 	Planning bool
+	// Capacity is what the peer's machine can carry, compared with others.
+	Capacity float64
 }
 
 // Live returns the daemons heard of lately, without this one.
@@ -137,7 +140,7 @@
 	var out []Peer
 	m.peers.Range(func(name string, p peer) bool {
 		if now.Before(p.expires) {
-			out = append(out, Peer{Name: name, Fresh: p.fresh, Planning: p.planning})
+			out = append(out, Peer{Name: name, Fresh: p.fresh, Planning: p.planning, Capacity: p.capacity})
 		}
 		return true
 	})
@@ -265,7 +268,7 @@
 	every := time.Duration(r.EveryMS) * time.Millisecond
 	m.peers.Set(r.From, peer{
 		boot: r.Boot, echo: r.SentNS, expires: now.Add(peerGone * every),
-		fresh: followed(r), planning: r.Planning,
+		fresh: followed(r), planning: r.Planning, capacity: r.Capacity,
 	})
 	m.o.Sink.Heard(r)
 }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -16,6 +16,8 @@
 	// Topics tells how far the sender has followed the store's topics, in the
 	// order of package directory.
 	Topics []TopicEnd
+	// Capacity is the sender's share of processor times its link's rate.
+	Capacity float64
 	// Planning tells that the sender holds the planners' lease.
 	Planning bool
 	// Serving tells that the sender has answered a request.
