Pass configurations on and pack what is passed on

Change: records are packed with flate and split into parts of one datagram; the operator's records are passed on like the others; notes are read at most 4 times a second.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -87,8 +87,7 @@
 	// Reads tells whether this daemon reads the store for the others; nil means
 	// that each reads for itself.
 	Reads func() bool
-	// Read is told of the records that were read, but for the operator's; it may
-	// be nil.
+	// Read is told of the records that were read; it may be nil.
 	Read func(t Topic, from uint64, records []Record)
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -153,3 +153,12 @@
 	must.GreaterEq(t, 2*time.Second, d.ConfigAge(), must.Sprint("a peer that knows more proves that this is old"))
 	must.True(t, d.tracks[OperatorTopic].behind())
 }
+
+func TestAConfigurationMayBePassedOn(t *testing.T) {
+	d := newDirectory()
+	d.tracks[OperatorTopic].commit(nil, 3, true, 0, func([]Record) {})
+	d.Pass(OperatorTopic, 3, []Record{rec(3, "config", "config 2")})
+	must.Eq(t, 2, d.Config().Version)
+	d.Pass(OperatorTopic, 5, []Record{rec(5, "config", "config 4")})
+	must.Eq(t, 2, d.Config().Version, must.Sprint("a record before it is missing"))
+}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		returned := r.succeeded()
-		if t != OperatorTopic && !whole && len(records) > 0 {
+		if !whole && len(records) > 0 {
 			// Before the new position is known to others, so that they do not read.
 			d.opts.Read(t, records[0].Offset, records)
 		}
--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -45,9 +45,9 @@
 // within 2 s on the sheets; notes matter for shares of budgets and the next
 // planner only. The engines' pace gathers the announcements of a group's members.
 var pacings = [topicCount]pacing{
-	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.7},
+	OperatorTopic: {wait: 500 * time.Millisecond, guidedPart: 0.7, passPause: 120 * time.Millisecond},
 	EnginesTopic:  {wait: 500 * time.Millisecond, pace: 150 * time.Millisecond, guidedPart: 0.7, passPause: 120 * time.Millisecond},
-	NotesTopic:    {wait: 2 * time.Second, guidedPart: 3, passPause: 500 * time.Millisecond},
+	NotesTopic:    {wait: 2 * time.Second, pace: 250 * time.Millisecond, guidedPart: 3, passPause: 500 * time.Millisecond},
 }
 
 // Cursor is how far a topic has been followed.
@@ -148,10 +148,11 @@
 	}
 }
 
-// Pass takes records of a topic that another daemon has read. The operator's
-// records are not passed on: a configuration is larger than a datagram.
+// Pass takes records of a topic that another daemon has read.
 func (d *Directory) Pass(t Topic, from uint64, records []Record) {
 	switch t {
+	case OperatorTopic:
+		d.tracks[t].extend(from, records, func(fresh []Record) { d.applyOperator(fresh, false) })
 	case EnginesTopic:
 		d.tracks[t].extend(from, records, func(fresh []Record) { d.applyEngines(fresh, false) })
 	case NotesTopic:
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -30,8 +30,12 @@
 	often = 250 * time.Millisecond
 	// maxDatagram keeps a report within one packet.
 	maxDatagram = 1400
-	// pushBytes leaves room in a datagram for keys and framing.
-	pushBytes = 1100
+	// batchBytes is the size of the records that are packed together: about one
+	// datagram of announcements, so that a lost one costs little.
+	batchBytes = 6 << 10
+	// maxSenders bounds the senders whose parts are collected; a few pass on at
+	// a time.
+	maxSenders = 64
 	// maxLoads is the number of engines in a report that fits.
 	maxLoads = 40
 	// readBytes is the size of the receive buffer.
@@ -79,6 +83,11 @@
 	conn  atomic.Pointer[net.UDPConn]
 	peers *shard.Map[peer]
 	wake  chan struct{}
+	// pushes counts what this daemon has passed on.
+	pushes atomic.Int64
+	// assemblies are the pushes under way, by sender; only the receiving loop
+	// uses them.
+	assemblies map[string]*wire.Assembly
 }
 
 type peer struct {
@@ -92,7 +101,7 @@
 
 // New returns a mesh that Run starts.
 func New(o Options) *Mesh {
-	return &Mesh{o: o, peers: shard.NewMap[peer](), wake: make(chan struct{}, 1)}
+	return &Mesh{o: o, peers: shard.NewMap[peer](), wake: make(chan struct{}, 1), assemblies: map[string]*wire.Assembly{}}
 }
 
 // Run sends and receives until ctx ends.
@@ -212,37 +221,46 @@
 			if r.From != "" && r.From != m.o.Node {
 				m.heard(r)
 			}
-		case *wire.RecordPush:
-			m.o.Sink.Passed(r)
+		case *wire.PushPart:
+			m.passed(r)
 		}
 	}
 }
 
-// Push passes records of a topic on to all daemons, in as many datagrams as they
-// need. One that is too large for a datagram is left out, and what follows it:
-// the others see the gap and read the store.
+// Push passes records of a topic on to all daemons, packed in batches. A batch
+// that is too large is left out, and what follows it: the others see the gap and
+// read the store.
 func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
 	for len(records) > 0 {
 		n, size := 0, 0
-		for n < len(records) && (n == 0 || size+len(records[n].Value) < pushBytes) {
+		for n < len(records) && (n == 0 || size+len(records[n].Value) < batchBytes) {
 			size += len(records[n].Value)
 			n++
 		}
-		b, err := wire.EncodeRecordPush(&wire.RecordPush{Topic: topic, From: from, Records: records[:n]})
-		if err != nil || len(b) > maxDatagram {
-			klog.V(1).InfoS("records not passed on", "from", from, "bytes", len(b))
+		push := &wire.RecordPush{Topic: topic, From: from, Records: records[:n]}
+		// Numbers start anew with each process, so its boot is part of the name.
+		parts, err := wire.EncodeRecordPush(m.o.Node+"/"+m.o.Boot, m.pushes.Add(1), push)
+		if err != nil {
+			klog.V(1).ErrorS(err, "records not passed on", "topic", topic, "from", from, "bytes", size)
 			return
 		}
-		for name, addr := range m.o.Source.Peers() {
-			if name != m.o.Node {
-				m.write(b, addr)
-			}
-		}
+		m.sendAll(parts)
 		from += uint64(n)
 		records = records[n:]
 	}
 }
 
+func (m *Mesh) sendAll(parts [][]byte) {
+	for name, addr := range m.o.Source.Peers() {
+		if name == m.o.Node {
+			continue
+		}
+		for _, b := range parts {
+			m.write(b, addr)
+		}
+	}
+}
+
 func (m *Mesh) write(b []byte, addr string) {
 	conn := m.conn.Load()
 	if conn == nil {
@@ -259,6 +277,27 @@
 	}
 }
 
+// passed takes a part of what another daemon passes on. Only the receiving loop
+// calls it.
+func (m *Mesh) passed(p *wire.PushPart) {
+	a, ok := m.assemblies[p.Sender]
+	if !ok {
+		if len(m.assemblies) >= maxSenders {
+			clear(m.assemblies)
+		}
+		a = &wire.Assembly{}
+		m.assemblies[p.Sender] = a
+	}
+	push, err := a.Add(p)
+	if err != nil {
+		klog.V(1).ErrorS(err, "records of another daemon ignored", "sender", p.Sender)
+		return
+	}
+	if push != nil {
+		m.o.Sink.Passed(push)
+	}
+}
+
 func (m *Mesh) heard(r *wire.LoadReport) {
 	now := time.Now()
 	old, known := m.peers.Get(r.From)
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -32,20 +32,6 @@
 	AgeNS int64
 }
 
-// RecordPush passes on records that the sender has read from the store.
-type RecordPush struct {
-	// Topic is the topic's place in the order of package directory.
-	Topic   int
-	From    uint64
-	Records []KeyedValue
-}
-
-// KeyedValue is one record of a keyed topic.
-type KeyedValue struct {
-	Key   string
-	Value []byte
-}
-
 // EngineLoad is the sender's work under way at an engine.
 type EngineLoad struct {
 	Engine   string
@@ -64,21 +50,18 @@
 // Datagrams of the mesh begin with a byte that tells what follows.
 const (
 	loadDatagram = 'L'
-	pushDatagram = 'R'
+	partDatagram = 'R'
 )
 
 // EncodeLoadReport encodes a report.
 func EncodeLoadReport(r *LoadReport) ([]byte, error) { return encodeDatagram(loadDatagram, r) }
 
-// EncodeRecordPush encodes records that are passed on.
-func EncodeRecordPush(r *RecordPush) ([]byte, error) { return encodeDatagram(pushDatagram, r) }
-
 func encodeDatagram(kind byte, v any) ([]byte, error) {
 	b, err := encodeCompact(v)
 	return append([]byte{kind}, b...), err
 }
 
-// DecodeDatagram decodes a datagram of the mesh: a *LoadReport or a *RecordPush.
+// DecodeDatagram decodes a datagram of the mesh: a *LoadReport or a *PushPart.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send it again", "empty datagram")
@@ -87,9 +70,9 @@
 	case loadDatagram:
 		r := &LoadReport{}
 		return r, Unmarshal(b[1:], r)
-	case pushDatagram:
-		r := &RecordPush{}
-		return r, Unmarshal(b[1:], r)
+	case partDatagram:
+		p := &PushPart{}
+		return p, Unmarshal(b[1:], p)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "unknown kind %d", b[0])
 	}
--- a/internal/wire/load_test.go
+++ b/internal/wire/load_test.go
@@ -17,13 +17,6 @@
 	got, err := DecodeDatagram(b)
 	must.NoError(t, err)
 	must.Eq(t, any(report), got)
-
-	push := &RecordPush{Topic: 2, From: 9, Records: []KeyedValue{{"i-1", []byte("{}")}, {"i-2", nil}}}
-	b, err = EncodeRecordPush(push)
-	must.NoError(t, err)
-	got, err = DecodeDatagram(b)
-	must.NoError(t, err)
-	must.Eq(t, any(push), got)
 }
 
 func TestAReportOfABusyDaemonFitsOnePacket(t *testing.T) {
@@ -41,7 +34,7 @@
 	b, err := EncodeLoadReport(&LoadReport{From: "x"})
 	must.NoError(f, err)
 	f.Add(b)
-	f.Add([]byte{pushDatagram, 0x92})
+	f.Add([]byte{partDatagram, 0x92})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if v, err := DecodeDatagram(b); err == nil {
 			must.NotNil(t, v)
