Take engines back for a model that is badly short of groups

Change: a model without groups, or with a gain three times what is lost, gets the cheapest domain: its small groups close in an orderly way and the engines are kept for it. A revision never loads weights that the budget does not allow. Ruled out: the division at the start, which follows the published shares; the rest of the shortage is loads (6 at a time, 16 s each), which nothing shortens.

--- a/internal/placement/divide.go
+++ b/internal/placement/divide.go
@@ -1,33 +1,30 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
 // fill forms groups of free engines, domain by domain, and stages models on
-// what is left over.
-func (s *Snapshot) fill(free map[string][]*catalog.Engine, counts map[string]int) []Step {
+// what is left over. A domain that is kept for a model forms no other group.
+func (s *Snapshot) fill(d *division, kept *claim) []Step {
 	var steps []Step
 	loads := s.Loads
-	domains := make([]string, 0, len(free))
-	for d := range free {
-		domains = append(domains, d)
-	}
-	slices.Sort(domains)
-	for _, d := range domains {
-		left := free[d]
-		for {
-			f, ok := s.best(left, counts, s.Starting)
+	domains := slices.Sorted(maps.Keys(d.free))
+	for _, domain := range domains {
+		left := d.free[domain]
+		for kept == nil || domain != kept.domain {
+			f, ok := s.best(left, d.counts, s.Starting)
 			if !ok {
 				break
 			}
-			counts[f.Model.Name]++
+			d.counts[f.Model.Name]++
 			left = without(left, f.Members)
 			steps = append(steps, Step{Form: &f})
 		}
-		steps = append(steps, s.prepare(left, counts, &loads)...)
+		steps = append(steps, s.prepare(left, d.counts, &loads)...)
 	}
 	return append(steps, s.cover(&loads)...)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -165,37 +165,64 @@
 
 // Plan returns the steps to take now.
 func Plan(s *Snapshot) []Step {
+	steps, d := s.tend()
+	kept := s.revise(d)
+	if kept != nil && len(d.closing) == 0 {
+		for _, g := range kept.close {
+			steps = append(steps, Step{Close: &Close{Group: *g}})
+		}
+	}
+	return append(steps, s.fill(d, kept)...)
+}
+
+// tend returns the steps that single groups need, and the engines' division.
+func (s *Snapshot) tend() ([]Step, *division) {
 	var steps []Step
-	counts := map[string]int{}
-	free := map[string][]*catalog.Engine{}
+	d := &division{
+		counts: map[string]int{}, free: map[string][]*catalog.Engine{},
+		closing: map[string]int{}, healthy: map[string][]*catalog.Group{}, ending: map[string]int{},
+	}
 	for _, e := range s.Engines {
 		if e.Member.State == catalog.NoGroup {
-			s.release(free, e)
+			s.release(d.free, e)
 		}
 	}
 	for i := range s.Groups {
 		g := &s.Groups[i]
 		condition := Judge(s, g)
 		switch condition {
-		case Healthy, Forming:
-			counts[g.Model]++
+		case Healthy:
+			d.counts[g.Model]++
+			if s.Reserved[g.Head().ID] {
+				// It may have been ordered to close just now.
+				d.closing[g.Head().Domain] += len(g.Members)
+				continue
+			}
+			d.healthy[g.Head().Domain] = append(d.healthy[g.Head().Domain], g)
+		case Forming:
+			d.counts[g.Model]++
 		case Openable:
-			counts[g.Model]++
+			d.counts[g.Model]++
 			if !s.Opening[g.ID.Name] && !s.awaits(g) {
 				steps = append(steps, Step{Open: g})
 			}
 		case Failed, Draining, Unfenced:
+			d.ending[g.Model]++
 			if !s.Reserved[g.Head().ID] {
 				steps = append(steps, Step{Close: &Close{Group: *g, Abort: condition != Draining}})
 			}
 		case Over:
 			for _, e := range g.Present() {
-				s.release(free, e)
+				s.release(d.free, e)
 			}
 		case Ending:
+			d.ending[g.Model]++
+			if h := g.Head(); h != nil && h.Member.State == catalog.Closing && !s.Lost[h.ID] {
+				d.closing[h.Domain] += len(g.Present())
+			}
 		}
 	}
-	return append(steps, s.fill(free, counts)...)
+	return steps, d
 }
 
 // awaits reports whether a member has not answered an order: it may yet be
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -204,3 +204,83 @@
 		}
 	})
 }
+
+// groupOf returns an open group of the model in a domain, numbered from first.
+func groupOf(m catalog.Model, domain, name string, first int) []*catalog.Engine {
+	var out []*catalog.Engine
+	for i := range m.Size {
+		state := catalog.Ready
+		if i == 0 {
+			state = catalog.Open
+		}
+		e := engine(fmt.Sprintf("i-%d", first+i), name, i, state)
+		e.Domain, e.Model, e.Staged = domain, m.Name, []string{m.Name}
+		out = append(out, e)
+	}
+	return out
+}
+
+// From days on a deployment with groups of 5 and 2: once small groups had taken
+// the engines of a broken large one, no domain ever had enough for it again.
+func TestALargeModelWithoutGroupsGetsEnginesBack(t *testing.T) {
+	var engines []*catalog.Engine
+	for i := range 3 {
+		engines = append(engines, groupOf(small, "d0", fmt.Sprint("g", i), 10*i)...)
+	}
+	spare := engine("i-99", "", 0, catalog.NoGroup)
+	s := snapshot(append(engines, spare)...)
+	steps := Plan(s)
+	var closed []catalog.Group
+	for _, step := range steps {
+		must.Nil(t, step.Form)
+		if step.Close != nil {
+			must.False(t, step.Close.Abort)
+			closed = append(closed, step.Close.Group)
+		}
+	}
+	must.Len(t, 1, closed, must.Sprint("one group of three and the spare make a group of four"))
+
+	t.Run("no further group closes while the order is under way", func(t *testing.T) {
+		s := snapshot(append(engines, spare)...)
+		s.Reserved[closed[0].Head().ID] = true
+		for _, step := range Plan(s) {
+			must.Nil(t, step.Close)
+		}
+	})
+	t.Run("the engines that come free are kept for it", func(t *testing.T) {
+		closing := closed[0].ID.Name
+		for _, e := range engines {
+			if e.Member.Group.Name == closing && e.Member.Rank == 0 {
+				e.Member.State = catalog.Closing
+			}
+		}
+		more := []*catalog.Engine{engine("i-97", "", 0, catalog.NoGroup), engine("i-98", "", 0, catalog.NoGroup)}
+		for _, e := range append(more, spare) {
+			e.Model, e.Staged = small.Name, []string{small.Name, large.Name}
+		}
+		s := snapshot(append(append(engines, spare), more...)...)
+		for _, step := range Plan(s) {
+			must.Nil(t, step.Form, must.Sprint("three free engines could form a small group"))
+			must.Nil(t, step.Close, must.Sprint("a second group is closed"))
+		}
+	})
+}
+
+func TestGroupsStayWhereTheDivisionIsGoodEnough(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines []*catalog.Engine
+		needs   map[string]float64
+	}{
+		{"each model has one", append(groupOf(small, "d0", "g0", 0), groupOf(large, "d1", "g1", 10)...), map[string]float64{"large": 5, "small": 1}},
+		{"the last small group is not closed", groupOf(small, "d0", "g0", 0), map[string]float64{"large": 5, "small": 1}},
+		{"nobody asks for the large model", append(groupOf(small, "d0", "g0", 0), groupOf(small, "d0", "g1", 10)...), map[string]float64{"large": 0, "small": 1}},
+	}
+	for _, c := range cases {
+		s := snapshot(c.engines...)
+		s.Needs = c.needs
+		for _, step := range Plan(s) {
+			must.Nil(t, step.Close, must.Sprint(c.name))
+		}
+	}
+}
