--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,12 +21,12 @@
 )
 
 const (
-	host      = "shop.example"
-	streamURL = "/draft/1"
-	plainURL  = "/book/1"
+	host      = site.Host
+	streamURL = site.StreamPath
+	plainURL  = site.OncePath
 	goodKey   = "key-1"
-	largeName = "large"
-	smallName = "small"
+	largeName = site.LargeModel
+	smallName = site.SmallModel
 )
 
 // fixture is one store, its engines and daemons.
@@ -61,36 +60,7 @@
 }
 
 // publish puts a configuration with the given version and keys in force.
-func (f *fixture) publish(version int, keys ...string) {
-	model := func(name string, size int) map[string]any {
-		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}
-	}
-	raw, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{
-				"name": "draft", "host": host, "path_prefix": "/draft/", "kind": "stream", "timeout_ms": 20000,
-				"target_latency_ms": 300, "target_gap_ms": 200, "priority": 1, "service": "llm", "max_attempts": 2, "resumable": true,
-			},
-			{
-				"name": "book", "host": host, "path_prefix": "/book/", "kind": "non_idempotent", "timeout_ms": 5000,
-				"target_latency_ms": 300, "priority": 2, "service": "ledger", "max_attempts": 1,
-			},
-		},
-		"services": []map[string]any{
-			{"name": "llm", "health_path": "/healthz", "max_conns": 100, "cold_s": 0.0, "cold_per_s": 0.0, "engine": map[string]any{
-				"slots": 8, "stride": 1, "models": []any{model(largeName, 4), model(smallName, 3)}, "step_ms": 5.0, "read_per_s": 50000.0,
-				"chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 4.0, "loads_at_once": 6,
-				"usual": map[string]any{"prompt": 100, "answer": 10}, "keeps": 1, "form_ms": 10.0,
-			}},
-			{"name": "ledger", "health_path": "/healthz", "max_conns": 100, "cold_s": 0.0, "cold_per_s": 0.0},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
-		"tenants": []map[string]any{{"name": "tenant-1", "api_keys": keys}},
-	})
-	must.NoError(f.t, err)
-	f.store.Put("keyed.op", "config", raw)
-}
+func (f *fixture) publish(version int, keys ...string) { f.store.Publish(version, keys...) }
 
 // addEngines starts n model engines in a fabric domain.
 func (f *fixture) addEngines(domain string, n, events int, pause time.Duration) []*site.Engine {
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -19,6 +19,9 @@
 	// Events is the number of events of a stream, Pause the time between them.
 	Events int
 	Pause  time.Duration
+	// Via returns the address to announce in place of the engine's own; nil for
+	// none. It lets a proxy stand before the engine.
+	Via func(addr string) (string, error)
 }
 
 // Engine is a model engine. It announces itself in the store on each change.
@@ -27,6 +30,9 @@
 	store  *Store
 	server *httptest.Server
 	born   int64
+	// addr is the address that is announced.
+	addr string
+	down atomic.Bool
 
 	mu      sync.Mutex
 	beat    int64
@@ -50,7 +56,14 @@
 	members []string
 }
 
-// StartEngine starts an engine and announces it; Crash or Close ends it.
+// Run is the start of a request at an engine.
+type Run struct {
+	ID, Engine string
+	At         time.Time
+}
+
+// StartEngine starts an engine and announces it; Crash or Close ends it. It
+// panics if the address of Via can't be had, as httptest does for its own.
 func StartEngine(store *Store, c Config) *Engine {
 	e := &Engine{c: c, store: store, born: time.Now().UnixMilli(), hold: make(chan struct{})}
 	mux := http.NewServeMux()
@@ -58,12 +71,22 @@
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("/", e.serve)
 	e.server = httptest.NewServer(mux)
+	e.addr = strings.TrimPrefix(e.server.URL, "http://")
+	if c.Via != nil {
+		addr, err := c.Via(e.addr)
+		if err != nil {
+			panic(err)
+		}
+		e.addr = addr
+	}
+	store.register(e)
 	e.announce()
 	return e
 }
 
 // Crash ends the engine without a word; its entry stays until Lapse.
 func (e *Engine) Crash() {
+	e.down.Store(true)
 	e.Stall()
 	e.server.CloseClientConnections()
 	e.server.Listener.Close() //nolint:errcheck // it is closed either way
@@ -148,7 +171,7 @@
 		models = append(models, map[string]any{"name": e.model, "version": 1})
 	}
 	out := map[string]any{
-		"service": e.c.Service, "address": strings.TrimPrefix(e.server.URL, "http://"), "zone": e.c.Zone,
+		"service": e.c.Service, "address": e.addr, "zone": e.c.Zone,
 		"version": "v1", "slots": e.c.Slots, "state": state, "cold_remaining_ms": 0, "seq": e.beat, "born": e.born,
 		"domain": e.c.Domain, "staged": e.staged, "models": models,
 	}
@@ -199,6 +222,9 @@
 
 // take carries an order out at once and returns the status of its answer.
 func (e *Engine) take(o orderCall) int {
+	if o.Operation == "join" {
+		e.store.noteJoin(e, o)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o.Fence < e.fence {
@@ -261,6 +287,7 @@
 	refuses := !plain && (e.group.State != "open" || e.group.Rank != 0)
 	if !refuses {
 		e.runs = append(e.runs, id)
+		e.store.noteRun(Run{ID: id, Engine: e.c.ID, At: time.Now()})
 	}
 	e.mu.Unlock()
 	w.Header().Set("Request-Id", id)
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -29,8 +29,9 @@
 	groups map[string]*joined
 	down   bool
 	// refused are the callers' addresses that are turned away.
-	calls int
-	lose  int
+	calls   int
+	lose    int
+	journal journal
 }
 
 type topic struct {
@@ -54,7 +55,7 @@
 
 // NewStore starts a store; Close ends it.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*topic{}, groups: map[string]*joined{}}
+	s := &Store{topics: map[string]*topic{}, groups: map[string]*joined{}, journal: journal{engines: map[string]*Engine{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/log-read", s.read)
 	mux.HandleFunc("/log-newest", s.newestPage)
