--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -16,6 +16,7 @@
 		statusEntry(e),
 		watchEntry(e),
 		loadEntry(e),
+		soakEntry(e),
 		standinEntry(e),
 		versionEntry(e),
 	}
--- a/internal/procs/daemon.go
+++ b/internal/procs/daemon.go
@@ -31,7 +31,7 @@
 // AddDaemon starts a further daemon; it does not wait until it is ready.
 func (c *Cluster) AddDaemon() (*Daemon, error) {
 	n := len(c.Daemons)
-	d := &Daemon{ID: fmt.Sprintf("entry-%02d", n+1), IP: loopbackIP(os.Getpid(), n+1)}
+	d := &Daemon{ID: fmt.Sprintf("entry-%02d", n+1), IP: LoopbackIP(os.Getpid(), n+1)}
 	if err := c.link(d); err != nil {
 		return nil, err
 	}
--- a/internal/procs/net.go
+++ b/internal/procs/net.go
@@ -34,7 +34,7 @@
 	firstPort, lastPort = 10_000, 32_767
 	// portTries bounds the search among ports that others hold.
 	portTries = 1000
-	// loopbackNets is the number of networks 127.a.b.0 that loopbackIP uses.
+	// loopbackNets is the number of networks 127.a.b.0 that LoopbackIP uses.
 	loopbackNets = 1 << 16
 )
 
@@ -68,9 +68,9 @@
 	return u.Close() == nil
 }
 
-// loopbackIP returns the address of a process's daemon on the loopback network,
+// LoopbackIP returns the address of a process's daemon on the loopback network,
 // from 1. No address of 127.0.0.0/24 is returned: the stand-ins use that.
-func loopbackIP(pid, daemon int) string {
+func LoopbackIP(pid, daemon int) string {
 	n := pid%(loopbackNets-1) + 1
 	return fmt.Sprintf("127.%d.%d.%d", n>>8, n&0xff, daemon)
 }
--- a/internal/procs/net_test.go
+++ b/internal/procs/net_test.go
@@ -33,10 +33,10 @@
 
 // Clusters of two test programs that run at the same time share no address.
 func TestLoopbackNetworkIsPerProcess(t *testing.T) {
-	must.NotEq(t, loopbackIP(1000, 1), loopbackIP(1001, 1))
-	must.NotEq(t, loopbackIP(1000, 1), loopbackIP(1000, 2))
+	must.NotEq(t, LoopbackIP(1000, 1), LoopbackIP(1001, 1))
+	must.NotEq(t, LoopbackIP(1000, 1), LoopbackIP(1000, 2))
 	for _, pid := range []int{1, 255, 65535, 4194303} {
-		ip := net.ParseIP(loopbackIP(pid, 3))
+		ip := net.ParseIP(LoopbackIP(pid, 3))
 		must.NotNil(t, ip)
 		must.True(t, ip.IsLoopback())
 		must.NotEq(t, "127.0.0", ip.String()[:7], must.Sprint("the stand-ins' own network"))
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -9,8 +9,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -148,6 +150,16 @@
 	t.records = nil
 }
 
+// TruncateAll drops the history of all topics; the newest records stay.
+func (s *Store) TruncateAll() {
+	s.mu.Lock()
+	names := slices.Collect(maps.Keys(s.topics))
+	s.mu.Unlock()
+	for _, name := range names {
+		s.Truncate(name)
+	}
+}
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, errFrom := strconv.ParseUint(q.Get("from"), 10, 64)
