Let a lapsed member join the stand-in's group anew

Cause: joined.renew knew members by when they were seen, so one that had lapsed and came back alone was not a member, and the store divided by zero members while it held its lock. The test failed before.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -286,10 +286,10 @@
 			live = append(live, m)
 		}
 	}
-	if _, known := g.seen[member]; !known {
+	if !slices.Contains(live, member) {
 		live = append(live, member)
 	}
-	if len(live) != len(g.members) {
+	if !slices.Equal(live, g.members) {
 		g.generation++
 	}
 	g.members = live
