Leave room for the loads of two earlier planners

Change: a planner that saw the lease dealt anew twice within the window, or that joined within it, subtracts what two others may have started: the smaller of their part and the loads that may run at once.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -33,9 +32,6 @@
 	// staleAfter is the age of the last read of announcements from which the
 	// planner waits: what it believes of the groups may be over.
 	staleAfter = 1200 * time.Millisecond
-	// loadPart is the part of the published rate of loads that is used: loads of
-	// an earlier planner may count in the same window.
-	loadPart = 0.55
 )
 
 // act takes the steps that the state asks for.
@@ -326,30 +322,3 @@
 	}
 	return err.Error()
 }
-
-// loadBudget keeps the start of loads below the published rate.
-type loadBudget struct {
-	mu    sync.Mutex
-	spent []time.Time
-}
-
-// loadWindow is the time over which loads are counted.
-const loadWindow = 5 * time.Second
-
-// available returns how many loads may start now.
-func (b *loadBudget) available(spec *catalog.EngineModel, now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for len(b.spent) > 0 && now.Sub(b.spent[0]) > loadWindow {
-		b.spent = b.spent[1:]
-	}
-	return max(0, int(loadPart*spec.LoadsPerSecond*loadWindow.Seconds())-len(b.spent))
-}
-
-func (b *loadBudget) take(n int, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for range n {
-		b.spent = append(b.spent, now)
-	}
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -150,6 +150,9 @@
 	suspects chan string
 	serving  atomic.Bool
 	loads    loadBudget
+	// changes are the times at which the lease was dealt anew; only the loop that
+	// renews it uses them.
+	changes leaseChanges
 	// pruned is the time of the last walk that dropped old notes; only the loop
 	// that plans uses it.
 	pruned time.Time
@@ -258,6 +261,8 @@
 
 func (p *Planner) noteLease(held bool, generation int64, begun time.Duration) {
 	was := p.Holds()
+	now := time.Now()
+	p.changes.note(generation > p.generation.Load(), now)
 	p.generation.Store(max(generation, p.generation.Load()))
 	if !held {
 		p.leaseEnd.Store(0)
@@ -271,6 +276,9 @@
 		p.heldSince.Store(int64(boottime.Now()))
 		p.forget()
 		p.doubtAll()
+		if !p.o.FirstStart && p.changes.crowded(now) {
+			p.loads.share(now)
+		}
 		klog.InfoS("planner gained", "generation", generation)
 	}
 	p.heldAs.Store(generation)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -181,3 +181,46 @@
 	_, ok := p.closed.Get("new")
 	must.True(t, ok)
 }
+
+// Each planner keeps within its part of the published rate of loads; a third
+// one within the same window leaves room for what two others may have started.
+func TestAThirdPlannerInAWindowLeavesRoom(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return begun.Add(time.Duration(s * float64(time.Second))) }
+	cases := []struct {
+		name    string
+		changes []float64
+		gained  float64
+		crowded bool
+	}{
+		{"nothing known of the time before it joined", nil, 2, true},
+		{"the lease had one holder for long", []float64{60}, 60, false},
+		{"the holder before had it for long", []float64{10, 60}, 60, false},
+		{"the holder before had it for a moment", []float64{58, 60}, 60, true},
+		{"the holder before had it for longer than the window", []float64{54, 60}, 60, false},
+	}
+	for _, c := range cases {
+		var l leaseChanges
+		l.note(true, begun)
+		for _, s := range c.changes {
+			l.note(true, at(s))
+		}
+		l.note(false, at(c.gained))
+		must.Eq(t, c.crowded, l.crowded(at(c.gained)), must.Sprint(c.name))
+	}
+	for _, c := range []struct{ rate, atOnce, alone, shared int }{
+		{4, 6, 11, 8},
+		{18, 27, 49, 36},
+		{4, 20, 11, 0},
+		{4, 2, 11, 11},
+	} {
+		var b loadBudget
+		spec := &catalog.EngineModel{LoadsPerSecond: float64(c.rate), LoadsAtOnce: c.atOnce}
+		must.Eq(t, c.alone, b.available(spec, begun))
+		b.share(begun)
+		must.Eq(t, c.shared, b.available(spec, at(4)), must.Sprintf("%+v", c))
+		// The platform's ceiling is 1.1 of the published rate over 5 s.
+		must.LessEq(t, 1.1*float64(c.rate*5), float64(c.shared+2*min(c.alone, c.atOnce)), must.Sprintf("%+v", c))
+		must.Eq(t, c.alone, b.available(spec, at(5)))
+	}
+}
