Let the stand-in publish shares as the users' sheets do

Cause: TestMembersAreTakenAfterTheClose waits for the large model on four engines. With published shares read as parts of the engines, equal shares of models of 4 and 3 engines prefer the small one. The sheets publish 4/7 and 3/7 for such sizes, one group of each; the stand-in now does the same. The test's checks are as they were.

--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -58,7 +58,8 @@
 
 func engineModel() map[string]any {
 	model := func(name string, size int) map[string]any {
-		return map[string]any{"name": name, "size": size, "share": 0.5, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}
+		share := float64(size) / (LargeSize + SmallSize) // of the engines: as many groups of each
+		return map[string]any{"name": name, "size": size, "share": share, "pace": 1.0, "load_s": 1.0, "warm_s": 0.1}
 	}
 	return map[string]any{
 		"slots": 8, "stride": 1, "models": []any{model(LargeModel, LargeSize), model(SmallModel, SmallSize)},
