--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -27,13 +27,15 @@
 	// streamEvents and eventPause make a stream last long enough to meet faults.
 	streamEvents = 40
 	eventPause   = 10 * time.Millisecond
-	frontPort    = 8227
-	readyPort    = 8220
-	meshPort     = 7340
-	graceS       = 4
-	configMS     = 2000
-	revokeMS     = 3000
-	stallMS      = 2000
+	// plainWork is the time that engines without models take for a request.
+	plainWork = 20 * time.Millisecond
+	frontPort = 8227
+	readyPort = 8220
+	meshPort  = 7340
+	graceS    = 4
+	configMS  = 2000
+	revokeMS  = 3000
+	stallMS   = 2000
 	// exitSlack is added to the grace time before a daemon counts as stuck.
 	exitSlack = time.Second
 	// lapse is the time after which the store drops the entry of a dead engine:
@@ -83,7 +85,7 @@
 		})
 	}
 	for range plainEngines {
-		c.addEngine(site.Config{Service: site.PlainService, Zone: "a", Slots: 8})
+		c.addEngine(site.Config{Service: site.PlainService, Zone: "a", Slots: 8, Pause: plainWork})
 	}
 	for i := range daemons {
 		d, err := c.newDaemon(i)
@@ -192,11 +194,20 @@
 	c.engines = append(c.engines, e)
 }
 
-// engine returns an engine that lives.
+// engine returns an engine that lives, in a third of the cases one without models.
 func (c *cluster) engine(target int) *engine {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.engines[target%len(c.engines)]
+	var some []*engine
+	for _, e := range c.engines {
+		if (e.config.Service == site.PlainService) == (target%3 == 0) {
+			some = append(some, e)
+		}
+	}
+	if len(some) == 0 {
+		some = c.engines
+	}
+	return some[target/3%len(some)]
 }
 
 // remove takes an engine out of those that live, unless it was taken before.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,6 +18,8 @@
 	lostAppends = 3
 	// drainFor is how long an engine that drains goes on.
 	drainFor = 2500 * time.Millisecond
+	// lostAnswers is the number of answers of an engine that are lost.
+	lostAnswers = 4
 	// restartAfter is the time from a kill to the next start.
 	restartAfter = 300 * time.Millisecond
 )
@@ -107,6 +109,8 @@
 		in.during(ctx, e.link, faultproxy.Faults{HoldToClient: true, HoldToTarget: true}, f.For)
 	case EngineHold:
 		in.during(ctx, e.link, faultproxy.Faults{HoldToClient: true}, f.For)
+	case EngineLoses:
+		in.during(ctx, e.link, faultproxy.Faults{DropAnswers: lostAnswers}, f.For)
 	case EngineDelay:
 		in.during(ctx, e.link, faultproxy.Faults{DelayMs: delayMS}, f.For)
 	default:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -29,11 +29,13 @@
 	EngineSilent  Kind = "engine_silent"
 	EngineHold    Kind = "engine_hold" // requests arrive, answers stand still
 	EngineDelay   Kind = "engine_delay"
+	EngineLoses   Kind = "engine_loses" // requests run, their answers are lost
 )
 
 var kinds = []Kind{
 	DaemonKill, DaemonStop, DaemonPause, StoreReset, StoreNoAnswer, StoreSilent, StoreDelay, StoreDown, StoreLoses,
 	StoreTruncate, KeyRevoke, EngineCrash, EngineCrash, EngineDrain, EngineReset, EngineSilent, EngineHold, EngineDelay,
+	EngineLoses, EngineLoses,
 }
 
 const (
@@ -53,7 +55,8 @@
 type Fault struct {
 	At   time.Duration
 	Kind Kind
-	// Target picks the daemon or the engine, modulo their number then.
+	// Target picks the daemon or the engine, modulo their number then. Faults of
+	// engines hit those that serve no models in a third of the cases.
 	Target int
 	For    time.Duration
 }
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -16,7 +16,8 @@
 type Config struct {
 	ID, Service, Zone, Domain string
 	Slots                     int
-	// Events is the number of events of a stream, Pause the time between them.
+	// Events is the number of events of a stream, 0 for an engine without models.
+	// Pause is the time between them, or before the answer of such an engine.
 	Events int
 	Pause  time.Duration
 	// Via returns the address to announce in place of the engine's own; nil for
@@ -298,6 +299,7 @@
 	}
 	w.Header().Set("Response-Seal", "seal-"+e.c.ID)
 	if plain {
+		time.Sleep(e.c.Pause)
 		fmt.Fprintf(w, "tenant=%s", r.Header.Get("Tenant"))
 		return
 	}
