Let the soak use keys that were taken away, at daemons that do not hear of it

Now a quarter of the requests do, and a daemon may be cut off from the store for twice the bound when a key goes.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -22,6 +22,9 @@
 	think = 30 * time.Millisecond
 	// retryAfter is the pause of a client that can't reach its daemon.
 	retryAfter = 100 * time.Millisecond
+	// oldKeys is the part of the requests that come with the key before the one in
+	// force.
+	oldKeys = 0.25
 	// callTimeout ends a call that hangs; it is above the requests' own deadline.
 	callTimeout = 25 * time.Second
 )
@@ -39,7 +42,9 @@
 	return k
 }
 
-func (k *keys) name() string { return fmt.Sprintf("key-%d", k.version) }
+func (k *keys) name() string { return keyName(k.version) }
+
+func keyName(version int) string { return fmt.Sprintf("key-%d", version) }
 
 func (k *keys) current() string {
 	k.mu.Lock()
@@ -47,6 +52,13 @@
 	return k.name()
 }
 
+// previous returns the key that was taken away last.
+func (k *keys) previous() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return keyName(k.version - 1)
+}
+
 // rotate takes the key away and puts the next one in force.
 func (k *keys) rotate(store *site.Store) {
 	k.mu.Lock()
@@ -96,6 +108,9 @@
 // next draws a call.
 func (c *crowd) next(rng *rand.Rand) site.Call {
 	call := site.Call{ID: fmt.Sprintf("request-%d", c.number.Add(1)), Key: c.keys.current(), Method: http.MethodPost}
+	if rng.Float64() < oldKeys {
+		call.Key = c.keys.previous()
+	}
 	switch rng.IntN(4) {
 	case 0:
 		call.Path = site.OncePath
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -20,6 +20,9 @@
 	drainFor = 2500 * time.Millisecond
 	// lostAnswers is the number of answers of an engine that are lost.
 	lostAnswers = 4
+	// revokeCut is how long a daemon does not hear that a key was revoked: well
+	// beyond the bound, so that keys it trusts too long are used.
+	revokeCut = 2 * revokeMS * time.Millisecond
 	// restartAfter is the time from a kill to the next start.
 	restartAfter = 300 * time.Millisecond
 )
@@ -77,6 +80,10 @@
 		in.c.store.LoseAppends(lostAppends)
 	case StoreTruncate:
 		in.c.store.TruncateAll()
+	case KeyRevokeCut:
+		in.wg.Go(func() { in.during(ctx, d.store, faultproxy.Faults{HoldToClient: true, HoldToTarget: true}, revokeCut) })
+		pause.For(ctx, leastFor)
+		in.keys.rotate(in.c.store)
 	case KeyRevoke:
 		in.keys.rotate(in.c.store)
 	default:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -23,6 +23,7 @@
 	StoreLoses    Kind = "store_loses"
 	StoreTruncate Kind = "store_truncate"
 	KeyRevoke     Kind = "key_revoke"
+	KeyRevokeCut  Kind = "key_revoke_cut" // while a daemon does not hear of it
 	EngineCrash   Kind = "engine_crash"
 	EngineDrain   Kind = "engine_drain"
 	EngineReset   Kind = "engine_reset"
@@ -34,7 +35,7 @@
 
 var kinds = []Kind{
 	DaemonKill, DaemonStop, DaemonPause, StoreReset, StoreNoAnswer, StoreSilent, StoreDelay, StoreDown, StoreLoses,
-	StoreTruncate, KeyRevoke, EngineCrash, EngineCrash, EngineDrain, EngineReset, EngineSilent, EngineHold, EngineDelay,
+	StoreTruncate, KeyRevoke, KeyRevokeCut, EngineCrash, EngineCrash, EngineDrain, EngineReset, EngineSilent, EngineHold, EngineDelay,
 	EngineLoses, EngineLoses,
 }
 
