--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/logging"
 	"github.com/ragwortquay/ragwortquay/internal/operate"
 )
 
@@ -66,18 +67,11 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
-		Logger:                       quietLogger{},
+		Logger:                       logging.QuietHTTP{},
 	}
 	return s
 }
 
-// quietLogger drops fasthttp's own lines: each is about a client that sent
-// nonsense or went away, and such a client has its answer.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -46,7 +46,7 @@
 		s.Limits.check(),
 		checkDuration("shutdown.unready", s.Shutdown.Unready, 0, maxInterval),
 		checkDuration("shutdown.drain", s.Shutdown.Drain, 0, maxInterval),
-		checkRange("log.verbosity", s.Log.Verbosity, 0, 10),
+		fault.CheckRange("log.verbosity", s.Log.Verbosity, 0, 10),
 	)
 }
 
@@ -83,7 +83,7 @@
 		checkURL("platform.weights", p.Weights),
 		checkDuration("platform.timeout", p.Timeout, minInterval, time.Minute),
 		checkDuration("platform.log_retention", p.Retention, minRetention, maxRetention),
-		checkRange("platform.snapshot_records", p.SnapshotRecords, 10, 1_000_000),
+		fault.CheckRange("platform.snapshot_records", p.SnapshotRecords, 10, 1_000_000),
 	)
 }
 
@@ -105,7 +105,7 @@
 		checkDuration("targets.first_byte_timeout", t.FirstByte, 100*time.Millisecond, maxInterval),
 		checkDuration("targets.silence_timeout", t.Silence, 100*time.Millisecond, maxInterval),
 		checkDuration("targets.report_interval", t.ReportInterval, minInterval, time.Minute),
-		checkRange("targets.max_answer_bytes", t.MaxAnswerBytes, 1, maxBytes),
+		fault.CheckRange("targets.max_answer_bytes", t.MaxAnswerBytes, 1, maxBytes),
 	)
 }
 
@@ -119,7 +119,7 @@
 
 func (s Settings) checkOnce() error {
 	errs := []error{
-		checkRange("once.shards", s.Once.Shards, 1, maxShards),
+		fault.CheckRange("once.shards", s.Once.Shards, 1, maxShards),
 		checkDuration("once.max_key_age", s.Once.MaxKeyAge, time.Second, maxRetention),
 	}
 	if limit := time.Duration(s.Platform.Retention) / keyAgeDivisor; time.Duration(s.Once.MaxKeyAge) > limit {
@@ -130,9 +130,9 @@
 
 func (l Limits) check() error {
 	return errors.Join(
-		checkRange("limits.max_body_bytes", l.MaxBodyBytes, 1, maxBytes),
-		checkRange("limits.max_header_bytes", l.MaxHeaderBytes, 1024, 1<<20),
-		checkRange("limits.max_connections", l.MaxConnections, 1, maxConns),
+		fault.CheckRange("limits.max_body_bytes", l.MaxBodyBytes, 1, maxBytes),
+		fault.CheckRange("limits.max_header_bytes", l.MaxHeaderBytes, 1024, 1<<20),
+		fault.CheckRange("limits.max_connections", l.MaxConnections, 1, maxConns),
 		checkDuration("limits.idle_timeout", l.IdleTimeout, minInterval, maxInterval),
 		checkDuration("limits.read_timeout", l.ReadTimeout, minInterval, maxInterval),
 	)
@@ -168,13 +168,6 @@
 	return nil
 }
 
-func checkRange(field string, v, low, high int) error {
-	if v < low || v > high {
-		return fault.Invalid(field, fmt.Sprintf("use a number from %d to %d", low, high), "%d is out of range", v)
-	}
-	return nil
-}
-
 func checkDuration(field string, d tomlfile.Duration, low, high time.Duration) error {
 	v := time.Duration(d)
 	if v < low || v > high {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/dispatch"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/logging"
 )
 
 // Dispatcher serves parsed requests.
@@ -82,18 +83,11 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
-		Logger:                       quietLogger{},
+		Logger:                       logging.QuietHTTP{},
 	}
 	return s
 }
 
-// quietLogger drops fasthttp's own lines: each error it would print has been
-// answered or belongs to a caller that went away.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
 // Run serves until ctx ends, then closes the connections at once; call Drain
 // first for a graceful end.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -157,17 +157,12 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return fault.Wrap(fault.TooLarge, err, "ask for fewer records", "answer of %s", c.base)
 	}
-	if errors.Is(err, fasthttp.ErrTimeout) || isTimeout(err) {
+	if errors.Is(err, fasthttp.ErrTimeout) || fault.IsTimeout(err) {
 		return fault.Wrap(fault.Timeout, err, remedy, "call %s", c.base)
 	}
 	return fault.Wrap(fault.Unavailable, err, remedy, "call %s", c.base)
 }
 
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
-
 func ended(err error) *fault.Error {
 	return fault.Wrap(fault.Timeout, err, "give the call more time", "call ended by its caller")
 }
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -16,8 +16,8 @@
 		checkNames(at+".workspaces", r.Workspaces, true),
 		checkNames(at+".kinds", r.Kinds, true),
 		checkNames(at+".pools", r.Pools, true),
-		checkRange(at+".priority", r.Priority, 0, MaxPriority),
-		checkRange(at+".retries", r.Retries, 0, MaxRetries),
+		fault.CheckRange(at+".priority", r.Priority, 0, MaxPriority),
+		fault.CheckRange(at+".retries", r.Retries, 0, MaxRetries),
 		r.checkDeadline(at),
 		r.checkRetry(at),
 	)
@@ -46,10 +46,10 @@
 		p.checkKind(at),
 		checkNames(at+".vms", p.VMs, false),
 		checkNames(at+".withdrawn", p.Withdrawn, false),
-		checkRange(at+".vms", len(p.VMs), 0, MaxVMs),
-		checkRange(at+".group_size", p.GroupSize, 1, MaxGroupSize),
-		checkRange(at+".limit", p.Limit, 1, MaxLimit),
-		checkRange(at+".cold_limit", p.ColdLimit, 1, max(1, p.Limit)),
+		fault.CheckRange(at+".vms", len(p.VMs), 0, MaxVMs),
+		fault.CheckRange(at+".group_size", p.GroupSize, 1, MaxGroupSize),
+		fault.CheckRange(at+".limit", p.Limit, 1, MaxLimit),
+		fault.CheckRange(at+".cold_limit", p.ColdLimit, 1, max(1, p.Limit)),
 	)
 }
 
@@ -97,10 +97,3 @@
 	}
 	return errors.Join(errs...)
 }
-
-func checkRange(field string, v, low, high int) error {
-	if v < low || v > high {
-		return fault.Invalid(field, fmt.Sprintf("use a number from %d to %d", low, high), "%d is out of range", v)
-	}
-	return nil
-}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -250,14 +250,9 @@
 		return fault.Wrap(fault.Unavailable, err, "try again; the target is down", "connect to %s", r.Addr).WithOutcome(fault.NotRun)
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return fault.Wrap(fault.Overload, err, "try again later", "connections to %s", r.Addr).WithOutcome(fault.NotRun)
-	case isTimeout(err):
+	case fault.IsTimeout(err):
 		return fault.Wrap(fault.Timeout, err, "check the target", "no answer from %s", r.Addr)
 	default:
 		return fault.Wrap(fault.Interrupted, err, "check the target", "exchange with %s", r.Addr)
 	}
 }
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/internal/target/response.go
+++ b/internal/target/response.go
@@ -145,7 +145,7 @@
 		return fault.New(fault.Interrupted, "check the target", "stream stopped before its end event")
 	case errors.Is(err, bufio.ErrTooLong):
 		return fault.Wrap(fault.TooLarge, err, "report the target", "stream event exceeds %d bytes", maxEventLineBytes)
-	case isTimeout(err):
+	case fault.IsTimeout(err):
 		return fault.Wrap(fault.Timeout, err, "check the target", "stream went silent")
 	default:
 		return fault.Wrap(fault.Interrupted, err, "check the target", "stream was cut")
