--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -117,11 +117,12 @@
 // Needs returns each model's part of the service's work, in groups of it: by the requests under
 // way, or as measured here, or as published while too little is known. A model
 // without groups has nothing under way; its part is the measured or published one.
-// The published share is of the engines, so a large group takes more of it.
+// The published share is of the engines, so a large group takes more of it. All
+// are weighed by the models' pace.
 func (d *Demand) Needs(service *catalog.Service, now time.Time) map[string]float64 {
 	out := map[string]float64{}
 	for _, m := range service.Engine.Models {
-		out[m.Name] = m.Share / float64(max(1, m.Size))
+		out[m.Name] = m.Share * m.Pace / float64(max(1, m.Size))
 	}
 	s, ok := d.services.Get(service.Name)
 	if !ok {
@@ -133,25 +134,28 @@
 	if s.count >= demandEnough {
 		maps.Copy(out, s.models)
 	}
-	return s.byOccupancy(out)
+	return s.byOccupancy(service.Engine, out)
 }
 
 // byOccupancy scales the needs of the models that have requests under way to
-// divide as those do; the others keep their part of the whole.
-func (s *demand) byOccupancy(needs map[string]float64) map[string]float64 {
-	total, known := 0.0, 0.0
-	for m, n := range s.underWay {
-		if n >= 1 {
+// divide as those do, weighed by their pace: a slow model's first event comes
+// later at the same use of its slots, so its groups must be used less. The others
+// keep their part of the whole.
+func (s *demand) byOccupancy(spec *catalog.EngineModel, needs map[string]float64) map[string]float64 {
+	total, weighed, known := 0.0, 0.0, 0.0
+	for _, m := range spec.Models {
+		if n := s.underWay[m.Name]; n >= 1 {
 			total += n
-			known += needs[m]
+			weighed += n * m.Pace
+			known += needs[m.Name]
 		}
 	}
-	if total < occupancyEnough {
+	if total < occupancyEnough || weighed <= 0 {
 		return needs
 	}
-	for m, n := range s.underWay {
-		if n >= 1 {
-			needs[m] = known * n / total
+	for _, m := range spec.Models {
+		if n := s.underWay[m.Name]; n >= 1 {
+			needs[m.Name] = known * n * m.Pace / weighed
 		}
 	}
 	return needs
