Count the daemons without copying them

Cause, found in a read of the whole change: Choose asked for the number of daemons twice for each candidate, and each time the directory copied its map of all of them to take its length; the planner copied all noted heads to look one up. Change: DaemonCount and Head ask the shards; the spread of near engines is taken once a choice. Decisions stay as they are.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -54,6 +54,7 @@
 	var best Choice
 	var bestScore float64
 	found := false
+	near := t.near()
 	for _, c := range cands {
 		st := t.Status(c.Head, c.Service.ColdPerSecond, now)
 		if st.Suspect != doubtful {
@@ -67,7 +68,7 @@
 		if c.Head.Zone != zone {
 			score *= farPenalty
 		}
-		score *= 1 + t.near()*rand.Float64()
+		score *= 1 + near*rand.Float64()
 		if !found || score < bestScore {
 			best, bestScore, found = Choice{c, pred, st.Load}, score, true
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -208,6 +208,12 @@
 	return out
 }
 
+// DaemonCount returns the number of daemons that announced themselves.
+func (d *Directory) DaemonCount() int { return d.daemons.Len() }
+
+// Head returns the head that a planner wrote down for a group. It may be gone.
+func (d *Directory) Head(group string) (*catalog.Engine, bool) { return d.heads.Get(group) }
+
 // Heads returns the heads that planners wrote down, by the group's name. They
 // may be gone.
 func (d *Directory) Heads() map[string]*catalog.Engine {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -171,7 +171,7 @@
 
 // fleet returns the number of daemons that share what is bounded for all.
 func (d *Daemon) fleet() int {
-	n := len(d.directory.Daemons())
+	n := d.directory.DaemonCount()
 	if n == 0 {
 		return fleetGuess
 	}
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -299,7 +299,7 @@
 	id := ""
 	if h := g.Head(); h != nil {
 		id = h.ID
-	} else if h, ok := p.o.Directory.Heads()[g.ID.Name]; ok {
+	} else if h, ok := p.o.Directory.Head(g.ID.Name); ok {
 		id = h.ID
 	} else {
 		id = p.lastHead(g.ID)
