--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -25,17 +25,17 @@
 }
 
 func TestPredict(t *testing.T) {
-	idle := Predict(spec, 1, 1, Load{}, Work{PromptTokens: 1000})
+	idle := Predict(spec, 1, Load{}, Work{PromptTokens: 1000})
 	cases := []struct {
 		name string
 		pred Prediction
 		more bool
 	}{
-		{"a busy group", Predict(spec, 1, 1, Load{InFlight: 9, Pending: 5000}, Work{PromptTokens: 1000}), true},
-		{"a full group", Predict(spec, 1, 1, Load{InFlight: 12}, Work{PromptTokens: 1000}), true},
-		{"a slow group", Predict(spec, 1, 2, Load{}, Work{PromptTokens: 1000}), true},
-		{"a long prompt", Predict(spec, 1, 1, Load{}, Work{PromptTokens: 4000}), true},
-		{"a quick model", Predict(spec, 0.6, 1, Load{}, Work{PromptTokens: 1000}), false},
+		{"a busy group", Predict(spec, 1, Load{InFlight: 9, Pending: 5000}, Work{PromptTokens: 1000}), true},
+		{"a full group", Predict(spec, 1, Load{InFlight: 12}, Work{PromptTokens: 1000}), true},
+		{"a slow group", Predict(spec, 2, Load{}, Work{PromptTokens: 1000}), true},
+		{"a long prompt", Predict(spec, 1, Load{}, Work{PromptTokens: 4000}), true},
+		{"a quick model", Predict(spec, 0.6, Load{}, Work{PromptTokens: 1000}), false},
 	}
 	for _, c := range cases {
 		must.Eq(t, c.more, c.pred.First > idle.First, must.Sprint(c.name))
@@ -147,7 +147,7 @@
 	}
 	for _, c := range cases {
 		cand := llm(head("a"))
-		choice := Choice{Candidate: cand, Load: c.load, Predicted: Predict(spec, 1, 1, c.load, Work{PromptTokens: 4000})}
+		choice := Choice{Candidate: cand, Load: c.load, Predicted: Predict(spec, 1, c.load, Work{PromptTokens: 4000})}
 		must.Eq(t, c.want, Admit(choice, aim), must.Sprint(c.name))
 	}
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -79,7 +79,7 @@
 // predict returns the expected course at the candidate.
 func (c *Candidate) predict(st Status, w Work) Prediction {
 	if spec := c.Service.Engine; spec != nil {
-		return Predict(spec, c.Pace, 1, st.Load, w)
+		return Predict(spec, c.Pace, st.Load, w)
 	}
 	mean := max(st.MeanAnswer, defaultAnswer)
 	slots := max(1, c.Head.Slots)
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -51,31 +51,20 @@
 	if !ok {
 		return
 	}
-	work := m.Pace * GroupTime(spec, w)
-	d.services.Update(service.Name, func(s *demand, ok bool) (*demand, bool) {
-		if !ok {
-			s = newDemand(now)
-		}
-		s.add(model, work, now)
-		return s, true
-	})
+	d.of(service.Name, now).add(model, m.Pace*GroupTime(spec, w), now)
 }
 
-func newDemand(now time.Time) *demand {
-	return &demand{models: map[string]float64{}, underWay: map[string]float64{}, at: now, underWayAt: now}
+func (d *Demand) of(service string, now time.Time) *demand {
+	return d.services.GetOrMake(service, func() *demand {
+		return &demand{models: map[string]float64{}, underWay: map[string]float64{}, at: now, underWayAt: now}
+	})
 }
 
 // Occupied notes the requests that all daemons have under way at a service's
 // groups, by model. Each holds a slot of a group for as long as its work takes, so
 // that they divide as the work does.
 func (d *Demand) Occupied(service string, underWay map[string]int, now time.Time) {
-	d.services.Update(service, func(s *demand, ok bool) (*demand, bool) {
-		if !ok {
-			s = newDemand(now)
-		}
-		s.occupied(underWay, now)
-		return s, true
-	})
+	d.of(service, now).occupied(underWay, now)
 }
 
 func (s *demand) occupied(underWay map[string]int, now time.Time) {
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -44,16 +44,14 @@
 )
 
 // Predict returns the expected course of work at a group that serves a model
-// with the given pace, from the engine model that operators publish. slow is a
-// factor for an engine that works slower than its model; 1 is normal.
-func Predict(spec *catalog.EngineModel, pace, slow float64, l Load, w Work) Prediction {
-	factor := pace * max(1, slow)
+// with the given pace, from the engine model that operators publish.
+func Predict(spec *catalog.EngineModel, pace float64, l Load, w Work) Prediction {
 	running := min(l.InFlight, spec.Slots)
 	context := float64(running) * (spec.UsualPrompt + spec.UsualAnswer/2) / tokensPerK
-	step := factor * (spec.StepMS + spec.PerSequenceMS*float64(running) + spec.ContextMSPerK*context)
+	step := pace * (spec.StepMS + spec.PerSequenceMS*float64(running) + spec.ContextMSPerK*context)
 	pass := step * float64(max(1, spec.Stride))
-	read := factor * readMS(spec, float64(l.Pending)+float64(w.PromptTokens))
-	read += factor * pairMS(spec, float64(w.PromptTokens))
+	read := pace * readMS(spec, float64(l.Pending)+float64(w.PromptTokens))
+	read += pace * pairMS(spec, float64(w.PromptTokens))
 	wait := 0.0
 	if over := l.InFlight + 1 - spec.Slots; over > 0 {
 		// A slot frees after an answer's time divided by the slots.
@@ -63,9 +61,9 @@
 	first := wait + pass/2 + read + pass
 	return Prediction{
 		First:   fromMS(first),
-		Gap:     fromMS(pass + factor*readMS(spec, math.Min(float64(l.Pending), float64(spec.Chunk)))),
+		Gap:     fromMS(pass + pace*readMS(spec, math.Min(float64(l.Pending), float64(spec.Chunk)))),
 		Wait:    fromMS(wait),
-		Backlog: fromMS(wait + factor*readMS(spec, float64(l.Pending))),
+		Backlog: fromMS(wait + pace*readMS(spec, float64(l.Pending))),
 	}
 }
 
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -77,18 +77,7 @@
 }
 
 func (t *Tracker) state(id string) *engineState {
-	if s, ok := t.engines.Get(id); ok {
-		return s
-	}
-	var out *engineState
-	t.engines.Update(id, func(s *engineState, ok bool) (*engineState, bool) {
-		if !ok {
-			s = &engineState{remote: map[string]remoteLoad{}}
-		}
-		out = s
-		return s, true
-	})
-	return out
+	return t.engines.GetOrMake(id, func() *engineState { return &engineState{remote: map[string]remoteLoad{}} })
 }
 
 // Status returns what is known of an engine whose service publishes coldBound
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -34,6 +34,12 @@
 	return slices.DeleteFunc(slices.Clone(g.Members), func(e *Engine) bool { return e == nil })
 }
 
+// InZone reports whether a member that announces itself is in a zone for which in
+// returns true.
+func (g *Group) InZone(in func(zone string) bool) bool {
+	return slices.ContainsFunc(g.Members, func(e *Engine) bool { return e != nil && in(e.Zone) })
+}
+
 // Groups gathers the formations of a service from its engines' announcements,
 // ordered by id. The size of a group is its model's; a formation whose model is
 // unknown is as large as its highest rank tells.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -190,7 +190,7 @@
 	for i := range s.Groups {
 		g := &s.Groups[i]
 		condition := Judge(s, g)
-		if condition <= Openable && s.outOfService(g) {
+		if condition <= Openable && g.InZone(s.ZoneOut) {
 			// Its engines come back with their zone; nobody is served by it meanwhile.
 			continue
 		}
@@ -229,12 +229,6 @@
 	return steps, d
 }
 
-// outOfService reports whether a group has a member in a zone that operators
-// have taken out of service.
-func (s *Snapshot) outOfService(g *catalog.Group) bool {
-	return slices.ContainsFunc(g.Present(), func(e *catalog.Engine) bool { return s.ZoneOut(e.Zone) })
-}
-
 // awaits reports whether a member has not answered an order: it may yet be
 // joined to another group.
 func (s *Snapshot) awaits(g *catalog.Group) bool {
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -10,6 +10,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/placement"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
 const (
@@ -131,25 +132,9 @@
 		}
 		return true
 	})
-	p.unanswered.Range(func(id string, until time.Time) bool {
-		if now.Before(until) {
-			s.Reserved[id] = true
-			s.Unanswered[id] = true
-		}
-		return true
-	})
-	p.reserved.Range(func(id string, until time.Time) bool {
-		if now.Before(until) {
-			s.Reserved[id] = true
-		}
-		return true
-	})
-	p.opening.Range(func(name string, until time.Time) bool {
-		if now.Before(until) {
-			s.Opening[name] = true
-		}
-		return true
-	})
+	pending(p.unanswered, now, s.Reserved, s.Unanswered)
+	pending(p.reserved, now, s.Reserved)
+	pending(p.opening, now, s.Opening)
 	p.closed.Range(func(_ string, id catalog.GroupID) bool {
 		s.Closed[id] = true
 		return true
@@ -167,6 +152,18 @@
 	return s
 }
 
+// pending puts the keys whose time is not over into the sets.
+func pending(m *shard.Map[time.Time], now time.Time, sets ...map[string]bool) {
+	m.Range(func(key string, until time.Time) bool {
+		for _, set := range sets {
+			if now.Before(until) {
+				set[key] = true
+			}
+		}
+		return true
+	})
+}
+
 func (p *Planner) take(service *catalog.Service, step placement.Step) {
 	switch {
 	case step.Form != nil:
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -172,7 +172,7 @@
 		p.headless.Set(name, past)
 		p.memberless.Set(name, past)
 	}
-	p.prune(map[string]bool{"new": true}, map[string]bool{"new": true}, now)
+	p.prune(map[string]bool{"new": true}, map[string]*catalog.Engine{"new": nil}, now)
 	sizes := []int{
 		p.reserved.Len(), p.unanswered.Len(), p.opening.Len(), p.own.Len(),
 		p.staging.Len(), p.closed.Len(), p.headless.Len(), p.memberless.Len(),
--- a/internal/planner/prune.go
+++ b/internal/planner/prune.go
@@ -13,7 +13,7 @@
 // prune drops what the planner noted of formations that are over, so that the
 // notes of a long lease do not grow with each formation. A closed group that
 // comes back into view after that is closed once more, which is safe.
-func (p *Planner) prune(groups, heads map[string]bool, now time.Time) {
+func (p *Planner) prune(groups map[string]bool, heads map[string]*catalog.Engine, now time.Time) {
 	over := func(_ string, until time.Time) bool { return now.After(until) }
 	p.reserved.DeleteFunc(over)
 	p.unanswered.DeleteFunc(over)
@@ -22,7 +22,10 @@
 	p.staging.DeleteFunc(func(_ string, s staging) bool { return now.After(s.until) })
 	p.closed.DeleteFunc(func(name string, _ catalog.GroupID) bool { return !groups[name] })
 	p.headless.DeleteFunc(func(name string, _ time.Time) bool { return !groups[name] })
-	p.memberless.DeleteFunc(func(name string, _ time.Time) bool { return !heads[name] })
+	p.memberless.DeleteFunc(func(name string, _ time.Time) bool {
+		_, noted := heads[name]
+		return !noted
+	})
 }
 
 // pruneDue prunes once in a pruneInterval.
@@ -32,7 +35,7 @@
 		return
 	}
 	p.pruned = now
-	p.prune(groupNames(p.o.Directory, cfg), headNames(p.o.Directory), now)
+	p.prune(groupNames(p.o.Directory, cfg), p.o.Directory.Heads(), now)
 }
 
 // groupNames returns the names of all groups that have members.
@@ -49,11 +52,3 @@
 	}
 	return names
 }
-
-func headNames(d *directory.Directory) map[string]bool {
-	names := map[string]bool{}
-	for name := range d.Heads() {
-		names[name] = true
-	}
-	return names
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -182,7 +181,7 @@
 		if m, ok := view.Service.Engine.Model(g.Model); ok {
 			c.Pace = m.Pace
 		}
-		if !slices.ContainsFunc(g.Members, func(e *catalog.Engine) bool { return j.o.Directory.ZoneOut(e.Zone) }) {
+		if !g.InZone(j.o.Directory.ZoneOut) {
 			out = append(out, c)
 		}
 	}
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -93,16 +93,5 @@
 }
 
 func (sh *SharedBudget) of(service string) *lockedShare {
-	if l, ok := sh.services.Get(service); ok {
-		return l
-	}
-	var out *lockedShare
-	sh.services.Update(service, func(l *lockedShare, ok bool) (*lockedShare, bool) {
-		if !ok {
-			l = &lockedShare{}
-		}
-		out = l
-		return l, true
-	})
-	return out
+	return sh.services.GetOrMake(service, func() *lockedShare { return &lockedShare{} })
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// GetOrMake returns the value under key and stores one of fn there first if there
+// is none.
+func (m *Map[V]) GetOrMake(key string, fn func() V) V {
+	if v, ok := m.Get(key); ok {
+		return v
+	}
+	var out V
+	m.Update(key, func(v V, ok bool) (V, bool) {
+		if !ok {
+			v = fn()
+		}
+		out = v
+		return v, true
+	})
+	return out
+}
+
 // DeleteFunc removes the items for which del returns true, shard by shard.
 func (m *Map[V]) DeleteFunc(del func(key string, v V) bool) {
 	for i := range m.parts {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -74,3 +74,18 @@
 	_, ok := m.Get("b")
 	must.True(t, ok)
 }
+
+func TestGetOrMakeMakesOnce(t *testing.T) {
+	m := NewMap[*int]()
+	made := 0
+	make1 := func() *int {
+		made++
+		return new(int)
+	}
+	first := m.GetOrMake("a", make1)
+	must.Eq(t, first, m.GetOrMake("a", make1))
+	must.Eq(t, 1, made)
+	got, ok := m.Get("a")
+	must.True(t, ok)
+	must.True(t, got == first)
+}
--- a/internal/standin/logsvc/service.go
+++ b/internal/standin/logsvc/service.go
@@ -105,16 +105,5 @@
 }
 
 func (g *generation) stream(name string) *stream {
-	if st, ok := g.streams.Get(name); ok {
-		return st
-	}
-	var out *stream
-	g.streams.Update(name, func(v *stream, ok bool) (*stream, bool) {
-		if !ok {
-			v = &stream{}
-		}
-		out = v
-		return v, true
-	})
-	return out
+	return g.streams.GetOrMake(name, func() *stream { return &stream{} })
 }
