Apply a topic's records in one place

Found in a read of the whole change: what is read and what is passed on took two switches to the same functions, and following the engines had a loop of its own. Directory.apply serves both; the grace time after an outage is set where the outage ends.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -151,17 +151,9 @@
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		return d.follow(ctx, OperatorTopic, func(records []Record, whole, _ bool) {
-			d.applyOperator(records, whole)
-		})
-	})
-	g.Go(func() error { return d.followEngines(ctx) })
-	g.Go(func() error {
-		return d.follow(ctx, NotesTopic, func(records []Record, _, _ bool) {
-			d.applyNotes(records)
-		})
-	})
+	for topic := range topicCount {
+		g.Go(func() error { return d.follow(ctx, topic) })
+	}
 	return g.Wait()
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -162,3 +162,11 @@
 	d.Pass(OperatorTopic, 5, []Record{rec(5, "config", "config 4")})
 	must.Eq(t, 2, d.Config().Version, must.Sprint("a record before it is missing"))
 }
+
+func TestRecordsOfAnUnknownTopicAreLeftAlone(t *testing.T) {
+	d := newDirectory()
+	for _, topic := range []Topic{-1, topicCount} {
+		d.Pass(topic, 0, []Record{rec(0, "a", "engine 1 1")})
+	}
+	must.Eq(t, "", ids(d))
+}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -58,9 +58,8 @@
 }
 
 // follow reads a topic until ctx ends, except while others do so for this
-// daemon, and applies what is new. returned tells apply that the store has come
-// back after an outage.
-func (d *Directory) follow(ctx context.Context, t Topic, apply func(records []Record, whole, returned bool)) error {
+// daemon, and applies what is new.
+func (d *Directory) follow(ctx context.Context, t Topic) error {
 	r := reach{topic: d.opts.Topics.name(t)}
 	for ctx.Err() == nil {
 		d.guided(ctx, t)
@@ -75,12 +74,31 @@
 			// Before the new position is known to others, so that they do not read.
 			d.opts.Read(t, records[0].Offset, records)
 		}
-		d.tracks[t].commit(records, next, whole, at, func(fresh []Record) { apply(fresh, whole, returned) })
+		d.tracks[t].commit(records, next, whole, at, func(fresh []Record) {
+			if returned && t == EnginesTopic {
+				d.graceUntil = time.Now().Add(lapseGrace)
+			}
+			d.apply(t, fresh, whole)
+		})
 		pause.For(ctx, pacings[t].pace-time.Since(began))
 	}
 	return nil
 }
 
+// apply takes records of a topic in, read here or passed on. It runs under the
+// lock of the topic's position.
+func (d *Directory) apply(t Topic, records []Record, whole bool) {
+	switch t {
+	case OperatorTopic:
+		d.applyOperator(records, whole)
+	case EnginesTopic:
+		d.applyEngines(records, whole)
+		d.loaded.Store(true)
+	case NotesTopic:
+		d.applyNotes(records)
+	}
+}
+
 // reach tracks whether the store answers, and logs when that changes.
 type reach struct {
 	topic string
@@ -171,16 +189,6 @@
 	d.notify()
 }
 
-func (d *Directory) followEngines(ctx context.Context) error {
-	return d.follow(ctx, EnginesTopic, func(records []Record, whole, returned bool) {
-		if returned {
-			d.graceUntil = time.Now().Add(lapseGrace)
-		}
-		d.applyEngines(records, whole)
-		d.loaded.Store(true)
-	})
-}
-
 // applyEngines takes announcements in. A removal is believed at once, but
 // within the grace time after an outage only when it ends.
 func (d *Directory) applyEngines(records []Record, whole bool) {
--- a/internal/directory/guide.go
+++ b/internal/directory/guide.go
@@ -148,16 +148,13 @@
 	}
 }
 
-// Pass takes records of a topic that another daemon has read.
+// Pass takes records of a topic that another daemon has read. A topic that this
+// release does not know is left alone.
 func (d *Directory) Pass(t Topic, from uint64, records []Record) {
-	switch t {
-	case OperatorTopic:
-		d.tracks[t].extend(from, records, func(fresh []Record) { d.applyOperator(fresh, false) })
-	case EnginesTopic:
-		d.tracks[t].extend(from, records, func(fresh []Record) { d.applyEngines(fresh, false) })
-	case NotesTopic:
-		d.tracks[t].extend(from, records, d.applyNotes)
+	if t < 0 || t >= topicCount {
+		return
 	}
+	d.tracks[t].extend(from, records, func(fresh []Record) { d.apply(t, fresh, false) })
 }
 
 // guided waits while others follow the topic and nothing is missing here. It
