Wait through package pause where a loop of its own stood

Found in a read of the whole change: pause.For is the one timed wait, but the load driver, the dispatcher, two stand-ins, the process runner, the shutdown of serve and the takeover of grants still had a timer of their own, and the site's engine slept. They call it now. For reports the context's state also where both ended, as the driver's own wait did before its timer.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 const (
@@ -23,7 +25,7 @@
 	klog.InfoS("Shutdown: no longer ready", "daemon", d.settings.Daemon.ID, "wait", time.Duration(s.Unready).String())
 	d.life.leave()
 	d.front.Leaving()
-	pause(time.Duration(s.Unready))
+	pause.For(context.Background(), time.Duration(s.Unready))
 
 	klog.InfoS("Shutdown: finishing requests", "inflight", d.front.Inflight())
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Drain))
@@ -37,7 +39,7 @@
 	d.grants.Home.Drain(ctx)
 	leave()
 	d.leaveRecord()
-	pause(handoverTime)
+	pause.For(context.Background(), handoverTime)
 	klog.InfoS("Shutdown: done")
 }
 
@@ -50,10 +52,3 @@
 		klog.ErrorS(err, "Shutdown: the leave record was not written")
 	}
 }
-
-// pause waits on a timer.
-func pause(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	<-t.C
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/quarantine"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
@@ -218,14 +219,10 @@
 	if d <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return fault.Wrap(fault.ShuttingDown, ctx.Err(), "send the request to another daemon", "daemon ended")
 	}
+	return nil
 }
 
 // first makes an attempt up to the beginning of its answer, so that a failure
--- a/internal/grant/takeover.go
+++ b/internal/grant/takeover.go
@@ -8,6 +8,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/ids"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -25,8 +26,7 @@
 		if !slices.Contains(h.opt.Members.Live(), id) {
 			return
 		}
-		timer := time.NewTimer(askAgain)
-		<-timer.C
+		pause.For(context.Background(), askAgain)
 	}
 }
 
--- a/internal/load/drive/drive.go
+++ b/internal/load/drive/drive.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/load"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 const (
@@ -188,18 +189,7 @@
 
 // waitUntil waits until at after the start; false if ctx ended.
 func (d *Driver) waitUntil(ctx context.Context, at time.Duration) bool {
-	wait := time.Until(d.start.Add(at))
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, time.Until(d.start.Add(at)))
 }
 
 // report writes a line of progress now and then.
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -13,7 +13,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/procs/daemon.go
+++ b/internal/procs/daemon.go
@@ -1,6 +1,7 @@
 package procs
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -9,6 +10,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 // Daemon is one running daemon.
@@ -147,7 +149,7 @@
 		if time.Now().After(deadline) {
 			return fault.New(fault.Timeout, "read its log", "%s is not ready", d.ID)
 		}
-		pause()
+		pause.For(context.Background(), probeInterval)
 	}
 	return nil
 }
--- a/internal/procs/net.go
+++ b/internal/procs/net.go
@@ -19,13 +19,6 @@
 
 var probes = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// pause waits between two probes.
-func pause() {
-	t := time.NewTimer(probeInterval)
-	defer t.Stop()
-	<-t.C
-}
-
 const (
 	// firstPort and lastPort bound the ports that daemons listen on: above the
 	// well-known ones and below those that the kernel gives to outgoing
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/standin/host"
 	"github.com/ragwortquay/ragwortquay/internal/standin/journal"
 	"github.com/ragwortquay/ragwortquay/internal/target"
@@ -129,12 +130,6 @@
 
 // wait waits for d or the end of ctx.
 func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 // Config describes an engine.
@@ -299,7 +301,7 @@
 	}
 	w.Header().Set("Response-Seal", "seal-"+e.c.ID)
 	if plain {
-		time.Sleep(e.c.Pause)
+		pause.For(r.Context(), e.c.Pause)
 		fmt.Fprintf(w, "tenant=%s", r.Header.Get("Tenant"))
 		return
 	}
