--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -9,7 +9,6 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/edge"
 	"github.com/ragwortquay/ragwortquay/internal/logging"
-	"github.com/ragwortquay/ragwortquay/internal/upstream"
 	"github.com/ragwortquay/ragwortquay/platform"
 )
 
@@ -42,11 +41,7 @@
 	if c.MetricsPort > 0 {
 		settings.MetricsAddr = net.JoinHostPort(settings.IP, strconv.Itoa(c.MetricsPort))
 	}
-	store := platform.NewStore(settings.Store)
-	d := edge.New(settings, edge.Platform{
-		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Notes: store, Announcer: store,
-		Control: platform.NewControl(), Codec: platform.NewCodec(upstream.NewClient()),
-	})
+	d := edge.New(settings, platform.Connect(settings.Store))
 	// The settings hold nothing that may change while the process runs, so a
 	// SIGHUP has no effect; without a handler it would end the process.
 	signal.Ignore(syscall.SIGHUP)
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/edge"
 	"github.com/ragwortquay/ragwortquay/internal/standin/site"
-	"github.com/ragwortquay/ragwortquay/internal/upstream"
 	"github.com/ragwortquay/ragwortquay/platform"
 )
 
@@ -92,11 +91,7 @@
 		StallBound: 2 * time.Second, MinLeaseTTL: time.Second,
 	}
 	must.NoError(f.t, s.Check())
-	store := platform.NewStore(s.Store)
-	d := edge.New(s, edge.Platform{
-		Log: store, Decoder: platform.Decoder{}, Topics: platform.Topics(), Lease: store, Notes: store, Announcer: store,
-		Control: platform.NewControl(), Codec: platform.NewCodec(upstream.NewClient()),
-	})
+	d := edge.New(s, platform.Connect(s.Store))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
@@ -118,16 +113,10 @@
 
 // call sends a request to the n-th daemon.
 func (f *fixture) call(n int, method, path, key, model string) (*http.Response, error) {
-	r, err := http.NewRequest(method, "http://"+f.daemons[n]+path, strings.NewReader("body"))
+	r, err := site.NewRequest(context.Background(), f.daemons[n], site.Call{
+		ID: fmt.Sprintf("request-%d", requests.Add(1)), Method: method, Path: path, Key: key, Model: model,
+	})
 	must.NoError(f.t, err)
-	r.Host = host
-	r.Header.Set("Request-Id", fmt.Sprintf("request-%d", requests.Add(1)))
-	r.Header.Set("Deadline-Ms", "20000")
-	r.Header.Set("Authorization", "Bearer "+key)
-	if model != "" {
-		r.Header.Set("Model", model)
-		r.Header.Set("Token-Counts", "100,10")
-	}
 	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 }
 
--- a/internal/standin/site/client.go
+++ b/internal/standin/site/client.go
@@ -31,12 +31,11 @@
 // ErrNotSent says that the request can't have reached the daemon.
 var ErrNotSent = errors.New("the daemon can't be reached")
 
-// Do sends a call to a daemon. The client keeps its connections as the given
-// HTTP client does.
-func Do(ctx context.Context, client *http.Client, daemon string, c Call) (Outcome, error) {
+// NewRequest returns a call as it is sent to a daemon.
+func NewRequest(ctx context.Context, daemon string, c Call) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+daemon+c.Path, strings.NewReader("body"))
 	if err != nil {
-		return Outcome{}, err
+		return nil, err
 	}
 	r.Host = Host
 	r.Header.Set("Request-Id", c.ID)
@@ -46,6 +45,16 @@
 		r.Header.Set("Model", c.Model)
 		r.Header.Set("Token-Counts", "100,10")
 	}
+	return r, nil
+}
+
+// Do sends a call to a daemon. The client keeps its connections as the given
+// HTTP client does.
+func Do(ctx context.Context, client *http.Client, daemon string, c Call) (Outcome, error) {
+	r, err := NewRequest(ctx, daemon, c)
+	if err != nil {
+		return Outcome{}, err
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return Outcome{}, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -46,7 +46,6 @@
 	group   group
 	drains  bool
 	stalled bool
-	runs    []string
 	orders  []Order
 	hold    chan struct{}
 }
@@ -126,9 +125,13 @@
 
 // Runs returns the ids of the requests that began to run.
 func (e *Engine) Runs() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]string(nil), e.runs...)
+	var ids []string
+	for _, r := range e.store.Runs() {
+		if r.Engine == e.c.ID {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
 }
 
 // Order is an order that an engine took: operation and group.
@@ -289,7 +292,6 @@
 	plain := e.c.Events == 0
 	refuses := !plain && (e.group.State != "open" || e.group.Rank != 0)
 	if !refuses {
-		e.runs = append(e.runs, id)
 		e.store.noteRun(Run{ID: id, Engine: e.c.ID, At: time.Now()})
 	}
 	e.mu.Unlock()
