--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -17,10 +17,12 @@
 	// measured demand is believed rather than the published shares.
 	demandEnough = 60
 	// occupancyHalfLife is the time after which a look at the requests under way
-	// counts half; it smooths the bursts of a second.
+	// counts half; it smooths the bursts of a second. A choice: requests to models
+	// last 0.2 to 2 s on the sheets.
 	occupancyHalfLife = 2 * time.Second
 	// occupancyEnough is the number of requests under way, over all daemons, from
-	// which they are believed rather than what this daemon sees arrive.
+	// which they are believed rather than what this daemon sees arrive. A choice:
+	// with 20 a model's half is known to about a fifth of it.
 	occupancyEnough = 20
 )
 
--- a/internal/mesh/route.go
+++ b/internal/mesh/route.go
@@ -10,13 +10,17 @@
 const (
 	// directFleet is the largest fleet in which all daemons report to all: their
 	// datagrams grow with the square of its size. Above it the reports go to a few
-	// collectors, which send everybody the sums.
+	// collectors, which send everybody the sums. A choice between the sizes that
+	// were measured: 15 daemons, where all to all costs little, and 117, where it
+	// took half of the processor time.
 	directFleet = 40
 	// presence is the interval of the reports to all in a larger fleet; they only
-	// tell who lives.
+	// tell who lives, for rankings that change over minutes. A choice: at 300
+	// daemons 60 datagrams a second and daemon.
 	presence = 5 * time.Second
 	// sumEntries is the usual number of engines in one report of sums; their
-	// number by hash varies, and more than maxLoads do not fit.
+	// number by hash varies, and more than maxLoads do not fit. It leaves three
+	// standard deviations of a mean of 25.
 	sumEntries = 25
 )
 
--- a/internal/placement/revise.go
+++ b/internal/placement/revise.go
@@ -10,7 +10,8 @@
 
 // worthRevising is how many times more work must fall on each group of the model
 // that gains, after the change, than on each of those that lose groups: a change
-// costs seconds of drains and joins, and none may be undone by the next one.
+// costs seconds of drains and joins, and none may be undone by the next one. A
+// choice above 1; trials with other values were not made.
 const worthRevising = 1.3
 
 // division is what is known of the engines' division when a plan is made.
@@ -108,18 +109,11 @@
 
 // domains returns the domains that have engines, in order.
 func (d *division) domains() []string {
-	var out []string
-	for name := range d.free {
-		out = append(out, name)
-	}
-	for name := range d.closing {
-		out = append(out, name)
-	}
-	for name := range d.healthy {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	names := slices.Collect(maps.Keys(d.free))
+	names = slices.AppendSeq(names, maps.Keys(d.closing))
+	names = slices.AppendSeq(names, maps.Keys(d.healthy))
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 // sacrifice chooses groups of other models with as many engines as are missing,
