--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -117,15 +117,7 @@
 }
 
 func (c *Client) link(addr string) *link {
-	var l *link
-	c.links.Update(addr, func(old *link, ok bool) (*link, bool) {
-		if !ok {
-			old = &link{client: c, addr: addr}
-		}
-		l = old
-		return old, true
-	})
-	return l
+	return c.links.GetOrMake(addr, func() *link { return &link{client: c, addr: addr} })
 }
 
 // Forget closes the connection to addr, for a peer that is gone for good.
