--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -182,19 +182,7 @@
 
 // line returns what this daemon holds of a slice.
 func (c *Client) line(pool string, slice int) *line {
-	key := Key(pool, slice)
-	if l, ok := c.lines.Get(key); ok {
-		return l
-	}
-	var l *line
-	c.lines.Update(key, func(old *line, ok bool) (*line, bool) {
-		l = old
-		if !ok {
-			l = newLine(pool, slice)
-		}
-		return l, true
-	})
-	return l
+	return c.lines.GetOrMake(Key(pool, slice), func() *line { return newLine(pool, slice) })
 }
 
 // takeover notes the pool's new home and adds all that this daemon holds, or
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -79,16 +79,5 @@
 }
 
 func (bs *Budgets) of(route string) *lockedBudget {
-	if l, ok := bs.routes.Get(route); ok {
-		return l
-	}
-	var l *lockedBudget
-	bs.routes.Update(route, func(old *lockedBudget, ok bool) (*lockedBudget, bool) {
-		if !ok {
-			old = &lockedBudget{}
-		}
-		l = old
-		return old, true
-	})
-	return l
+	return bs.routes.GetOrMake(route, func() *lockedBudget { return &lockedBudget{} })
 }
