Cut an engine's response whose head has no end

Callers saw nothing of it yet; by reading, a head without end was kept in memory until the request's deadline, and a body for another request was read that long. Cause: net/http's ReadResponse bounds neither a line nor the number of header fields, and the body of a skipped response was read to its end. Change: a limit between the connection and its read buffer, 64 KiB for a head and 1 MiB for a skipped body. It fails instead of ending the input, because a body without a length would take that for its end. The outcome stays unknown: the engine may have run the request. Measured: TestEndlessResponseIsCut failed before (64 MiB of the first line were read, all that the test sends), passes after.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,8 +44,16 @@
 	// maxMismatchedResponses bounds the responses to other requests that are
 	// skipped.
 	maxMismatchedResponses = 2
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response that is skipped.
+	maxSkippedBytes = 1 << 20
 )
 
+// errTooLong is returned for a response that exceeds maxHeadBytes or
+// maxSkippedBytes.
+var errTooLong = errors.New("response has a head over 64 KiB, or is for another request and over 1 MiB")
+
 // Request is one request to an engine.
 type Request struct {
 	Addr   string
@@ -79,11 +88,30 @@
 // conn is a connection to an engine with its read buffer.
 type conn struct {
 	net.Conn
-	br       *bufio.Reader
+	br *bufio.Reader
+	// limit is the source of br.
+	limit    *limitedReader
 	lastUsed time.Time
 	maxIdle  time.Duration
 }
 
+// limitedReader fails with errTooLong after left bytes. Unlike io.LimitedReader it
+// does not report the limit as the end of the input, which would end a body without
+// a length.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // Client sends requests to engines. It is safe for concurrent use: the idle
 // connections are sharded by engine address, each shard under its own lock.
 type Client struct {
@@ -134,7 +162,8 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), maxIdle: idleTimeout}, nil
+	limit := &limitedReader{r: nc}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, maxIdle: idleTimeout}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a connection that is being dialed.
@@ -212,6 +241,7 @@
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxMismatchedResponses + 1 {
+		cn.limit.left = maxHeadBytes
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
 			return nil, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of %s", r.Addr)
@@ -221,11 +251,13 @@
 		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
 			// A response to another request; the expected one may follow.
+			cn.limit.left = maxSkippedBytes
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 				break
 			}
 			continue
 		}
+		cn.limit.left = math.MaxInt64
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header,
 			conn: cn, body: resp.Body, client: c, addr: r.Addr,
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -165,6 +165,47 @@
 	}
 }
 
+func TestEndlessResponseIsCut(t *testing.T) {
+	cases := []struct{ name, start, repeated string }{
+		{"first line", "", "HTTP/1.1 200 "},
+		{"header fields", "HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789\r\n"},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"body for another request", "HTTP/1.1 200 OK\r\nRequest-Id: old\r\n\r\n", "0123456789"},
+		{"chunks for another request", "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	}
+	for _, c := range cases {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		written := make(chan int, 1)
+		go func() {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = nc.Close() }()
+			total, _ := nc.Write([]byte(c.start))
+			block := []byte(strings.Repeat(c.repeated, 1000))
+			for total < endlessBytes {
+				n, err := nc.Write(block)
+				total += n
+				if err != nil {
+					break
+				}
+			}
+			written <- total
+		}()
+		_, err = get(NewClient(), l.Addr().String(), "1", false)
+		must.Error(t, err, must.Sprint(c.name))
+		must.Eq(t, fault.Unknown, fault.As(err).Outcome, must.Sprint(c.name))
+		must.Less(t, endlessBytes, <-written, must.Sprint(c.name, ": the whole response was read"))
+		must.NoError(t, l.Close())
+	}
+}
+
+// endlessBytes stands for a response without end. It exceeds all limits and the
+// socket buffers.
+const endlessBytes = 64 << 20
+
 // TestRefusedConnectionIsNotRun checks that a refused connection counts as proof
 // that the engine did not receive the request.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
