End an attempt whose stream sends bytes without end but no new events

By reading: any byte counted as progress, so a stream that repeats an event, sends comments or trickles bytes kept its caller waiting until the deadline; binary bytes with empty lines were forwarded as events; and an event without end was searched from its start with each read, up to 1 MiB. Change: only an event that the attempt has not sent before counts as progress (and ends a suspicion); an event with a line that is no field or comment ends the attempt, which is resumed at another engine where that is allowed; the search goes on where it ended; an event may have 256 KiB. Measured: TestEndlessStreamIsRejected and TestRepeatedEventsAreNoProgress; the first case of binary data was forwarded before.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -7,13 +7,24 @@
 
 // maxEventBytes is the size at which an incomplete event is treated as a malformed
 // stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
+
+// eventEndBytes is the length of the longest byte sequence that ends an event.
+const eventEndBytes = len("\r\n\r\n")
 
 // eventFilter splits a stream of server-sent events into complete events. It drops
 // events that the client already has. It rejects a gap in the event ids, because
 // the events after it do not continue the stream that the client has.
 type eventFilter struct {
 	buf []byte
+	// searched is the length of the prefix of buf in which no event ends.
+	searched int
+	// attemptID is the highest event id of the current attempt, valid if
+	// hasAttemptID is set. progressed is set if the last feed had an event that the
+	// attempt had not sent before.
+	attemptID    int64
+	hasAttemptID bool
+	progressed   bool
 	// lastSentID is the id of the last forwarded event; valid if hasSentID is set.
 	lastSentID int64
 	hasSentID  bool
@@ -36,25 +47,29 @@
 	return strconv.FormatInt(ev.lastSentID, 10)
 }
 
-// discardPartial discards the bytes of an incomplete event before the stream is
-// resumed.
-func (ev *eventFilter) discardPartial() { ev.buf = ev.buf[:0] }
+// discardPartial discards the bytes of an incomplete event, and the progress of the
+// attempt, before the stream is resumed.
+func (ev *eventFilter) discardPartial() {
+	ev.buf, ev.searched, ev.hasAttemptID = ev.buf[:0], 0, false
+}
 
 // hasPartial reports whether the bytes so far end within an event.
 func (ev *eventFilter) hasPartial() bool { return len(bytes.TrimSpace(ev.buf)) > 0 }
 
 // feed appends p and returns the complete events to forward. ok is false if an
-// event id is missing from the sequence or an event is too long.
+// event id is missing from the sequence, or an event is malformed or too long.
 func (ev *eventFilter) feed(p []byte) (out []byte, ok bool) {
+	ev.progressed = false
 	ev.buf = append(ev.buf, p...)
 	pos := 0
 	for {
-		n := firstEventLen(ev.buf[pos:])
+		n := ev.nextEventLen(pos)
 		if n == 0 {
 			break
 		}
 		event := ev.buf[pos : pos+n]
 		pos += n
+		ev.searched = pos
 		forward, ok := ev.accept(event)
 		if !ok {
 			return out, false
@@ -64,16 +79,37 @@
 		}
 	}
 	ev.buf = append(ev.buf[:0], ev.buf[pos:]...)
+	ev.searched = len(ev.buf)
 	return out, len(ev.buf) <= maxEventBytes
 }
 
-// accept checks an event id against the sequence. forward is false for an event
-// that the client already has, ok is false after a gap.
+// nextEventLen returns the length of the complete event at pos, or 0. It searches
+// only the bytes that were not searched before.
+func (ev *eventFilter) nextEventLen(pos int) int {
+	from := max(pos, ev.searched-eventEndBytes+1)
+	if n := firstEventLen(ev.buf[from:]); n > 0 {
+		return from + n - pos
+	}
+	return 0
+}
+
+// accept checks an event's form, and its id against the sequence. forward is false
+// for an event that the client already has, ok is false for a malformed event and
+// after a gap.
 func (ev *eventFilter) accept(event []byte) (forward, ok bool) {
+	if !wellFormed(event) {
+		return false, false
+	}
 	id, found := eventID(event)
 	if !found {
+		// An event without an id is no progress of a stream that has ids: it can be
+		// repeated without end.
+		ev.progressed = ev.progressed || !ev.hasSentID
 		return true, true
 	}
+	if !ev.hasAttemptID || id > ev.attemptID {
+		ev.attemptID, ev.hasAttemptID, ev.progressed = id, true, true
+	}
 	if ev.hasSentID && id <= ev.lastSentID {
 		return false, true
 	}
@@ -84,6 +120,21 @@
 	return true, true
 }
 
+// wellFormed reports whether each line of the event is empty, a comment, or a field
+// whose name consists of letters, digits, hyphens and underscores.
+func wellFormed(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		for _, c := range name {
+			letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+			if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // firstEventLen returns the length of the first complete event in b, or 0.
 func firstEventLen(b []byte) int {
 	lf := bytes.Index(b, []byte("\n\n"))
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -56,6 +56,54 @@
 	}
 }
 
+func TestEndlessStreamIsRejected(t *testing.T) {
+	cases := []struct{ name, start, repeated string }{
+		{"one event", sseEvents(1, 2), "data: 0123456789\n"},
+		{"no lines", sseEvents(1, 2), "0123456789"},
+		{"binary data with empty lines", sseEvents(1, 2), "\x00\xff\x17\n\n"},
+	}
+	for _, c := range cases {
+		filter := &eventFilter{}
+		out, ok := filter.feed([]byte(c.start))
+		must.True(t, ok)
+		must.Eq(t, c.start, string(out))
+		block := []byte(strings.Repeat(c.repeated, 100))
+		for n := 0; ok; n += len(block) {
+			must.Less(t, 2*maxEventBytes, n, must.Sprint(c.name))
+			out, ok = filter.feed(block)
+			must.Eq(t, "", string(out), must.Sprint(c.name))
+		}
+	}
+}
+
+func TestRepeatedEventsAreNoProgress(t *testing.T) {
+	cases := []struct {
+		name, in string
+		want     bool
+	}{
+		{"a new event", sseEvents(4, 4), true},
+		{"part of an event", "id: 4\nda", false},
+		{"the same event again", sseEvents(3, 3), false},
+		{"comments", ": still here\n\n", false},
+	}
+	for _, c := range cases {
+		filter := &eventFilter{}
+		_, ok := filter.feed([]byte(sseEvents(1, 3)))
+		must.True(t, ok)
+		must.True(t, filter.progressed)
+		_, ok = filter.feed([]byte(c.in))
+		must.True(t, ok)
+		must.Eq(t, c.want, filter.progressed, must.Sprint(c.name))
+	}
+	resumed := &eventFilter{}
+	resumed.resumeAt("3")
+	for id := 1; id <= 4; id++ {
+		_, ok := resumed.feed([]byte(sseEvents(id, id)))
+		must.True(t, ok)
+		must.True(t, resumed.progressed, must.Sprint("an engine that starts from the beginning makes progress with event ", id))
+	}
+}
+
 func FuzzEventFilter(f *testing.F) {
 	f.Add([]byte(sseEvents(1, 3)), 4)
 	f.Add([]byte("id: 9\n\n\r\n\r\n"), 1)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,7 +38,7 @@
 
 // Reasons for the end of one attempt of a stream.
 var (
-	errEventMissing = errors.New("stream has a gap in its event ids or an oversized event")
+	errBadStream    = errors.New("stream has a gap in its event ids, or a malformed or oversized event")
 	errPartialEvent = errors.New("stream ended within an event")
 	errClientGone   = errors.New("client disconnected")
 )
@@ -165,9 +165,11 @@
 		n, err := resp.Read(buf)
 		if n > 0 {
 			now := time.Now()
-			watch.recordRead(now)
-			j.opts.Tracker.Progress(e, now)
 			out, ok := filter.feed(buf[:n])
+			if filter.progressed {
+				watch.recordProgress(now)
+				j.opts.Tracker.Progress(e, now)
+			}
 			if first && len(out) > 0 {
 				first = false
 				j.opts.Tracker.FirstEvent(e, j.req.Work)
@@ -176,7 +178,7 @@
 				return werr
 			}
 			if !ok {
-				return errEventMissing
+				return errBadStream
 			}
 		}
 		switch {
@@ -226,13 +228,13 @@
 	return nil
 }
 
-// watchdog cancels an attempt whose engine has stopped sending.
+// watchdog cancels an attempt whose engine has stopped sending new events.
 type watchdog struct {
 	j           *job
 	engine      *catalog.Engine
 	cancel      context.CancelFunc
 	gapLimit    time.Duration
-	lastRead    atomic.Int64 // time of the last read, in nanoseconds after startedAt
+	lastEvent   atomic.Int64 // time of the last new event, in nanoseconds after startedAt
 	startedAt   time.Time
 	receivedAny atomic.Bool
 	stalled     atomic.Bool
@@ -254,34 +256,34 @@
 	return w
 }
 
-// recordRead records that the engine sent bytes at now.
-func (w *watchdog) recordRead(now time.Time) {
-	w.lastRead.Store(int64(now.Sub(w.startedAt)))
+// recordProgress records that the engine sent a new event at now.
+func (w *watchdog) recordProgress(now time.Time) {
+	w.lastEvent.Store(int64(now.Sub(w.startedAt)))
 	w.receivedAny.Store(true)
 }
 
 func (w *watchdog) stop() { w.timer.Stop() }
 
-// check is called by the timer when no data may have arrived for longer than the
-// limit. It resets the timer or cancels the attempt.
+// check is called by the timer when no new event may have arrived for longer than
+// the limit. It resets the timer or cancels the attempt.
 func (w *watchdog) check() {
 	now := time.Now()
 	limit := w.firstEventLimit
 	if w.receivedAny.Load() {
 		limit = w.gapLimit
 	}
-	sinceRead := now.Sub(w.startedAt) - time.Duration(w.lastRead.Load())
-	if sinceRead < limit {
-		w.timer.Reset(limit - sinceRead)
+	sinceEvent := now.Sub(w.startedAt) - time.Duration(w.lastEvent.Load())
+	if sinceEvent < limit {
+		w.timer.Reset(limit - sinceEvent)
 		return
 	}
 	sinceProgress := now.Sub(w.j.opts.Tracker.LastProgress(w.engine))
-	if sinceProgress < limit && sinceRead < busyStallTimeout {
+	if sinceProgress < limit && sinceEvent < busyStallTimeout {
 		w.timer.Reset(recheckInterval)
 		return
 	}
 	if sinceProgress >= limit && w.j.opts.Tracker.Suspect(w.engine.ID, w.engine.Membership.Group, now) {
-		w.j.logDecision("engine suspected", "engine", w.engine.ID, "group", w.engine.Membership.Group.Name, "silent_ms", sinceRead.Milliseconds(), "limit_ms", limit.Milliseconds())
+		w.j.logDecision("engine suspected", "engine", w.engine.ID, "group", w.engine.Membership.Group.Name, "silent_ms", sinceEvent.Milliseconds(), "limit_ms", limit.Milliseconds())
 		w.j.opts.OnSuspect(w.engine.ID, w.engine.Membership.Group)
 	}
 	if !w.canRetry {
