Bound the memory that bodies without end take from other requests

By reading: each response that is read whole may take 16 MiB, so a dozen endless ones at once exceed the 206 MB of a machine and end the process. Change: bodies over 64 KiB share a tenth of the machine's memory, held until their request ends; smaller ones need none of it, so engines that send without end cannot keep ordinary answers from being read.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -28,6 +28,10 @@
 	// heapFraction is the fraction of the machine's memory used as the limit of the
 	// garbage collector; the rest is for stacks, socket buffers and the binary.
 	heapFraction = 0.6
+	// bufferFraction is the fraction of the machine's memory for large response
+	// bodies that are read whole. defaultBufferBytes applies if that is unknown.
+	bufferFraction     = 0.1
+	defaultBufferBytes = 64 << 20
 	// announceRetryDelay is the delay before a failed announcement is retried.
 	announceRetryDelay = 500 * time.Millisecond
 	// readyFraction is the fraction of RevokeBound within which the configuration
@@ -100,8 +104,9 @@
 		RetryBudget: retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleetSize),
 		Zone:        s.Zone,
 		ConfigBound: s.ConfigBound, StrictRevoke: s.StrictRevoke, RevokeBound: s.RevokeBound,
-		Observer:  d.stats,
-		OnSuspect: d.meshAdapter.reportSuspicion,
+		BufferBytes: s.bufferBytes(),
+		Observer:    d.stats,
+		OnSuspect:   d.meshAdapter.reportSuspicion,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -62,6 +62,14 @@
 // ranks low.
 func (s *Settings) capacity() float64 { return s.Cores * s.LinkMbps }
 
+// bufferBytes is the memory for large response bodies that are read whole.
+func (s *Settings) bufferBytes() int64 {
+	if s.MemoryBytes <= 0 {
+		return defaultBufferBytes
+	}
+	return int64(bufferFraction * float64(s.MemoryBytes))
+}
+
 // Check returns one BadInput error that lists all invalid settings, or nil.
 func (s *Settings) Check() error {
 	var problems []string
--- /dev/null
+++ b/internal/relay/buffer.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"github.com/ragwortquay/ragwortquay/internal/fault"
+)
+
+const (
+	// maxBufferedBytes bounds a response body that is buffered.
+	maxBufferedBytes = 16 << 20
+	// unmeteredBytes is the size up to which a body is buffered without taking from
+	// the bufferQuota, so that large bodies cannot keep small ones from being read.
+	unmeteredBytes = 64 << 10
+)
+
+// errBodyTooLarge is returned for a response body over maxBufferedBytes.
+var errBodyTooLarge = errors.New("response body exceeds the limit of 16 MiB for buffered responses")
+
+// bufferQuota bounds the memory of the large bodies that all requests of a daemon
+// have buffered. It is safe for concurrent use.
+type bufferQuota struct{ free atomic.Int64 }
+
+func newBufferQuota(bytes int64) *bufferQuota {
+	q := &bufferQuota{}
+	q.free.Store(bytes)
+	return q
+}
+
+// take takes n bytes from the quota. It reports false and takes nothing if fewer
+// are free.
+func (q *bufferQuota) take(n int) bool {
+	if q.free.Add(-int64(n)) >= 0 {
+		return true
+	}
+	q.give(n)
+	return false
+}
+
+func (q *bufferQuota) give(n int) { q.free.Add(int64(n)) }
+
+// readBody reads the whole body of a response. The bytes that it takes from the
+// daemon's bufferQuota are returned by releaseBuffers.
+func (j *job) readBody(resp Response) ([]byte, error) {
+	body := make([]byte, 0, readBufferBytes)
+	for {
+		n, err := resp.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		}
+		if body, err = j.growBody(body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// growBody returns the body with twice its capacity.
+func (j *job) growBody(body []byte) ([]byte, error) {
+	size := 2 * cap(body)
+	if size > maxBufferedBytes {
+		return nil, errBodyTooLarge
+	}
+	if size > unmeteredBytes {
+		if !j.buffers.take(size) {
+			return nil, fault.New(fault.Overload, "send fewer large requests at once", "large responses in progress take up the memory for buffered responses")
+		}
+		j.bufferedBytes += size
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
+
+// releaseBuffers returns the job's part of the bufferQuota.
+func (j *job) releaseBuffers() { j.buffers.give(j.bufferedBytes) }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -20,13 +19,8 @@
 	// attemptTimeoutPredictedFactor sets the same timeout as a multiple of the
 	// predicted time to the first event; the longer of the two applies.
 	attemptTimeoutPredictedFactor = 4
-	// maxBufferedBytes bounds a response body that is buffered.
-	maxBufferedBytes = 16 << 20
 )
 
-// errBodyTooLarge is returned for a response body over maxBufferedBytes.
-var errBodyTooLarge = errors.New("response body exceeds the limit of 16 MiB for buffered responses")
-
 // bufferedResponse is an engine's response with its complete body.
 type bufferedResponse struct {
 	status int
@@ -121,7 +115,7 @@
 		j.opts.Tracker.RecordOutcome(e, false, time.Since(start), resp.Load(), time.Now())
 		return nil, fault.Refuse(fault.Overload, "use another engine", "engine %s rejected the request with status %d", e.ID, resp.Status())
 	}
-	body, err := readBody(resp)
+	body, err := j.readBody(resp)
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
 	if err != nil {
@@ -151,14 +145,3 @@
 	}
 	return fault.Wrap(fault.Timeout, err, "check the engine", "attempt timed out").WithOutcome(fault.As(err).Outcome)
 }
-
-func readBody(resp Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBufferedBytes {
-		return nil, errBodyTooLarge
-	}
-	return body, nil
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,9 @@
 	ConfigBound  time.Duration
 	StrictRevoke bool
 	RevokeBound  time.Duration
+	// BufferBytes bounds the memory of large response bodies that are read whole
+	// before they are delivered.
+	BufferBytes int64
 	// Observer records the outcome of each request.
 	Observer Observer
 	// OnSuspect is called when an engine has made no progress for too long.
@@ -60,10 +63,13 @@
 }
 
 // Relay serves requests. It is safe for concurrent use.
-type Relay struct{ opts Options }
+type Relay struct {
+	opts    Options
+	buffers *bufferQuota
+}
 
 // New returns a Relay with the given options.
-func New(o Options) *Relay { return &Relay{o} }
+func New(o Options) *Relay { return &Relay{o, newBufferQuota(o.BufferBytes)} }
 
 // job is the state of one request while it is being served.
 type job struct {
@@ -81,13 +87,16 @@
 	sends        int
 	possibleRuns int
 	triedEngines map[string]bool
-	summary      RequestSummary
+	// bufferedBytes is what the job has taken from the bufferQuota.
+	bufferedBytes int
+	summary       RequestSummary
 }
 
 // Serve serves the request. It returns when the response is complete or aborted, or
 // the client has disconnected.
 func (r *Relay) Serve(ctx context.Context, req *Request, w Writer) {
 	j := &job{Relay: r, ctx: ctx, req: req, w: w, triedEngines: map[string]bool{}}
+	defer j.releaseBuffers()
 	if refusal := j.admit(); refusal != nil {
 		j.refuse(*refusal)
 		return
