Log what keeps engines out of groups, and count requests by model

Change: the placement line has for each model the groups serving, forming and ending, the free engines with its weights and the loads under way, besides the free engines and those in domains with too few for any group; a line for each load that finishes; a counter of requests by model and outcome.

--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -18,6 +18,7 @@
 // Metric names, as documented in docs/OPERATIONS.md. Times are in seconds.
 const (
 	metricRequests      = "requests"
+	metricModelRequests = "model_requests"
 	metricRetries       = "repeats"
 	metricResumes       = "resumes"
 	metricLate          = "late_answers"
@@ -61,6 +62,10 @@
 	if r.TimeToFirst > 0 {
 		scope.Histogram(metricFirstEvent, latencyBuckets).RecordDuration(r.TimeToFirst)
 	}
+	if r.Model != "" {
+		tags := map[string]string{"service": r.Service, "model": r.Model, "outcome": r.Outcome}
+		s.registry.Scope().Tagged(tags).Counter(metricModelRequests).Inc(1)
+	}
 	if r.Late {
 		scope.Counter(metricLate).Inc(1)
 	}
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -89,7 +89,9 @@
 		return
 	}
 	p.loggedState.Set(service, state)
-	klog.InfoS("placement", "service", service, "state", state, "loads_left", min(s.LoadBudget, len(s.Engines)), "starting", s.Starting, "needs", s.Demand)
+	free, scattered := placement.FreeEngines(s)
+	klog.InfoS("placement", "service", service, "state", state, "loads_left", min(s.LoadBudget, len(s.Engines)), "starting", s.Starting, "needs", s.Demand,
+		"models", placement.SummarizeModels(s), "free", free, "free_scattered", scattered)
 }
 
 // announcementsComplete reports whether groups exist or all engines have had time
@@ -210,6 +212,7 @@
 	for _, e := range view.Engines {
 		if st, ok := p.stagedLoads.Get(e.ID); ok && e.HasStaged(st.model) {
 			p.stagedLoads.Delete(e.ID)
+			klog.InfoS("load finished", "engine", e.ID, "model", st.model, "domain", e.FabricDomain, "ms", time.Since(st.since).Milliseconds())
 		}
 	}
 }
@@ -224,7 +227,8 @@
 	p.budget.spend(1, time.Now())
 	id := s.Engine.ID
 	p.reserve(s.Engine, time.Now().Add(orderInterval))
-	p.stagedLoads.Set(id, stagedLoad{s.Model.Name, time.Now().Add(s.Model.LoadTime + joinMargin)})
+	now := time.Now()
+	p.stagedLoads.Set(id, stagedLoad{model: s.Model.Name, since: now, until: now.Add(s.Model.LoadTime + joinMargin)})
 	go func() {
 		if err := p.sendOrder(s.Engine, Order{Op: Stage, Model: s.Model.Name}); err != nil {
 			p.stagedLoads.Delete(id)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -192,6 +192,8 @@
 // stagedLoad is a running load of a model onto an engine's host.
 type stagedLoad struct {
 	model string
+	since time.Time
+	// until is when the load counts as failed if it has not finished.
 	until time.Time
 }
 
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -17,6 +17,9 @@
 	Outcome string
 	// Kind is the route's kind; empty if no route matched.
 	Kind string
+	// Service and Model name the model that was requested; empty if the service has
+	// no such model.
+	Service, Model string
 	// Engine is the id of the engine of the last attempt.
 	Engine string
 	// Retries counts all attempts after the first. Resumes counts those of them
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,6 +146,11 @@
 	}
 	j.service = route.SelectService(j.req.ID)
 	if s, ok := cfg.Services[j.service]; ok {
+		if s.Engine != nil {
+			if m, ok := s.Engine.Model(j.req.Model); ok {
+				j.summary.Service, j.summary.Model = s.Name, m.Name
+			}
+		}
 		j.opts.Demand.RecordRequest(&s, j.req.Model, j.req.Work, j.req.Arrived)
 	}
 	return nil
