Measure the demand for a model by what is requested, not by what is served

Cause: engines are divided by the requests in flight. Groups that are full refuse the rest, so a model with too few groups seems to need what it has; the division confirms itself. A refused request that is sent again counts once. TestDemandFollowsRequestsInFlight goes with the measure that it tested; TestDemandOfAllDaemons has its three cases and more.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -191,25 +191,67 @@
 	must.Eq(t, 2, load(now), must.Sprint("the collector's sum does not include this daemon's load yet"))
 }
 
-func TestDemandFollowsRequestsInFlight(t *testing.T) {
+func demandService() *catalog.Service {
+	return &catalog.Service{Name: "llm", Engine: &catalog.EngineSpec{Slots: 10, StepMS: 6, PrefillTokensPerSecond: 50_000, Models: []catalog.Model{
+		{Name: "a", GroupSize: 4, Share: 2, TimeFactor: 1},
+		{Name: "b", GroupSize: 1, Share: 0.6, TimeFactor: 0.25},
+		{Name: "c", GroupSize: 2, Share: 0.4, TimeFactor: 1},
+	}}}
+}
+
+func TestDemandOfAllDaemons(t *testing.T) {
 	now := time.Unix(1000, 0)
-	service := &catalog.Service{Name: "llm", Engine: &catalog.EngineSpec{Models: []catalog.Model{{Name: "a", GroupSize: 4, Share: 2, TimeFactor: 1}, {Name: "b", GroupSize: 1, Share: 0.6, TimeFactor: 0.5}, {Name: "c", GroupSize: 2, Share: 0.4, TimeFactor: 1}}}}
+	service := demandService()
+	work := func(a, b, c ModelWork) map[ModelKey]ModelWork {
+		return map[ModelKey]ModelWork{{"llm", "a"}: a, {"llm", "b"}: b, {"llm", "c"}: c, {"other", "a"}: {Requests: 1e3, Offered: 1e3}}
+	}
+	few := work(ModelWork{Requests: 5, Offered: 9}, ModelWork{Requests: 5, Offered: 1}, ModelWork{})
+	some := work(ModelWork{Requests: 50, Offered: 2}, ModelWork{Requests: 50, Offered: 2}, ModelWork{Requests: 50, Offered: 1})
+	refused := work(ModelWork{Requests: 50, Offered: 4, Refused: 4}, ModelWork{Requests: 50, Offered: 2}, ModelWork{Requests: 50, Offered: 1})
 	cases := []struct {
-		name     string
-		inFlight map[string]int
-		want     map[string]float64
+		name    string
+		reports []map[ModelKey]ModelWork
+		want    map[string]float64
 	}{
-		{"too few requests in flight", map[string]int{"a": 5, "b": 5}, map[string]float64{"a": 0.5, "b": 0.3, "c": 0.2}},
-		{"in proportion to the published shares", map[string]int{"a": 50, "b": 60, "c": 20}, map[string]float64{"a": 0.5, "b": 0.3, "c": 0.2}},
-		{"a model without groups keeps its share", map[string]int{"a": 20, "b": 120, "c": 0}, map[string]float64{"a": 0.2, "b": 0.6, "c": 0.2}},
+		{"no requests: published shares by group", nil, map[string]float64{"a": 0.5, "b": 0.6, "c": 0.2}},
+		{"too few requests", []map[ModelKey]ModelWork{few}, map[string]float64{"a": 0.5, "b": 0.6, "c": 0.2}},
+		{"one daemon", []map[ModelKey]ModelWork{some}, map[string]float64{"a": 2, "b": 2, "c": 1}},
+		{"two daemons", []map[ModelKey]ModelWork{some, work(ModelWork{Offered: 2}, ModelWork{}, ModelWork{})}, map[string]float64{"a": 4, "b": 2, "c": 1}},
+		{"refused requests that are sent again count once", []map[ModelKey]ModelWork{refused}, map[string]float64{"a": 2, "b": 2, "c": 1}},
 	}
 	for _, c := range cases {
 		d := NewDemand()
-		d.RecordInFlight("llm", map[string]int{}, now)
-		later := now.Add(time.Minute)
-		d.RecordInFlight("llm", c.inFlight, later)
-		for m, n := range d.PerModel(service, later) {
-			must.InDelta(t, c.want[m], n, 1e-6, must.Sprintf("%s: %s", c.name, m))
+		for i, r := range c.reports {
+			d.SetReported(string(rune('a'+i)), r, now.Add(time.Second))
+		}
+		got := d.PerModel(service, now)
+		// A time factor of 0.25 counts as 0.5.
+		sum := c.want["a"] + c.want["b"]/2 + c.want["c"]
+		must.InDelta(t, c.want["a"]/sum, got["a"], 1e-6, must.Sprint(c.name))
+		must.InDelta(t, c.want["b"]/2/sum, got["b"], 1e-6, must.Sprint(c.name))
+		must.InDelta(t, c.want["c"]/sum, got["c"], 1e-6, must.Sprint(c.name))
+		must.Eq(t, NewDemand().PerModel(service, now), d.PerModel(service, now.Add(time.Minute)), must.Sprint(c.name, ": reports do not expire"))
+	}
+}
+
+// TestFullModelDoesNotSeemToNeedFewerGroups guards against a model that keeps too few
+// groups because it is refused what they cannot take.
+func TestFullModelDoesNotSeemToNeedFewerGroups(t *testing.T) {
+	service := demandService()
+	w := Work{PromptTokens: 1000, AnswerTokens: 100}
+	d := NewDemand()
+	now := time.Unix(1000, 0)
+	for i := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		d.RecordRequest(service, "a", w, now)
+		d.RecordRequest(service, "c", w, now)
+		// Three of four requests for a are refused; all of them are sent again.
+		if i%4 != 0 {
+			d.RecordRefusal(service, "a", w, now)
+			d.RecordRequest(service, "a", w, now)
+			d.RecordRefusal(service, "a", w, now)
 		}
 	}
+	need := d.PerModel(service, now)
+	must.Between(t, 0.9, need["a"]/need["c"], 1.1)
 }
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -13,92 +12,155 @@
 const (
 	// demandHalfLife is the half-life of a request's weight in the measured demand.
 	demandHalfLife = 10 * time.Second
-	// minDemandRequests is the decayed number of requests of a service from which
-	// its measured demand is used instead of the published shares.
+	// minDemandRequests is the decayed number of requests of a service, over all
+	// daemons, from which its measured demand is used instead of the published
+	// shares.
 	minDemandRequests = 60
-	// inFlightHalfLife is the half-life of a sample of the requests in flight. It
-	// smooths bursts of a second: requests to models last 0.2 to 2 s according to
-	// the published parameters.
-	inFlightHalfLife = 2 * time.Second
-	// minInFlight is the number of requests in flight, over all daemons, from which
-	// they are used instead of the arrivals that this daemon measures. With 20
-	// requests, a model's share of one half is known to about a fifth of its value.
-	minInFlight = 20
 )
 
-// Demand measures the relative demand for the models of each service. It is safe
-// for concurrent use.
-type Demand struct{ services *shard.Map[*serviceDemand] }
+// ModelWork is the work that clients have requested of one model, with weights that
+// decay by the same half-life on all daemons, so that their sums can be added.
+type ModelWork struct {
+	// Requests is the number of requests.
+	Requests float64
+	// Offered is the work of all requests and Refused that of the requests refused
+	// because all groups of the model were busy, in seconds of a group.
+	Offered, Refused float64
+}
+
+func (w *ModelWork) add(o ModelWork) {
+	w.Requests += o.Requests
+	w.Offered += o.Offered
+	w.Refused += o.Refused
+}
+
+func (w *ModelWork) scale(factor float64) {
+	w.Requests *= factor
+	w.Offered *= factor
+	w.Refused *= factor
+}
+
+// distinct returns the offered work with a request that is refused and sent again
+// counted once. Requests that are sent again carry a new id, so they cannot be
+// recognised; almost all clients send a refused request again.
+func (w *ModelWork) distinct() float64 {
+	if w.Offered <= 0 {
+		return 0
+	}
+	return w.Offered * w.Offered / (w.Offered + w.Refused)
+}
 
-// serviceDemand is the measured demand for the models of one service.
-type serviceDemand struct {
-	mu sync.Mutex
-	// count is the decayed number of requests that this daemon received, models
-	// their work by model, and at the time up to which both are decayed.
-	count  float64
-	models map[string]float64
-	at     time.Time
-	// inFlight is the smoothed number of requests in flight of all daemons, by
-	// model, as of inFlightAt.
-	inFlight   map[string]float64
-	inFlightAt time.Time
+// ModelKey identifies a model of a service.
+type ModelKey struct{ Service, Model string }
+
+// Demand measures the demand for the models of each service by what clients
+// request, whether it is served or not: a model whose groups are full would
+// otherwise seem to need no more groups than it has. It is safe for concurrent use.
+type Demand struct {
+	own *shard.Map[*ownWork]
+	// reported holds the work that the other daemons have reported, by their name.
+	reported *shard.Map[reportedWork]
+}
+
+// ownWork is the work that clients have requested of this daemon for one model.
+type ownWork struct {
+	mu   sync.Mutex
+	work ModelWork
+	// at is the time up to which work is decayed.
+	at time.Time
+}
+
+// reportedWork is the report of another daemon.
+type reportedWork struct {
+	work  map[ModelKey]ModelWork
+	until time.Time
 }
 
 // NewDemand returns a Demand without any requests.
-func NewDemand() *Demand { return &Demand{services: shard.NewMap[*serviceDemand]()} }
+func NewDemand() *Demand {
+	return &Demand{own: shard.NewMap[*ownWork](), reported: shard.NewMap[reportedWork]()}
+}
 
 // RecordRequest records a request for a model that this daemon received.
 func (d *Demand) RecordRequest(service *catalog.Service, model string, w Work, now time.Time) {
-	spec := service.Engine
-	if spec == nil {
-		return
+	if work, ok := groupWork(service, model, w); ok {
+		d.record(ModelKey{service.Name, model}, ModelWork{Requests: 1, Offered: work}, now)
 	}
-	m, ok := spec.Model(model)
-	if !ok {
-		return
+}
+
+// RecordRefusal records that a request for a model was refused because all groups
+// were busy. RecordRequest has recorded the request before.
+func (d *Demand) RecordRefusal(service *catalog.Service, model string, w Work, now time.Time) {
+	if work, ok := groupWork(service, model, w); ok {
+		d.record(ModelKey{service.Name, model}, ModelWork{Refused: work}, now)
 	}
-	d.service(service.Name, now).record(model, m.TimeFactor*GroupSeconds(spec, w), now)
 }
 
-func (d *Demand) service(service string, now time.Time) *serviceDemand {
-	return d.services.GetOrMake(service, func() *serviceDemand {
-		return &serviceDemand{models: map[string]float64{}, inFlight: map[string]float64{}, at: now, inFlightAt: now}
-	})
+// groupWork returns the seconds that a request takes of a group of the model. It
+// reports false if the service has no such model.
+func groupWork(service *catalog.Service, model string, w Work) (float64, bool) {
+	if service.Engine == nil {
+		return 0, false
+	}
+	m, ok := service.Engine.Model(model)
+	return m.TimeFactor * GroupSeconds(service.Engine, w), ok
+}
+
+func (d *Demand) record(key ModelKey, w ModelWork, now time.Time) {
+	o := d.own.GetOrMake(key.Service+"/"+key.Model, func() *ownWork { return &ownWork{at: now} })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.decay(now)
+	o.work.add(w)
 }
 
-// RecordInFlight records the number of requests that all daemons have in flight at
-// a service's groups, by model. A request holds a slot of a group for as long as
-// its work takes, so these numbers are proportional to the demand.
-func (d *Demand) RecordInFlight(service string, inFlight map[string]int, now time.Time) {
-	d.service(service, now).recordInFlight(inFlight, now)
+// decay reduces the weight of past requests by their age. The caller holds mu.
+func (o *ownWork) decay(now time.Time) {
+	o.work.scale(math.Exp2(-now.Sub(o.at).Seconds() / demandHalfLife.Seconds()))
+	o.at = now
 }
 
-func (s *serviceDemand) recordInFlight(inFlight map[string]int, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	oldWeight := math.Exp2(-now.Sub(s.inFlightAt).Seconds() / inFlightHalfLife.Seconds())
-	s.inFlightAt = now
-	for m, n := range inFlight {
-		s.inFlight[m] = oldWeight*s.inFlight[m] + (1-oldWeight)*float64(n)
+// Own returns the work requested of this daemon for the models of a service, for a
+// report to other daemons.
+func (d *Demand) Own(service *catalog.Service, now time.Time) map[ModelKey]ModelWork {
+	out := map[ModelKey]ModelWork{}
+	for _, m := range service.Engine.Models {
+		key := ModelKey{service.Name, m.Name}
+		o, ok := d.own.Get(key.Service + "/" + key.Model)
+		if !ok {
+			continue
+		}
+		o.mu.Lock()
+		o.decay(now)
+		out[key] = o.work
+		o.mu.Unlock()
 	}
+	return out
 }
 
-func (s *serviceDemand) record(model string, work float64, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.decay(now)
-	s.count++
-	s.models[model] += work
+// SetReported sets the work that another daemon has reported. It is valid until the
+// given time or the daemon's next report.
+func (d *Demand) SetReported(from string, work map[ModelKey]ModelWork, until time.Time) {
+	d.reported.Set(from, reportedWork{work, until})
 }
 
-// decay reduces the weight of past requests by their age. The caller holds mu.
-func (s *serviceDemand) decay(now time.Time) {
-	factor := math.Exp2(-now.Sub(s.at).Seconds() / demandHalfLife.Seconds())
-	s.at = now
-	s.count *= factor
-	for m := range s.models {
-		s.models[m] *= factor
+// Total returns the work requested of all daemons for the models of a service.
+func (d *Demand) Total(service *catalog.Service, now time.Time) map[string]ModelWork {
+	total := map[string]ModelWork{}
+	add := func(work map[ModelKey]ModelWork) {
+		for _, m := range service.Engine.Models {
+			sum := total[m.Name]
+			sum.add(work[ModelKey{service.Name, m.Name}])
+			total[m.Name] = sum
+		}
 	}
+	add(d.Own(service, now))
+	d.reported.DeleteFunc(func(_ string, r reportedWork) bool { return now.After(r.until) })
+	d.reported.Range(func(_ string, r reportedWork) bool {
+		add(r.work)
+		return true
+	})
+	return total
 }
 
 // GroupSeconds returns for how many seconds a request occupies a group whose model
@@ -111,52 +173,33 @@
 	return (prefill + decode) / 1e3
 }
 
-// PerModel returns the relative demand for each model of the service, in groups.
-// It is based on the requests in flight of all daemons, on the requests that this
-// daemon received if those are too few, and on the published shares if these are
-// too few as well. A model without groups has no requests in flight and keeps the
-// received or published value. A published share is one of engines and not of
-// groups, so it is divided by the group size. All values are weighted by the
-// models' TimeFactor.
+// PerModel returns the relative demand for each model of the service, in groups; the
+// values add up to 1. It is based on the requested work or, with too few requests,
+// on the published shares. A published share is one of engines and not of groups,
+// so it is divided by the group size. A slow model's first event comes later at the
+// same use of its slots, so its groups need a lower use: the demand is weighted by
+// the root of the model's TimeFactor.
 func (d *Demand) PerModel(service *catalog.Service, now time.Time) map[string]float64 {
+	total := d.Total(service, now)
+	requests := 0.0
+	for _, w := range total {
+		requests += w.Requests
+	}
 	out := map[string]float64{}
+	sum := 0.0
 	for _, m := range service.Engine.Models {
-		out[m.Name] = m.Share * m.TimeFactor / float64(max(1, m.GroupSize))
-	}
-	s, ok := d.services.Get(service.Name)
-	if !ok {
-		return out
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.decay(now)
-	if s.count >= minDemandRequests {
-		maps.Copy(out, s.models)
-	}
-	return s.scaleByInFlight(service.Engine, out)
-}
-
-// scaleByInFlight makes the demand for the models with requests in flight
-// proportional to these, weighted by the models' TimeFactor, and keeps the sum of
-// their demand and the demand for the other models. The factor counts because the
-// first event of a slow model comes later at the same use of its slots, so its
-// groups need a lower use. The caller holds mu.
-func (s *serviceDemand) scaleByInFlight(spec *catalog.EngineSpec, perModel map[string]float64) map[string]float64 {
-	total, weighted, sum := 0.0, 0.0, 0.0
-	for _, m := range spec.Models {
-		if n := s.inFlight[m.Name]; n >= 1 {
-			total += n
-			weighted += n * m.TimeFactor
-			sum += perModel[m.Name]
+		need := m.Share / float64(max(1, m.GroupSize))
+		if requests >= minDemandRequests {
+			w := total[m.Name]
+			need = w.distinct()
 		}
+		out[m.Name] = need * math.Sqrt(m.TimeFactor)
+		sum += out[m.Name]
 	}
-	if total < minInFlight || weighted <= 0 {
-		return perModel
-	}
-	for _, m := range spec.Models {
-		if n := s.inFlight[m.Name]; n >= 1 {
-			perModel[m.Name] = sum * n * m.TimeFactor / weighted
+	for m := range out {
+		if sum > 0 {
+			out[m] /= sum
 		}
 	}
-	return perModel
+	return out
 }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -83,19 +83,19 @@
 	}
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
 	tracker := balance.NewTracker(s.Node, d.fleetSize)
-	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, suspicions: shard.NewMap[suspicion](), startedAt: boottime.Now()}
+	demand := balance.NewDemand()
+	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, demand: demand, suspicions: shard.NewMap[suspicion](), startedAt: boottime.Now()}
 	d.directory = directory.New(directory.Options{
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		IsReader: d.meshAdapter.isStoreReader, OnRead: d.meshAdapter.pushRecords,
 	})
-	demand := balance.NewDemand()
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, BootID: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
 		Source: d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isStoreReader,
 	})
 	d.planner = planner.New(planner.Options{
-		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Demand: demand, Loads: tracker.LoadSums,
+		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Demand: demand,
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 	// suspicionTTL is how long a suspicion is included in reports. It covers the
 	// loss of a few datagrams.
 	suspicionTTL = time.Second
+	// demandReportTTL is the number of intervals for which a demand report is used.
+	// It covers the loss of a few datagrams.
+	demandReportTTL = 4
 	// storeReaders is the number of daemons that read the store on behalf of all.
 	// With two of them, one may fail or be partitioned without delaying updates.
 	storeReaders = 2
@@ -44,6 +48,7 @@
 type meshAdapter struct {
 	d          *Daemon
 	tracker    *balance.Tracker
+	demand     *balance.Demand
 	suspicions *shard.Map[suspicion]
 	startedAt  time.Duration
 	// lastPlanned is the boot time at which another daemon was last known to hold
@@ -98,6 +103,39 @@
 	return engineLoads(g.tracker.LoadSums(time.Now()))
 }
 
+// ModelWork returns the work that clients have requested of this daemon, in an order
+// that does not change.
+func (g *meshAdapter) ModelWork() []wire.ModelWork {
+	cfg := g.d.directory.Config()
+	if cfg == nil {
+		return nil
+	}
+	now := time.Now()
+	var out []wire.ModelWork
+	for _, service := range cfg.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for key, w := range g.demand.Own(&service, now) {
+			out = append(out, wire.ModelWork{Service: key.Service, Model: key.Model, Requests: w.Requests, Offered: w.Offered, Refused: w.Refused})
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.ModelWork) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return out
+}
+
+// HandleDemand applies the demand report of another daemon.
+func (g *meshAdapter) HandleDemand(r *wire.DemandReport) {
+	work := make(map[balance.ModelKey]balance.ModelWork, len(r.Models))
+	for _, w := range r.Models {
+		work[balance.ModelKey{Service: w.Service, Model: w.Model}] = balance.ModelWork{Requests: w.Requests, Offered: w.Offered, Refused: w.Refused}
+	}
+	ttl := demandReportTTL * time.Duration(r.IntervalMS) * time.Millisecond
+	g.demand.SetReported(r.Sender, work, time.Now().Add(ttl))
+}
+
 // engineLoads converts loads to a list for a report, with the busiest engines
 // first.
 func engineLoads(m map[string]balance.Load) []wire.EngineLoad {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,7 +44,12 @@
 	maxPushSenders = 64
 	// maxLoads is the maximum number of engines in a report, so that it fits in
 	// maxDatagram.
-	maxLoads           = 40
+	maxLoads = 40
+	// demandInterval is the interval of the demand reports to the planner.
+	demandInterval = time.Second
+	// maxModels is the maximum number of models in a demand report, so that it fits
+	// in maxDatagram.
+	maxModels          = 16
 	receiveBufferBytes = 4096
 	// upToDateWithin is the age of a peer's configuration below which the peer
 	// counts as connected to the store.
@@ -65,12 +70,16 @@
 	// TotalLoads returns the loads of all engines, summed over the daemons that
 	// report to this one.
 	TotalLoads() []wire.EngineLoad
+	// ModelWork returns the work that clients have requested of this daemon.
+	ModelWork() []wire.ModelWork
 }
 
 // Handler handles what peers send.
 type Handler interface {
 	// HandleReport handles a report of a peer.
 	HandleReport(r *wire.LoadReport)
+	// HandleDemand handles a demand report of a peer.
+	HandleDemand(r *wire.DemandReport)
 	// HandleRecords handles records that a peer has read from the store.
 	HandleRecords(r *wire.RecordPush)
 }
@@ -182,7 +191,7 @@
 
 // sendLoop sends rounds of reports until ctx ends.
 func (m *Mesh) sendLoop(ctx context.Context) error {
-	var lastPresence time.Time
+	var lastPresence, lastDemand time.Time
 	for ctx.Err() == nil {
 		addrs := m.opts.Source.DaemonAddrs()
 		fleet := m.fleetView(addrs)
@@ -192,6 +201,10 @@
 			lastPresence = time.Now()
 		}
 		m.sendRound(addrs, fleet.isCollector, &round)
+		if time.Since(lastDemand) >= demandInterval {
+			lastDemand = time.Now()
+			m.sendDemand(addrs)
+		}
 		t := time.NewTimer(round.interval)
 		select {
 		case <-ctx.Done():
@@ -239,6 +252,27 @@
 	m.sendEach(addrs, round.presence, r)
 }
 
+// sendDemand sends the work requested of this daemon to the daemon that plans.
+func (m *Mesh) sendDemand(addrs map[string]string) {
+	r := wire.DemandReport{Sender: m.opts.Node, IntervalMS: demandInterval.Milliseconds(), Models: m.opts.Source.ModelWork()}
+	if len(r.Models) > maxModels {
+		r.Models = r.Models[:maxModels]
+	}
+	if len(r.Models) == 0 {
+		return
+	}
+	b, err := wire.EncodeDemandReport(&r)
+	if err != nil || len(b) > maxDatagram {
+		klog.ErrorS(err, "demand report not sent: encoding failed or larger than one datagram", "bytes", len(b))
+		return
+	}
+	for _, p := range m.LivePeers() {
+		if p.Planning {
+			m.write(b, addrs[p.Name])
+		}
+	}
+}
+
 // sendEach sends a report to the named daemons, with the send time of each one's
 // last report as the echo.
 func (m *Mesh) sendEach(addrs map[string]string, names []string, r wire.LoadReport) {
@@ -281,6 +315,8 @@
 			if r.Sender != "" && r.Sender != m.opts.Node {
 				m.handleReport(r)
 			}
+		case *wire.DemandReport:
+			m.opts.Handler.HandleDemand(r)
 		case *wire.PushPart:
 			m.handlePushPart(r)
 		}
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -54,7 +54,6 @@
 		if !ok || !p.announcementsComplete(view) {
 			continue
 		}
-		p.reportInFlight(view)
 		s := p.buildSnapshot(view)
 		p.logState(name, s)
 		for _, step := range placement.Plan(s) {
@@ -63,24 +62,6 @@
 	}
 }
 
-// reportInFlight reports the requests in flight per model to the demand
-// measurement.
-func (p *Planner) reportInFlight(view *directory.ServiceView) {
-	now := time.Now()
-	loads := p.opts.Loads(now)
-	inFlight := map[string]int{}
-	for _, m := range view.Service.Engine.Models {
-		inFlight[m.Name] = 0
-	}
-	for i := range view.Groups {
-		g := &view.Groups[i]
-		if h := g.Head(); h != nil && g.Serving() {
-			inFlight[g.Model] += loads[h.ID].InFlight
-		}
-	}
-	p.opts.Demand.RecordInFlight(view.Service.Name, inFlight, now)
-}
-
 // logState logs the summary of the snapshot when it differs from the last one
 // logged.
 func (p *Planner) logState(service string, s *placement.Snapshot) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -122,8 +122,6 @@
 	Engines   EngineClient
 	Heads     HeadStore
 	Demand    *balance.Demand
-	// Loads returns the load of all daemons by engine id.
-	Loads     func(now time.Time) map[string]balance.Load
 	Heartbeat time.Duration
 	// IsCandidate reports whether this daemon should become a candidate for the
 	// lease.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,14 +222,13 @@
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
 	choice, ok := balance.Choose(j.candidates(), j.opts.Tracker, j.req.Work, j.opts.Zone, now)
-	if !ok {
-		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.retryAfter(remaining), Reason: "no engine available"}
-	}
-	if choice.Predicted.FirstEvent > remaining {
-		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.retryAfter(remaining), Reason: "predicted wait exceeds the time left"}
-	}
-	if j.sends == 0 && !balance.Admit(choice, j.route.TargetLatency) {
-		return choice, &Refusal{Cause: NoEngine, RetryAfter: j.retryAfter(remaining), Reason: "all engines are busy"}
+	switch {
+	case !ok:
+		return choice, j.refuseForCapacity("no engine available", now)
+	case choice.Predicted.FirstEvent > remaining:
+		return choice, j.refuseForCapacity("predicted wait exceeds the time left", now)
+	case j.sends == 0 && !balance.Admit(choice, j.route.TargetLatency):
+		return choice, j.refuseForCapacity("all engines are busy", now)
 	}
 	if !j.keyTrusted() {
 		return choice, &Refusal{Cause: NotReady, RetryAfter: j.retryAfter(remaining), Reason: "configuration too old to trust the key"}
@@ -237,6 +236,17 @@
 	return choice, nil
 }
 
+// refuseForCapacity returns the refusal of a request for which no engine has room,
+// and records it in the demand for the model.
+func (j *job) refuseForCapacity(reason string, now time.Time) *Refusal {
+	if cfg := j.opts.Directory.Config(); cfg != nil && j.sends == 0 {
+		if s, ok := cfg.Services[j.service]; ok {
+			j.opts.Demand.RecordRefusal(&s, j.req.Model, j.req.Work, now)
+		}
+	}
+	return &Refusal{Cause: NoEngine, RetryAfter: j.retryAfter(j.deadline.Sub(now)), Reason: reason}
+}
+
 // retryAfter returns the RetryAfter of a refusal to a client with the given time
 // left.
 func (j *job) retryAfter(remaining time.Duration) time.Duration {
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -60,8 +60,9 @@
 
 // The first byte of a mesh datagram is its kind.
 const (
-	loadDatagram = 'L' // LoadReport
-	partDatagram = 'R' // PushPart
+	loadDatagram   = 'L' // LoadReport
+	partDatagram   = 'R' // PushPart
+	demandDatagram = 'D' // DemandReport
 )
 
 // EncodeLoadReport encodes a report as a datagram.
@@ -72,7 +73,8 @@
 	return append([]byte{kind}, b...), err
 }
 
-// DecodeDatagram decodes a datagram of the mesh: a *LoadReport or a *PushPart.
+// DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart or a
+// *DemandReport.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -84,6 +86,9 @@
 	case partDatagram:
 		p := &PushPart{}
 		return p, Unmarshal(b[1:], p)
+	case demandDatagram:
+		r := &DemandReport{}
+		return r, Unmarshal(b[1:], r)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "datagram of unknown kind %d", b[0])
 	}
--- a/internal/wire/load_test.go
+++ b/internal/wire/load_test.go
@@ -19,6 +19,15 @@
 	must.Eq(t, any(report), got)
 }
 
+func TestDemandReportRoundTrip(t *testing.T) {
+	report := &DemandReport{Sender: "front-1", IntervalMS: 1000, Models: []ModelWork{{"s", "m", 12.5, 3, 0.25}}}
+	b, err := EncodeDemandReport(report)
+	must.NoError(t, err)
+	got, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, any(report), got)
+}
+
 func TestReportWithMaxLoadsFitsInOneDatagram(t *testing.T) {
 	r := &LoadReport{Sender: strings.Repeat("n", 24), BootID: strings.Repeat("b", 26), SentNS: 1 << 60, EchoNS: 1 << 60}
 	for range 40 {
@@ -35,6 +44,9 @@
 	must.NoError(f, err)
 	f.Add(b)
 	f.Add([]byte{partDatagram, 0x92})
+	b, err = EncodeDemandReport(&DemandReport{Sender: "x", Models: []ModelWork{{}}})
+	must.NoError(f, err)
+	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if v, err := DecodeDatagram(b); err == nil {
 			must.NotNil(t, v)
