Give loads to the group that gains most per load, in any domain

Callers saw: survivor-statement refused while engines stood idle. Change: of the best group of each domain, the one with the highest gain per load that has still to start gets its loads first. Measured: TestLoadsCompleteGroupsOfAnyDomain failed before: the load went to the domain that needs four.

--- a/internal/placement/form.go
+++ b/internal/placement/form.go
@@ -11,21 +11,20 @@
 // the engines that remain. The claimed domain, if any, forms no groups here.
 func (s *Snapshot) formAndStage(alloc *allocation, claim *domainClaim) []Step {
 	var steps []Step
-	loads := s.LoadBudget
-	domains := slices.Sorted(maps.Keys(alloc.free))
-	for _, domain := range domains {
-		left := alloc.free[domain]
+	left := maps.Clone(alloc.free)
+	for _, domain := range slices.Sorted(maps.Keys(left)) {
 		for claim == nil || domain != claim.domain {
-			f, ok := s.bestForm(left, alloc.counts, s.Starting)
+			f, ok := s.bestForm(left[domain], alloc.counts, s.Starting)
 			if !ok {
 				break
 			}
 			alloc.counts[f.Model.Name]++
-			left = without(left, f.Members)
+			left[domain] = without(left[domain], f.Members)
 			steps = append(steps, Step{Form: &f})
 		}
-		steps = append(steps, s.stageFree(left, alloc.counts, &loads)...)
 	}
+	loads := s.LoadBudget
+	steps = append(steps, s.stageFree(left, alloc.counts, &loads)...)
 	return append(steps, s.stageSecondModels(&loads)...)
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -148,6 +148,50 @@
 	must.Len(t, 0, Plan(s), must.Sprint("a load beyond the load budget"))
 }
 
+// TestLoadsCompleteGroupsOfAnyDomain guards against loads that go to the first
+// domain by name while a group elsewhere lacks a single one.
+func TestLoadsCompleteGroupsOfAnyDomain(t *testing.T) {
+	var engines []*catalog.Engine
+	add := func(domain string, n int, staged ...string) {
+		for range n {
+			e := engine(fmt.Sprint("i-", len(engines)), "", 0, catalog.NoGroup)
+			e.FabricDomain, e.StagedModels = domain, staged
+			if len(staged) > 0 {
+				e.Model = staged[0]
+			}
+			engines = append(engines, e)
+		}
+	}
+	add("d0", 4)
+	add("d1", 2, large.Name)
+	add("d1", 2)
+	add("d2", 3, large.Name)
+	add("d2", 1)
+	engines = append(engines, openGroup(large, "d3", "g0", 100)...)
+	engines = append(engines, openGroup(small, "d3", "g1", 110)...)
+	cases := []struct {
+		budget int
+		want   map[string]int
+	}{
+		{1, map[string]int{"d2": 1}},
+		{3, map[string]int{"d1": 2, "d2": 1}},
+		{4, map[string]int{"d0": 1, "d1": 2, "d2": 1}},
+	}
+	for _, c := range cases {
+		s := snapshot(engines...)
+		s.Demand = map[string]float64{"large": 1, "small": 0.01}
+		s.LoadBudget = c.budget
+		got := map[string]int{}
+		for _, step := range Plan(s) {
+			if step.Stage != nil {
+				must.Eq(t, large.Name, step.Stage.Model.Name)
+				got[step.Stage.Engine.FabricDomain]++
+			}
+		}
+		must.Eq(t, c.want, got, must.Sprint(c.budget, " loads"))
+	}
+}
+
 func TestEnginesOfZoneOutOfServiceAreNotTaken(t *testing.T) {
 	s := snapshot(groupOfThree(catalog.Broken)...)
 	s.ZoneOutOfService = func(string) bool { return true }
--- a/internal/placement/stage.go
+++ b/internal/placement/stage.go
@@ -7,9 +7,11 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
-// stageFree stages models on the free engines of a domain: first on engines that
-// could form a group if they had its model, then on engines without any model.
-func (s *Snapshot) stageFree(left []*catalog.Engine, counts map[string]int, loads *int) []Step {
+// stageFree stages models on the free engines of all domains: first on engines that
+// could form a group if they had its model, the groups with the highest gain per
+// load first, then on engines without any model. Loads are scarce, so their order
+// must not depend on the order of the domains.
+func (s *Snapshot) stageFree(free map[string][]*catalog.Engine, counts map[string]int, loads *int) []Step {
 	var steps []Step
 	stage := func(e *catalog.Engine, m catalog.Model) {
 		if *loads > 0 && s.Staging[e.ID] == "" {
@@ -17,28 +19,50 @@
 			steps = append(steps, Step{Stage: &Stage{Engine: e, Model: m}})
 		}
 	}
+	left := maps.Clone(free)
 	planned := maps.Clone(counts)
-	for {
-		f, ok := s.bestForm(left, planned, true)
+	for *loads > 0 {
+		f, domain, ok := s.bestGainPerLoad(left, planned)
 		if !ok {
 			break
 		}
 		planned[f.Model.Name]++
-		left = without(left, f.Members)
+		left[domain] = without(left[domain], f.Members)
 		for _, e := range f.Members {
 			if s.loadDistance(f.Model, e) == unstaged {
 				stage(e, f.Model)
 			}
 		}
 	}
-	for i, e := range left {
-		if !s.canServeAny(e) {
-			stage(e, s.Service.Engine.Models[i%len(s.Service.Engine.Models)])
+	for _, domain := range slices.Sorted(maps.Keys(left)) {
+		for i, e := range left[domain] {
+			if !s.canServeAny(e) {
+				stage(e, s.Service.Engine.Models[i%len(s.Service.Engine.Models)])
+			}
 		}
 	}
 	return steps
 }
 
+// bestGainPerLoad returns, of the best group of each domain, the one with the
+// highest gain per load that has still to start, and its domain.
+func (s *Snapshot) bestGainPerLoad(free map[string][]*catalog.Engine, counts map[string]int) (best Form, bestDomain string, found bool) {
+	bestGain := 0.0
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		f, gain, ok := s.highestGain(free[domain], counts, true)
+		if !ok {
+			continue
+		}
+		if f.Loads == 0 {
+			return f, domain, true
+		}
+		if gain /= float64(f.Loads); !found || gain > bestGain {
+			best, bestDomain, bestGain, found = f, domain, gain, true
+		}
+	}
+	return best, bestDomain, found
+}
+
 // canServeAny reports whether the engine has a model loaded, staged or being staged.
 func (s *Snapshot) canServeAny(e *catalog.Engine) bool {
 	return slices.ContainsFunc(s.Service.Engine.Models, func(m catalog.Model) bool { return s.loadDistance(m, e) < unstaged })
