Divide the engines over all fabric domains before the first groups form

Callers saw: survivor-statement and heir-reply late from the first seconds on. Cause: each fabric domain was packed by itself, the best group of the moment first. 9 engines then hold a group of 4 and one of 3, with two left over that no group can use: 10 of 54 engines, and 8 large groups against 4 small ones where both models have the same work. Change: before the first request the planner divides the free engines of all domains at once, by changes in two domains at a time that lower the work per group that a request meets on average. It reads sizes, counts and demand only. Measured: TestStartUsesEnginesOfAllDomains failed before (42 of 54 engines used, now 49 and more).

--- a/internal/placement/form.go
+++ b/internal/placement/form.go
@@ -12,6 +12,9 @@
 func (s *Snapshot) formAndStage(alloc *allocation, claim *domainClaim) []Step {
 	var steps []Step
 	left := maps.Clone(alloc.free)
+	if s.Starting {
+		steps = s.formPacked(left, alloc.counts)
+	}
 	for _, domain := range slices.Sorted(maps.Keys(left)) {
 		for claim == nil || domain != claim.domain {
 			f, ok := s.bestForm(left[domain], alloc.counts, s.Starting)
@@ -28,6 +31,24 @@
 	return append(steps, s.stageSecondModels(&loads)...)
 }
 
+// formPacked forms groups of engines without weights as pack divides them, and
+// removes their members from free.
+func (s *Snapshot) formPacked(free map[string][]*catalog.Engine, counts map[string]int) []Step {
+	var steps []Step
+	groups := s.pack(free, counts)
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		for _, m := range s.Service.Engine.Models {
+			for range groups[domain][m.Name] {
+				f := s.chooseMembers(m, free[domain])
+				counts[m.Name]++
+				free[domain] = without(free[domain], f.Members)
+				steps = append(steps, Step{Form: &f})
+			}
+		}
+	}
+	return steps
+}
+
 // bestForm returns the group with the highest gain that the engines can form.
 // Unless allowLoads is set, it uses only engines that have the model loaded or
 // staged: other engines get it staged first, and remain available for other groups
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -110,6 +110,55 @@
 	must.Eq(t, map[string]int{"large": 4, "small": 3}, sizes)
 }
 
+// TestStartUsesEnginesOfAllDomains guards against engines that are left over in each
+// domain, although another division of the models over the domains would use them.
+func TestStartUsesEnginesOfAllDomains(t *testing.T) {
+	cases := []struct {
+		name             string
+		domains, engines int
+		sizes            [2]int
+		demand           float64 // for the first model, with 1 for the second
+		minUsed          int
+		groups           [2]int // the least number of each model's groups
+	}{
+		{"two sizes that leave one or none over", 6, 9, [2]int{4, 3}, 1, 49, [2]int{6, 7}},
+		{"more demand for the large model", 6, 9, [2]int{4, 3}, 1.5, 49, [2]int{8, 5}},
+		{"a size that fills domains and one that does not", 4, 10, [2]int{5, 3}, 1, 38, [2]int{4, 4}},
+		{"groups of very different sizes", 6, 37, [2]int{16, 4}, 1, 216, [2]int{9, 12}},
+		{"one domain", 1, 9, [2]int{4, 3}, 1, 7, [2]int{1, 1}},
+		{"too few engines for a large group", 3, 3, [2]int{4, 3}, 1, 9, [2]int{0, 3}},
+	}
+	for _, c := range cases {
+		var engines []*catalog.Engine
+		for i := range c.domains * c.engines {
+			e := engine(fmt.Sprint("i-", i), "", 0, catalog.NoGroup)
+			e.FabricDomain = fmt.Sprint("d", i%c.domains)
+			engines = append(engines, e)
+		}
+		s := snapshot(engines...)
+		s.Service.Engine.Models[0].GroupSize, s.Service.Engine.Models[1].GroupSize = c.sizes[0], c.sizes[1]
+		s.Demand = map[string]float64{"large": c.demand, "small": 1}
+		s.Starting, s.LoadBudget = true, 1000
+		used, groups := 0, map[string]int{}
+		taken := map[string]bool{}
+		for _, step := range Plan(s) {
+			if step.Form == nil {
+				continue
+			}
+			groups[step.Form.Model.Name]++
+			for _, e := range step.Form.Members {
+				must.False(t, taken[e.ID], must.Sprint(c.name))
+				must.Eq(t, step.Form.Members[0].FabricDomain, e.FabricDomain, must.Sprint(c.name))
+				taken[e.ID] = true
+				used++
+			}
+		}
+		must.GreaterEq(t, c.minUsed, used, must.Sprint(c.name, groups))
+		must.GreaterEq(t, c.groups[0], groups["large"], must.Sprint(c.name, groups))
+		must.GreaterEq(t, c.groups[1], groups["small"], must.Sprint(c.name, groups))
+	}
+}
+
 // TestNoOrderWhileAnEarlierOneIsUnanswered guards against a head that opens again
 // after it was closed, because an unanswered order to open is still being resent
 // when the order to close is sent.
