Free the weight store of loads whose engine is gone

Cause: a load counted as running until its weights were announced or until its time and 2 s had passed, also if its engine had left or started again. Up to six such loads kept any other from starting for 14 to 18 s, in the seconds in which engines are lost. Change: a load ends with its engine; the line says so. Measured: TestLoadsOfLostEnginesFreeTheWeightStore; before, none of four loads could start.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -95,7 +95,7 @@
 // buildSnapshot returns the planner's input for a service.
 func (p *Planner) buildSnapshot(view *directory.ServiceView) *placement.Snapshot {
 	now := time.Now()
-	p.clearFinishedLoads(view)
+	p.clearEndedLoads(view)
 	s := &placement.Snapshot{
 		Service: view.Service, Engines: view.Engines, Groups: view.Groups, Now: now,
 		Unresponsive:     map[string]bool{},
@@ -188,13 +188,23 @@
 	return max(0, min(p.budget.available(spec, now), spec.MaxConcurrentLoads-loading))
 }
 
-// clearFinishedLoads removes the loads whose model is now on the engine's host.
-func (p *Planner) clearFinishedLoads(view *directory.ServiceView) {
+// clearEndedLoads removes the loads that have finished, and those that ended with
+// their engine: they would otherwise occupy the weight store until they time out.
+func (p *Planner) clearEndedLoads(view *directory.ServiceView) {
+	engines := make(map[string]*catalog.Engine, len(view.Engines))
 	for _, e := range view.Engines {
-		if st, ok := p.stagedLoads.Get(e.ID); ok && e.HasStaged(st.model) {
-			p.stagedLoads.Delete(e.ID)
-			klog.InfoS("load finished", "engine", e.ID, "model", st.model, "domain", e.FabricDomain, "ms", time.Since(st.since).Milliseconds())
+		engines[e.ID] = e
+	}
+	ended := map[string]stagedLoad{}
+	p.stagedLoads.Range(func(id string, l stagedLoad) bool {
+		if l.service == view.Service.Name && l.stateAt(engines[id]) != loadRunning {
+			ended[id] = l
 		}
+		return true
+	})
+	for id, l := range ended {
+		p.stagedLoads.Delete(id)
+		klog.InfoS(l.stateAt(engines[id]).String(), "engine", id, "model", l.model, "ms", time.Since(l.since).Milliseconds())
 	}
 }
 
@@ -209,7 +219,10 @@
 	id := s.Engine.ID
 	p.reserve(s.Engine, time.Now().Add(orderInterval))
 	now := time.Now()
-	p.stagedLoads.Set(id, stagedLoad{model: s.Model.Name, since: now, until: now.Add(s.Model.LoadTime + joinMargin)})
+	p.stagedLoads.Set(id, stagedLoad{
+		service: s.Engine.Service, model: s.Model.Name, engineStart: s.Engine.StartUnixMS,
+		since: now, until: now.Add(s.Model.LoadTime + joinMargin),
+	})
 	go func() {
 		if err := p.sendOrder(s.Engine, Order{Op: Stage, Model: s.Model.Name}); err != nil {
 			p.stagedLoads.Delete(id)
--- a/internal/planner/loads.go
+++ b/internal/planner/loads.go
@@ -16,6 +16,44 @@
 	loadRateShare = 0.55
 )
 
+// stagedLoad is a load of a model onto an engine's host.
+type stagedLoad struct {
+	service, model string
+	// engineStart is the start time of the engine's process in Unix milliseconds.
+	engineStart int64
+	since       time.Time
+	// until is when the load counts as failed if it has not ended.
+	until time.Time
+}
+
+// loadState is the state of a load.
+type loadState uint8
+
+const (
+	loadRunning loadState = iota
+	loadFinished
+	// loadLost means that the engine has left or started again.
+	loadLost
+)
+
+var loadStateNames = [...]string{"load running", "load finished", "load lost with its engine"}
+
+// String returns the message that logs the state.
+func (s loadState) String() string { return loadStateNames[s] }
+
+// stateAt returns the state of the load at its engine, which is nil if it does not
+// announce itself.
+func (l *stagedLoad) stateAt(e *catalog.Engine) loadState {
+	switch {
+	case e == nil || e.StartUnixMS != l.engineStart:
+		return loadLost
+	case e.HasStaged(l.model):
+		return loadFinished
+	default:
+		return loadRunning
+	}
+}
+
 // leaseHistory holds the times of the last two changes of the planners' lease that
 // this process observed.
 type leaseHistory struct {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -187,14 +187,6 @@
 	lastPrune time.Time
 }
 
-// stagedLoad is a running load of a model onto an engine's host.
-type stagedLoad struct {
-	model string
-	since time.Time
-	// until is when the load counts as failed if it has not finished.
-	until time.Time
-}
-
 // formation is a group that this planner is forming.
 type formation struct {
 	id    catalog.GroupID
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -186,6 +186,27 @@
 	must.True(t, ok)
 }
 
+// TestLoadsOfLostEnginesFreeTheWeightStore guards against loads that do not start
+// because loads on engines that are gone still count as running.
+func TestLoadsOfLostEnginesFreeTheWeightStore(t *testing.T) {
+	spec := &catalog.EngineSpec{LoadsPerSecond: 100, MaxConcurrentLoads: 4}
+	loaded := catalog.Engine{ID: "i-0", StartUnixMS: 7, StagedModels: []string{"m"}}
+	running := catalog.Engine{ID: "i-1", StartUnixMS: 7}
+	restarted := catalog.Engine{ID: "i-2", StartUnixMS: 8}
+	view := &directory.ServiceView{Service: &catalog.Service{Name: "llm", Engine: spec}, Engines: []*catalog.Engine{&loaded, &running, &restarted}}
+	p := New(Options{})
+	now := time.Now()
+	for _, id := range []string{"i-0", "i-1", "i-2", "i-3"} {
+		p.stagedLoads.Set(id, stagedLoad{service: "llm", model: "m", engineStart: 7, since: now, until: now.Add(time.Minute)})
+	}
+	p.stagedLoads.Set("i-9", stagedLoad{service: "other", model: "m", until: now.Add(-time.Minute)})
+	must.Eq(t, 0, p.availableLoads(spec, now))
+	p.clearEndedLoads(view)
+	must.Eq(t, 3, p.availableLoads(spec, now), must.Sprint("only the load of i-1 is running"))
+	_, ok := p.stagedLoads.Get("i-9")
+	must.True(t, ok, must.Sprint("the engine of another service is not in the view"))
+}
+
 // TestThirdPlannerInWindowReducesBudget checks that a planner whose two predecessors
 // may have started loads within the same window leaves room for those loads, so
 // that the three together stay within the platform's limit.
