Test that demand reports reach the daemon that plans and no other

Cause: the datagram of demand reports had tests of its encoding only. Change: three meshes on loopback; the planner hears both others, they hear nothing. Measured: passes three times with the race detector.

--- /dev/null
+++ b/internal/mesh/demand_test.go
@@ -0,0 +1,63 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// testDaemon is the source and the handler of a mesh.
+type testDaemon struct {
+	addrs    map[string]string
+	planning bool
+	work     []wire.ModelWork
+	demand   chan *wire.DemandReport
+}
+
+func (d *testDaemon) DaemonAddrs() map[string]string         { return d.addrs }
+func (d *testDaemon) FillReport(r *wire.LoadReport)          { r.Planning = d.planning }
+func (d *testDaemon) TotalLoads() []wire.EngineLoad          { return nil }
+func (d *testDaemon) ModelWork() []wire.ModelWork            { return d.work }
+func (d *testDaemon) HandleReport(*wire.LoadReport)          {}
+func (d *testDaemon) HandleRecords(*wire.RecordPush)         {}
+func (d *testDaemon) HandleDemand(report *wire.DemandReport) { d.demand <- report }
+
+func TestDemandIsReportedToThePlannerOnly(t *testing.T) {
+	addrs := map[string]string{}
+	for _, name := range []string{"sender", "planner", "other"} {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		must.NoError(t, err)
+		addrs[name] = l.LocalAddr().String()
+		must.NoError(t, l.Close())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	daemons := map[string]*testDaemon{}
+	for name, addr := range addrs {
+		d := &testDaemon{addrs: addrs, planning: name == "planner", demand: make(chan *wire.DemandReport, 64)}
+		if name != "planner" {
+			d.work = []wire.ModelWork{{Service: "s", Model: name, Requests: 3, Offered: 2, Refused: 1}}
+		}
+		daemons[name] = d
+		m := New(Options{Node: name, BootID: "b", Addr: addr, Source: d, Handler: d, IsCollector: func() bool { return false }})
+		go func() { _ = m.Run(ctx) }()
+	}
+	heard := map[string]wire.ModelWork{}
+	for len(heard) < 2 {
+		select {
+		case r := <-daemons["planner"].demand:
+			must.Eq(t, demandInterval.Milliseconds(), r.IntervalMS)
+			must.Len(t, 1, r.Models)
+			heard[r.Sender] = r.Models[0]
+		case <-time.After(20 * time.Second):
+			t.Fatalf("the planner has heard only %v", heard)
+		}
+	}
+	must.Eq(t, wire.ModelWork{Service: "s", Model: "other", Requests: 3, Offered: 2, Refused: 1}, heard["other"])
+	must.Eq(t, 0, len(daemons["sender"].demand)+len(daemons["other"].demand), must.Sprint("a daemon that does not plan gets demand reports"))
+}
