--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -234,8 +234,7 @@
 	}
 }
 
-// TestFullModelDoesNotSeemToNeedFewerGroups guards against a model that keeps too few
-// groups because it is refused what they cannot take.
+// A full model that is refused the rest must not seem to need only what it has.
 func TestFullModelDoesNotSeemToNeedFewerGroups(t *testing.T) {
 	service := demandService()
 	w := Work{PromptTokens: 1000, AnswerTokens: 100}
--- a/internal/placement/pack.go
+++ b/internal/placement/pack.go
@@ -23,9 +23,9 @@
 }
 
 // pack returns the division of the free engines into groups that has the lowest
-// cost, as far as changes of maxPackChanges domains at a time reach it. Groups that are
-// chosen domain by domain leave engines over in each domain that another division
-// of the models over the domains would use.
+// cost, as far as changes of maxPackChanges domains at a time reach it. Groups that
+// are chosen domain by domain leave engines over in each domain that another
+// division of the models over the domains would use.
 func (s *Snapshot) pack(free map[string][]*catalog.Engine, counts map[string]int) packing {
 	p := &packer{s: s, free: map[string]int{}, groups: packing{}, counts: maps.Clone(counts)}
 	for domain, engines := range free {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -110,8 +110,7 @@
 	must.Eq(t, map[string]int{"large": 4, "small": 3}, sizes)
 }
 
-// TestStartUsesEnginesOfAllDomains guards against engines that are left over in each
-// domain, although another division of the models over the domains would use them.
+// No engines may be left over that another division of the models would use.
 func TestStartUsesEnginesOfAllDomains(t *testing.T) {
 	cases := []struct {
 		name             string
@@ -197,8 +196,7 @@
 	must.Len(t, 0, Plan(s), must.Sprint("a load beyond the load budget"))
 }
 
-// TestLoadsCompleteGroupsOfAnyDomain guards against loads that go to the first
-// domain by name while a group elsewhere lacks a single one.
+// Loads must not go to the first domain by name while a group elsewhere lacks one.
 func TestLoadsCompleteGroupsOfAnyDomain(t *testing.T) {
 	var engines []*catalog.Engine
 	add := func(domain string, n int, staged ...string) {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -186,8 +186,7 @@
 	must.True(t, ok)
 }
 
-// TestLoadsOfLostEnginesFreeTheWeightStore guards against loads that do not start
-// because loads on engines that are gone still count as running.
+// Loads on engines that are gone must not keep other loads from starting.
 func TestLoadsOfLostEnginesFreeTheWeightStore(t *testing.T) {
 	spec := &catalog.EngineSpec{LoadsPerSecond: 100, MaxConcurrentLoads: 4}
 	loaded := catalog.Engine{ID: "i-0", StartUnixMS: 7, StagedModels: []string{"m"}}
