Keep a silent stream if the retry budget allows no other attempt

Cause, by reading: the watchdog gave up an attempt whose engine had been silent for the longest pause, and only then the budget was asked for a retry. Change: the watchdog takes the retry from the budget before it gives up the attempt, and otherwise keeps waiting; the retry is charged once.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,9 @@
 	sends        int
 	possibleRuns int
 	triedEngines map[string]bool
+	// retryReserved is set if the last attempt was given up after a retry had been
+	// taken from the budget.
+	retryReserved bool
 	// bufferedBytes is what the job has taken from the bufferQuota.
 	bufferedBytes int
 	summary       RequestSummary
@@ -282,7 +285,9 @@
 	if j.ctx.Err() != nil || (mayHaveRun && !j.route.Repeatable()) || attemptsUsedUp {
 		return false
 	}
-	if !j.opts.RetryBudget.TrySpend(j.service, time.Now()) {
+	reserved := j.retryReserved
+	j.retryReserved = false
+	if !reserved && !j.opts.RetryBudget.TrySpend(j.service, time.Now()) {
 		j.logDecision("retry refused by the budget", "why", why)
 		return false
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -117,7 +117,10 @@
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	watch := j.startWatchdog(c, cancel)
-	defer watch.stop()
+	defer func() {
+		watch.stop()
+		j.retryReserved = watch.stalled.Load()
+	}()
 	sent := time.Now()
 	lastEventID := filter.lastID()
 	resp, err := j.send(ctx, c, lastEventID)
@@ -286,7 +289,9 @@
 		w.j.logDecision("engine suspected", "engine", w.engine.ID, "group", w.engine.Membership.Group.Name, "silent_ms", sinceEvent.Milliseconds(), "limit_ms", limit.Milliseconds())
 		w.j.opts.OnSuspect(w.engine.ID, w.engine.Membership.Group)
 	}
-	if !w.canRetry {
+	// The attempt is not given up before the budget allows another one: its engine
+	// may still go on, and the client would get neither the rest nor a refusal.
+	if !w.canRetry || !w.j.opts.RetryBudget.TrySpend(w.j.service, now) {
 		w.timer.Reset(recheckInterval)
 		return
 	}
