Bound the planner's exchanges with engines in flight

Cause: a new planner sent the orders to all engines at once. The queries of a takeover are as many, and an engine that misses two of them counts as silent.

Change: joins, switches, stages and queries each have slots; an order that was not answered is repeated after a pause. An order that was never sent, because the lease had ended, no longer counts as refused by the engine, which made sendClose take the head for closed.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -326,14 +326,16 @@
 func (p *Planner) sendOrder(e *catalog.Engine, o Order) error {
 	p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
 	var err error
+	unanswered := false
 	for deadline := time.Now().Add(orderExpiry); time.Now().Before(deadline); {
-		if !p.HoldsLease() {
-			klog.InfoS("order not sent: this daemon no longer holds the planners' lease", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name)
-			return fault.Refuse(fault.Conflict, "leave the order to the current planner", "this daemon does not hold the planners' lease")
+		var sent bool
+		if sent, err = p.attemptOrder(e, o, deadline); !sent {
+			if !unanswered {
+				p.unansweredUntil.Delete(e.ID)
+			}
+			return err
 		}
-		o.Fence = p.nextFence()
-		err = p.opts.Engines.Order(e, o)
-		klog.InfoS("order", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name, "model", o.Model, "fence", o.Fence, "error", errText(err))
+		unanswered = true
 		if err == nil || fault.As(err).Outcome == fault.NotRun {
 			p.unansweredUntil.Delete(e.ID)
 			return err
@@ -342,10 +344,29 @@
 		if es, ok := p.engines.Get(e.ID); ok && es.unresponsive() {
 			return err
 		}
+		time.Sleep(orderRetryDelay)
 	}
 	return err
 }
 
+// attemptOrder sends an order once, when a slot is free. It reports false if the
+// order was not sent, because the lease or the time to send it has ended.
+func (p *Planner) attemptOrder(e *catalog.Engine, o Order, deadline time.Time) (sent bool, err error) {
+	slot := p.orderSlots.of(o.Op)
+	if !slot.acquire(deadline) {
+		return false, fault.Refuse(fault.Overload, "plan again", "no slot for an order to engine %s before its expiry", e.ID)
+	}
+	defer slot.release()
+	if !p.HoldsLease() {
+		klog.InfoS("order not sent: this daemon no longer holds the planners' lease", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name)
+		return false, fault.Refuse(fault.Unavailable, "leave the order to the current planner", "this daemon does not hold the planners' lease")
+	}
+	o.Fence = p.nextFence()
+	err = p.opts.Engines.Order(e, o)
+	klog.InfoS("order", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name, "model", o.Model, "fence", o.Fence, "error", errText(err))
+	return true, err
+}
+
 // errText returns the text of an error, or an empty text for nil.
 func errText(err error) string {
 	if err == nil {
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -264,8 +264,12 @@
 // queryOnce queries an engine once. It reports whether the query should be repeated
 // immediately because it failed.
 func (p *Planner) queryOnce(es *engineStatus, e catalog.Engine) bool {
+	if !p.querySlots.acquire(time.Now().Add(queryInterval)) {
+		return false
+	}
 	sentAt := time.Now()
 	r, err := p.opts.Engines.Report(&e)
+	p.querySlots.release()
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	if es.engine.StartUnixMS != e.StartUnixMS || es.engine.SeenAt.After(sentAt) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -178,7 +178,10 @@
 	// loggedState holds the last logged state by service.
 	loggedState *shard.Map[string]
 	// suspects is the queue of engine ids reported to Suspect.
-	suspects       chan string
+	suspects chan string
+	// orderSlots and querySlots bound the concurrent exchanges with engines.
+	orderSlots     orderSlots
+	querySlots     slots
 	requestsServed atomic.Bool
 	budget         loadBudget
 	// leaseHistory holds the recent changes of the lease. Only renewLoop uses it.
@@ -210,6 +213,8 @@
 		memberlessSince: shard.NewMap[time.Time](),
 		loggedState:     shard.NewMap[string](),
 		suspects:        make(chan string, 256),
+		orderSlots:      newOrderSlots(),
+		querySlots:      make(slots, maxQueriesInFlight),
 	}
 }
 
