Track engines only on candidates for the planners' lease

Change: only candidates track engines, when a view has changed or once a second; the others look for candidacy only. The query of all groups at a takeover runs after the first update, since a new candidate knows no engines before. The state of the placement, which names all groups, is logged at most twice a second.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -33,6 +33,9 @@
 	// for announcements while no groups exist. Each engine announces itself once
 	// per heartbeat interval.
 	announceHeartbeats = 1.25
+	// stateLogInterval is the minimum time between two log lines with the state of a
+	// service, which name all groups.
+	stateLogInterval = 500 * time.Millisecond
 	// maxAnnouncementAge is the age of the engines' state above which the planner
 	// does not plan, since the groups may have changed since.
 	maxAnnouncementAge = 1200 * time.Millisecond
@@ -63,13 +66,17 @@
 }
 
 // logState logs the summary of the snapshot when it differs from the last one
-// logged.
+// logged, at most once per stateLogInterval.
 func (p *Planner) logState(service string, s *placement.Snapshot) {
+	old, logged := p.loggedState.Get(service)
+	if logged && s.Now.Sub(old.at) < stateLogInterval {
+		return
+	}
 	state := placement.Summarize(s)
-	if old, ok := p.loggedState.Get(service); ok && old == state {
+	if logged && old.state == state {
 		return
 	}
-	p.loggedState.Set(service, state)
+	p.loggedState.Set(service, loggedState{state, s.Now})
 	free, scattered := placement.FreeEngines(s)
 	klog.InfoS("placement", "service", service, "state", state, "loads_left", min(s.LoadBudget, len(s.Engines)), "starting", s.Starting, "needs", s.Demand,
 		"models", placement.SummarizeModels(s), "free", free, "free_scattered", scattered)
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -16,6 +16,12 @@
 const (
 	// observeInterval is the interval of the checks for engines to query.
 	observeInterval = 100 * time.Millisecond
+	// idleInterval is the interval at which a daemon that is no candidate for the
+	// lease checks whether it has become one.
+	idleInterval = 200 * time.Millisecond
+	// trackInterval is the longest time between two updates of the status of the
+	// engines, which expire statuses. A changed view starts one earlier.
+	trackInterval = time.Second
 	// queryInterval is the minimum time between two series of queries to one engine.
 	queryInterval = 400 * time.Millisecond
 	// maxMisses is the number of consecutive failed queries after which an engine
@@ -68,17 +74,20 @@
 	return es.dead || es.misses >= maxMisses
 }
 
-// observe tracks the engines of all services and queries suspected ones, until ctx
-// ends.
+// observe tracks the engines of all services and queries suspected ones while this
+// daemon is a candidate for the lease, until ctx ends.
 func (p *Planner) observe(ctx context.Context) error {
+	tracked := map[string]trackedView{}
 	for ctx.Err() == nil {
 		p.drainSuspects()
-		cfg := p.opts.Directory.Config()
-		if cfg != nil {
-			for name, service := range cfg.Services {
-				if view, ok := p.opts.Directory.Service(name); ok && service.Engine != nil {
-					p.trackEngines(view)
-				}
+		if !p.candidate.Load() {
+			pause.For(ctx, idleInterval)
+			continue
+		}
+		if cfg := p.opts.Directory.Config(); cfg != nil {
+			p.trackChanged(cfg, tracked)
+			if p.suspectAll.Swap(false) {
+				p.suspectAllGroups()
 			}
 			p.querySuspects()
 		}
@@ -87,6 +96,29 @@
 	return nil
 }
 
+// trackedView is the view of a service that was last tracked, and when.
+type trackedView struct {
+	view *directory.ServiceView
+	at   time.Time
+}
+
+// trackChanged updates the status of the engines of the services whose view has
+// changed, or was tracked longer than trackInterval ago.
+func (p *Planner) trackChanged(cfg *catalog.Config, tracked map[string]trackedView) {
+	now := time.Now()
+	for name, service := range cfg.Services {
+		view, ok := p.opts.Directory.Service(name)
+		if !ok || service.Engine == nil {
+			continue
+		}
+		if last := tracked[name]; last.view == view && now.Sub(last.at) < trackInterval {
+			continue
+		}
+		tracked[name] = trackedView{view, now}
+		p.trackEngines(view)
+	}
+}
+
 // drainSuspects processes the queue of suspected engines.
 func (p *Planner) drainSuspects() {
 	for {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -145,6 +145,10 @@
 	leaseEnd atomic.Int64
 	// heldSince is the boot time in nanoseconds at which the lease was acquired.
 	heldSince atomic.Int64
+	// candidate is set once this daemon competes for the lease.
+	candidate atomic.Bool
+	// suspectAll is set when the members of all groups are to be queried.
+	suspectAll atomic.Bool
 	// generation is the highest generation of the lease seen.
 	generation atomic.Int64
 	// lastHeldGeneration is the last generation in which this process held the
@@ -176,7 +180,7 @@
 	// headlessSince holds, by name, since when a group has had no known head.
 	headlessSince *shard.Map[time.Time]
 	// loggedState holds the last logged state by service.
-	loggedState *shard.Map[string]
+	loggedState *shard.Map[loggedState]
 	// suspects is the queue of engine ids reported to Suspect.
 	suspects chan string
 	// orderSlots and querySlots bound the concurrent exchanges with engines.
@@ -190,6 +194,12 @@
 	lastPrune time.Time
 }
 
+// loggedState is the state of a service as last logged.
+type loggedState struct {
+	state string
+	at    time.Time
+}
+
 // formation is a group that this planner is forming.
 type formation struct {
 	id    catalog.GroupID
@@ -211,7 +221,7 @@
 		ungroupedSince:  shard.NewMap[time.Time](),
 		headlessSince:   shard.NewMap[time.Time](),
 		memberlessSince: shard.NewMap[time.Time](),
-		loggedState:     shard.NewMap[string](),
+		loggedState:     shard.NewMap[loggedState](),
 		suspects:        make(chan string, 256),
 		orderSlots:      newOrderSlots(),
 		querySlots:      make(slots, maxQueriesInFlight),
@@ -219,6 +229,7 @@
 }
 
 // Run competes for the lease, and plans while the lease is held, until ctx ends.
+// A daemon that is no candidate does nothing else.
 func (p *Planner) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return p.renewLoop(ctx) })
@@ -246,15 +257,14 @@
 // renewLoop makes this daemon a candidate when IsCandidate allows it, and renews the
 // candidacy until ctx ends.
 func (p *Planner) renewLoop(ctx context.Context) error {
-	joined := false
 	for ctx.Err() == nil {
 		// A candidacy is never given up before the end: each change of the
 		// candidates makes the store assign the lease anew.
-		if !joined && !p.opts.IsCandidate() {
+		if !p.candidate.Load() && !p.opts.IsCandidate() {
 			pause.For(ctx, p.ttl/leaseRenewals)
 			continue
 		}
-		joined = true
+		p.candidate.Store(true)
 		begun := boottime.Now()
 		held, generation, err := p.opts.Lease.Renew(p.opts.MemberID, p.generation.Load(), p.ttl)
 		if err != nil {
@@ -267,7 +277,7 @@
 	if p.HoldsLease() {
 		p.leaseEnd.Store(0)
 	}
-	if joined {
+	if p.candidate.Load() {
 		p.resign()
 	}
 	return nil
@@ -308,7 +318,7 @@
 	if !was && p.lastHeldGeneration.Load() != generation {
 		p.heldSince.Store(int64(boottime.Now()))
 		p.clearLeaseState()
-		p.suspectAllGroups()
+		p.suspectAll.Store(true)
 		if !p.opts.FirstStart && p.leaseHistory.predecessorsInWindow(now) {
 			p.budget.reserveForPredecessors(now)
 		}
@@ -335,8 +345,12 @@
 // maxPlanInterval.
 func (p *Planner) planLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !p.HoldsLease() {
+			pause.For(ctx, maxPlanInterval)
+			continue
+		}
 		changed := p.opts.Directory.Changed()
-		if p.HoldsLease() && boottime.Now()-time.Duration(p.heldSince.Load()) > takeoverDelay {
+		if boottime.Now()-time.Duration(p.heldSince.Load()) > takeoverDelay {
 			p.planServices()
 		}
 		pause.For(ctx, minPlanInterval)
