Update views of engines and groups per announcement

Cause: each batch of announcements rebuilt the engines and groups of all services on each daemon, 3.3 ms of a small machine each time and 15 times a second while groups form: 5 in 100 of the time of all 295 machines (trial with counters). Each change of an engine's group also gave a log line on each daemon, 13,000 a second, and the useful lines were dropped with them.

Groups that begin or stop serving are logged instead of their engines; many engines of a batch share a line. Entries that can't be decoded are logged once until they change.

Tests: views equal groups built anew over 3,000 random changes; the allocations per announcement are the same with 72 and 1,096 engines (they grew with the fleet before).

--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -44,37 +45,43 @@
 }
 
 // BuildGroups returns the groups that a service's engines announce, ordered by
-// epoch and name. A group has the GroupSize of its model; if the model is
-// unknown, the highest announced rank determines the size.
+// epoch and name.
 func BuildGroups(service *Service, engines []*Engine) []Group {
 	if service.Engine == nil {
 		return nil
 	}
-	found := map[GroupID]*Group{}
+	members := map[GroupID][]*Engine{}
 	for _, e := range engines {
-		if e.Membership.State == NoGroup {
-			continue
+		if e.Membership.State != NoGroup {
+			members[e.Membership.Group] = append(members[e.Membership.Group], e)
 		}
-		g := found[e.Membership.Group]
-		if g == nil {
-			g = &Group{ID: e.Membership.Group, Service: service.Name}
-			found[e.Membership.Group] = g
-		}
-		g.addMember(service.Engine, e)
 	}
-	out := make([]Group, 0, len(found))
-	for _, g := range found {
-		out = append(out, *g)
+	out := make([]Group, 0, len(members))
+	for id, list := range members {
+		out = append(out, BuildGroup(service, id, list))
 	}
-	slices.SortFunc(out, func(a, b Group) int {
-		if a.ID.Epoch != b.ID.Epoch {
-			return int(min(max(a.ID.Epoch-b.ID.Epoch, -1), 1))
-		}
-		return strings.Compare(a.ID.Name, b.ID.Name)
-	})
+	SortGroups(out)
 	return out
 }
 
+// SortGroups sorts groups by epoch and name.
+func SortGroups(groups []Group) {
+	slices.SortFunc(groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.ID.Epoch, b.ID.Epoch), strings.Compare(a.ID.Name, b.ID.Name))
+	})
+}
+
+// BuildGroup returns the group that the engines announce. It has the GroupSize of
+// its model; if the model is unknown, the highest announced rank determines the
+// size. The service must have engines that form groups.
+func BuildGroup(service *Service, id GroupID, members []*Engine) Group {
+	g := Group{ID: id, Service: service.Name}
+	for _, e := range members {
+		g.addMember(service.Engine, e)
+	}
+	return g
+}
+
 func (g *Group) addMember(spec *EngineSpec, e *Engine) {
 	if g.Model == "" && e.Model != "" {
 		g.Model = e.Model
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -105,13 +105,6 @@
 	OnRead func(t Topic, from uint64, records []Record)
 }
 
-// ServiceView is an immutable snapshot of a service, its engines and groups.
-type ServiceView struct {
-	Service *catalog.Service
-	Engines []*catalog.Engine
-	Groups  []catalog.Group
-}
-
 // Directory is the state that results from the store's topics. It is safe for
 // concurrent use.
 type Directory struct {
@@ -122,12 +115,16 @@
 	// is kept after the engine's removal, so that an older announcement does not
 	// bring the engine back.
 	versions *shard.Map[announcementVersion]
+	// leaving holds the engines that have said in an answer that they leave.
+	leaving leaveNotices
+	// invalid holds the error of each engine entry that cannot be decoded, by key.
+	invalid *shard.Map[string]
 	// daemons holds the addresses of daemons by name.
 	daemons *shard.Map[string]
 	// heads holds the recorded heads by group name.
 	heads *shard.Map[*catalog.Engine]
-	// views holds the current view of each service by name.
-	views *shard.Map[*ServiceView]
+	// indexes holds the engines and groups of each service by name.
+	indexes *shard.Map[*serviceIndex]
 	// zones holds the zones out of service.
 	zones     *shard.Map[struct{}]
 	config    atomic.Pointer[catalog.Config]
@@ -162,9 +159,11 @@
 		opts:            o,
 		engines:         shard.NewMap[*catalog.Engine](),
 		versions:        shard.NewMap[announcementVersion](),
+		leaving:         leaveNotices{shard.NewMap[leaveNotice]()},
+		invalid:         shard.NewMap[string](),
 		daemons:         shard.NewMap[string](),
 		heads:           shard.NewMap[*catalog.Engine](),
-		views:           shard.NewMap[*ServiceView](),
+		indexes:         shard.NewMap[*serviceIndex](),
 		zones:           shard.NewMap[struct{}](),
 		pendingRemovals: shard.NewMap[time.Time](),
 		changed:         make(chan struct{}),
@@ -207,8 +206,16 @@
 // Loaded reports whether the configuration and the engines' topic have been read.
 func (d *Directory) Loaded() bool { return d.enginesRead.Load() && d.config.Load() != nil }
 
-// Service returns the current view of a service.
-func (d *Directory) Service(name string) (*ServiceView, bool) { return d.views.Get(name) }
+// Service returns the current view of a service of the configuration. The view
+// stays the same until an engine of the service changes.
+func (d *Directory) Service(name string) (*ServiceView, bool) {
+	x, ok := d.indexes.Get(name)
+	if !ok {
+		return nil, false
+	}
+	view := x.snapshot()
+	return view, view != nil
+}
 
 // ZoneOutOfService reports whether the operators have taken the zone out of
 // service.
@@ -263,26 +270,37 @@
 	d.changed = make(chan struct{})
 }
 
-// rebuildViews rebuilds the views of all services from the engines and notifies
-// the waiters of Changed.
-func (d *Directory) rebuildViews() {
-	cfg := d.config.Load()
-	if cfg == nil {
-		return
+// setServices applies a new configuration to the indexes of all services.
+func (d *Directory) setServices(services map[string]catalog.Service) {
+	for name, service := range services {
+		d.index(name).setService(&service)
 	}
-	byService := map[string][]*catalog.Engine{}
-	d.engines.Range(func(_ string, e *catalog.Engine) bool {
-		byService[e.Service] = append(byService[e.Service], e)
+	d.indexes.Range(func(name string, x *serviceIndex) bool {
+		if _, ok := services[name]; !ok {
+			x.setService(nil)
+		}
 		return true
 	})
-	for name, service := range cfg.Services {
-		engines := byService[name]
-		sortEngines(engines)
-		d.views.Set(name, &ServiceView{
-			Service: &service,
-			Engines: engines,
-			Groups:  catalog.BuildGroups(&service, engines),
-		})
-	}
 	d.notify()
 }
+
+func (d *Directory) index(service string) *serviceIndex {
+	return d.indexes.GetOrMake(service, newServiceIndex)
+}
+
+// replaceEngine replaces the entry of an engine; was or e is nil if the engine was
+// added or removed. The caller holds the lock of the engines' topic position.
+func (d *Directory) replaceEngine(was, e *catalog.Engine, log *changeLog) {
+	if e != nil {
+		d.engines.Set(e.ID, e)
+	} else {
+		d.engines.Delete(was.ID)
+	}
+	if was != nil && (e == nil || e.Service != was.Service) {
+		log.serving = append(log.serving, d.index(was.Service).replace(was, nil)...)
+		was = nil
+	}
+	if e != nil {
+		log.serving = append(log.serving, d.index(e.Service).replace(was, e)...)
+	}
+}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -171,7 +169,7 @@
 	c.BuildIndex()
 	d.config.Store(c)
 	klog.InfoS("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "tenants", len(c.Tenants))
-	d.rebuildViews()
+	d.setServices(c.Services)
 }
 
 func (d *Directory) zonesOutOfService() []string {
@@ -200,27 +198,30 @@
 // effect immediately, except in the grace period after an outage of the store,
 // when it takes effect at the end of the period.
 func (d *Directory) applyEngines(records []Record, full bool) {
+	log := &changeLog{}
 	changed := false
 	present := map[string]bool{}
 	for _, rec := range records {
 		present[rec.Key] = len(rec.Value) > 0
 		if len(rec.Value) == 0 {
-			changed = d.removeOrDefer(rec.Key) || changed
+			d.invalid.Delete(rec.Key)
+			changed = d.removeOrDefer(rec.Key, log) || changed
 			continue
 		}
-		changed = d.applyAnnouncement(rec) || changed
+		changed = d.applyAnnouncement(rec, log) || changed
 	}
 	if full {
 		for _, id := range d.engineIDs() {
 			if !present[id] {
-				changed = d.removeOrDefer(id) || changed
+				changed = d.removeOrDefer(id, log) || changed
 			}
 		}
 	}
-	changed = d.removeExpired() || changed
+	changed = d.removeExpired(log) || changed
 	if changed {
-		d.rebuildViews()
+		d.notify()
 	}
+	log.write()
 }
 
 func (d *Directory) engineIDs() []string {
@@ -234,28 +235,28 @@
 
 // removeOrDefer removes an engine, or schedules its removal in the grace period
 // after an outage. It reports whether the engine was removed.
-func (d *Directory) removeOrDefer(id string) bool {
+func (d *Directory) removeOrDefer(id string, log *changeLog) bool {
 	if time.Now().Before(d.removalsDeferredUntil) {
 		d.pendingRemovals.Set(id, d.removalsDeferredUntil)
 		return false
 	}
-	return d.removeNow(id)
+	return d.removeNow(id, log)
 }
 
-func (d *Directory) removeNow(id string) bool {
+func (d *Directory) removeNow(id string, log *changeLog) bool {
 	e, ok := d.engines.Get(id)
 	if !ok {
 		return false
 	}
-	d.engines.Delete(id)
+	d.replaceEngine(e, nil, log)
 	d.pendingRemovals.Delete(id)
-	klog.InfoS("engine gone", "engine", id, "service", e.Service, "zone", e.Zone, "group", e.Membership.Group.Name, "rank", e.Membership.Rank)
+	log.gone = append(log.gone, e)
 	return true
 }
 
 // removeExpired removes the engines whose deferred removal is due, and reports
 // whether there were any.
-func (d *Directory) removeExpired() bool {
+func (d *Directory) removeExpired(log *changeLog) bool {
 	var due []string
 	now := time.Now()
 	d.pendingRemovals.Range(func(id string, until time.Time) bool {
@@ -266,44 +267,56 @@
 	})
 	changed := false
 	for _, id := range due {
-		changed = d.removeNow(id) || changed
+		changed = d.removeNow(id, log) || changed
 		d.pendingRemovals.Delete(id)
 	}
 	return changed
 }
 
-// applyAnnouncement applies the announcement of an engine and reports whether the
-// views must be rebuilt. An entry is rewritten only when a field other than the
-// heartbeat changes, so every applied announcement counts as a change. An engine
-// whose announcement can't be decoded is removed.
-func (d *Directory) applyAnnouncement(rec Record) bool {
+// applyAnnouncement applies the announcement of an engine and reports whether a
+// view changed. An entry is rewritten only when a field other than the heartbeat
+// changes, so every applied announcement counts as a change. An engine whose
+// announcement can't be decoded is removed.
+func (d *Directory) applyAnnouncement(rec Record, log *changeLog) bool {
 	e, err := d.opts.Decoder.Engine(rec)
 	if err != nil {
-		klog.ErrorS(err, "invalid announcement; engine removed", "key", rec.Key, "offset", rec.Offset)
-		_, known := d.engines.Get(rec.Key)
-		d.engines.Delete(rec.Key)
-		return known
+		d.logInvalid(rec, err)
+		d.pendingRemovals.Delete(rec.Key)
+		return d.removeNow(rec.Key, log)
 	}
 	if was, ok := d.versions.Get(e.ID); ok && (e.StartUnixMS < was.startMS || (e.StartUnixMS == was.startMS && e.HeartbeatSeq < was.heartbeat)) {
 		return false
 	}
+	d.invalid.Delete(e.ID)
 	d.versions.Set(e.ID, announcementVersion{e.StartUnixMS, e.HeartbeatSeq})
 	d.pendingRemovals.Delete(e.ID)
 	e.SeenAt = time.Now()
+	e.Draining = e.Draining || d.leaving.binds(e.ID, e.StartUnixMS)
 	old, known := d.engines.Get(e.ID)
-	d.engines.Set(e.ID, e)
-	if !known {
-		klog.InfoS("engine announced", "engine", e.ID, "service", e.Service, "zone", e.Zone, "domain", e.FabricDomain, "addr", e.Addr)
-		return true
+	d.replaceEngine(old, e, log)
+	switch {
+	case !known:
+		log.announced = append(log.announced, e)
+	case e.Draining && !old.Draining:
+		log.draining = append(log.draining, e)
 	}
-	if e.Draining && !old.Draining {
-		klog.InfoS("engine drains", "engine", e.ID, "service", e.Service)
+	return true
+}
+
+// maxInvalidEntries is the number of invalid entries whose errors are remembered.
+const maxInvalidEntries = 1024
+
+// logInvalid logs the error of an entry that cannot be decoded, once until the entry
+// changes: its writer may renew it every second.
+func (d *Directory) logInvalid(rec Record, err error) {
+	if old, ok := d.invalid.Get(rec.Key); ok && old == err.Error() {
+		return
 	}
-	if e.Membership != old.Membership {
-		klog.InfoS("engine's group changed", "engine", e.ID, "group", e.Membership.Group.Name, "epoch", e.Membership.Group.Epoch,
-			"rank", e.Membership.Rank, "state", e.Membership.State.String(), "was_group", old.Membership.Group.Name, "was_state", old.Membership.State.String())
+	if d.invalid.Len() >= maxInvalidEntries {
+		d.invalid.Clear()
 	}
-	return true
+	d.invalid.Set(rec.Key, err.Error())
+	klog.ErrorS(err, "invalid announcement; it names no engine to use", "key", rec.Key, "offset", rec.Offset, "bytes", len(rec.Value))
 }
 
 func (d *Directory) applyDaemonRecords(records []Record) {
@@ -328,7 +341,3 @@
 		d.daemons.Set(n.Daemon, n.Addr)
 	}
 }
-
-func sortEngines(engines []*catalog.Engine) {
-	slices.SortFunc(engines, func(a, b *catalog.Engine) int { return strings.Compare(a.ID, b.ID) })
-}
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -106,6 +106,13 @@
 	t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, at)
 }
 
+// withLock calls fn with the position's lock held.
+func (t *topicPosition) withLock(fn func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fn()
+}
+
 // invalidate discards the cursor; the next read returns the newest record of each
 // key.
 func (t *topicPosition) invalidate() {
