Send sums of loads in few datagrams, and presence from ranked daemons only

Change: sums name engines by a hash of four bytes, 90 in a datagram, and go to a fifth of the daemons at a time. Presence reports come from the first eight daemons and the planner, twice a second, so their number grows with the fleet and not with its square. A daemon collects and pushes only after it has had time to learn its rank, and sends sums after the others have reported to it. A report that does not fit in a datagram is sent with fewer suspected engines instead of not at all. A report of loads touches only the engines in it.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -176,18 +176,20 @@
 	tr := NewTracker("a", func() int { return 100 })
 	e := &catalog.Engine{ID: "i-1"}
 	load := func(at time.Time) int { return tr.Status(e, 0, at).Load.InFlight }
-	all := func(string) bool { return true }
+	sums := func(loads map[string]Load) func(string) (Load, bool) {
+		return func(id string) (Load, bool) { return loads[id], true }
+	}
 	tr.Begin(e, Work{}, now)
 	tr.ReportOwnLoads()
-	tr.SetLoadSums(map[string]Load{"i-1": {InFlight: 5}}, all, now.Add(time.Second))
+	tr.SetLoadSums(sums(map[string]Load{"i-1": {InFlight: 5}}), now.Add(time.Second))
 	must.Eq(t, 5, load(now))
 	tr.Begin(e, Work{}, now)
 	must.Eq(t, 6, load(now))
 	must.Eq(t, map[string]Load{"i-1": {InFlight: 6}}, tr.LoadSums(now))
 	must.Eq(t, 2, load(now.Add(2*time.Second)), must.Sprint("the collector's sum has expired"))
-	tr.SetLoadSums(nil, func(id string) bool { return id != "i-1" }, now.Add(time.Second))
+	tr.SetLoadSums(func(id string) (Load, bool) { return Load{}, id != "i-1" }, now.Add(time.Second))
 	must.Eq(t, 6, load(now), must.Sprint("a report that does not cover the engine changes its load"))
-	tr.SetLoadSums(nil, all, now.Add(time.Second))
+	tr.SetLoadSums(sums(nil), now.Add(time.Second))
 	must.Eq(t, 2, load(now), must.Sprint("the collector's sum does not include this daemon's load yet"))
 }
 
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -31,7 +31,9 @@
 // each engine's state has its own lock.
 type Tracker struct {
 	engines *shard.Map[*engineState]
-	node    string
+	// reportedEngines holds the engines in the last report of each other daemon.
+	reportedEngines *shard.Map[[]string]
+	node            string
 	// daemons returns the number of daemons that share a cold engine's rate limit.
 	daemons func() int
 }
@@ -89,7 +91,7 @@
 // NewTracker returns an empty Tracker for the daemon with the name node. daemons
 // returns the number of daemons that share the rate limit of a cold engine.
 func NewTracker(node string, daemons func() int) *Tracker {
-	return &Tracker{engines: shard.NewMap[*engineState](), node: node, daemons: daemons}
+	return &Tracker{engines: shard.NewMap[*engineState](), reportedEngines: shard.NewMap[[]string](), node: node, daemons: daemons}
 }
 
 func (t *Tracker) engine(id string) *engineState {
@@ -253,36 +255,47 @@
 }
 
 // SetRemoteLoads sets the load that another daemon has at all engines. It is valid
-// until the given time or the daemon's next report.
+// until the given time or the daemon's next report. Its cost depends on the number
+// of engines in this report and the last one, not on that of all engines.
 func (t *Tracker) SetRemoteLoads(from string, loads map[string]Load, until, now time.Time) {
-	for id := range loads {
-		t.engine(id)
+	ids := make([]string, 0, len(loads))
+	for id, l := range loads {
+		ids = append(ids, id)
+		t.engine(id).setRemote(from, remoteLoad{l, until})
 	}
-	t.engines.Range(func(id string, s *engineState) bool {
-		l, ok := loads[id]
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if ok {
-			s.remote[from] = remoteLoad{l, until}
-		} else {
-			delete(s.remote, from)
-		}
-		return true
+	var before []string
+	t.reportedEngines.Update(from, func(old []string, _ bool) ([]string, bool) {
+		before = old
+		return ids, len(ids) > 0
 	})
+	for _, id := range before {
+		if _, ok := loads[id]; !ok {
+			t.engine(id).deleteRemote(from)
+		}
+	}
 }
 
-// SetLoadSums sets the load of all daemons, as reported by a collector, at the
-// engines that the report covers. It is valid until the given time or the next
-// report that covers them.
-func (t *Tracker) SetLoadSums(loads map[string]Load, covers func(id string) bool, until time.Time) {
-	for id := range loads {
-		t.engine(id)
-	}
+func (s *engineState) setRemote(from string, r remoteLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remote[from] = r
+}
+
+func (s *engineState) deleteRemote(from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.remote, from)
+}
+
+// SetLoadSums sets the load of all daemons, as reported by a collector, at the known
+// engines for which sum reports a load. It is valid until the given time or the next
+// report that covers the engine.
+func (t *Tracker) SetLoadSums(sum func(id string) (l Load, covered bool), until time.Time) {
 	t.engines.Range(func(id string, s *engineState) bool {
-		if covers(id) {
+		if l, covered := sum(id); covered {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.collected, s.collectedUntil = loads[id], until
+			s.collected, s.collectedUntil = l, until
 		}
 		return true
 	})
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -84,7 +84,7 @@
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
 	tracker := balance.NewTracker(s.Node, d.fleetSize)
 	demand := balance.NewDemand()
-	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, demand: demand, suspicions: shard.NewMap[suspicion](), startedAt: boottime.Now()}
+	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, demand: demand, suspicions: shard.NewMap[suspicion](), leaving: shard.NewMap[leaveNotice](), startedAt: boottime.Now()}
 	d.directory = directory.New(directory.Options{
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		IsReader: d.meshAdapter.isStoreReader, OnRead: d.meshAdapter.pushRecords,
@@ -92,7 +92,7 @@
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, BootID: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
-		Source: d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isStoreReader,
+		Source: d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isCollector, IsRanked: d.meshAdapter.isRanked,
 	})
 	d.planner = planner.New(planner.Options{
 		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Demand: demand,
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
@@ -19,12 +21,19 @@
 	// suspicionTTL is how long a suspicion is included in reports. It covers the
 	// loss of a few datagrams.
 	suspicionTTL = time.Second
+	// loadReportIntervals is the number of intervals for which the loads of a report
+	// are used. It covers the loss of a few datagrams.
+	loadReportIntervals = 4
 	// demandReportTTL is the number of intervals for which a demand report is used.
 	// It covers the loss of a few datagrams.
 	demandReportTTL = 4
 	// storeReaders is the number of daemons that read the store on behalf of all.
 	// With two of them, one may fail or be partitioned without delaying updates.
 	storeReaders = 2
+	// rankedDaemons is the number of daemons of a large fleet that let all others know
+	// that they are alive. It exceeds plannerCandidates, so that the next candidates
+	// are known when some fail.
+	rankedDaemons = 8
 	// plannerCandidates is the number of daemons that are candidates for the
 	// planners' lease.
 	plannerCandidates = 4
@@ -50,6 +59,7 @@
 	tracker    *balance.Tracker
 	demand     *balance.Demand
 	suspicions *shard.Map[suspicion]
+	leaving    *shard.Map[leaveNotice]
 	startedAt  time.Duration
 	// lastPlanned is the boot time at which another daemon was last known to hold
 	// the planners' lease.
@@ -68,6 +78,13 @@
 	expiresAt time.Time
 }
 
+// leaveNotice is the notice of an engine that leaves. Reports include it until it
+// expires.
+type leaveNotice struct {
+	startMS   int64
+	expiresAt time.Time
+}
+
 // DaemonAddrs returns the daemons' addresses by name.
 func (g *meshAdapter) DaemonAddrs() map[string]string { return g.d.directory.Daemons() }
 
@@ -89,12 +106,23 @@
 	r.Serving = g.d.stats.hasServed()
 	r.Loads = engineLoads(g.tracker.ReportOwnLoads())
 	wallNow := time.Now()
+	g.suspicions.DeleteFunc(func(_ string, s suspicion) bool { return wallNow.After(s.expiresAt) })
 	g.suspicions.Range(func(_ string, s suspicion) bool {
-		if wallNow.Before(s.expiresAt) {
-			r.Suspects = append(r.Suspects, wire.Suspect{Engine: s.engine, Group: s.group.Name, Epoch: s.group.Epoch})
-		}
+		r.Suspects = append(r.Suspects, wire.Suspect{Engine: s.engine, Group: s.group.Name, Epoch: s.group.Epoch})
+		return true
+	})
+}
+
+// LeavingEngines returns the recent notices of engines that leave.
+func (g *meshAdapter) LeavingEngines() []wire.LeavingEngine {
+	now := time.Now()
+	g.leaving.DeleteFunc(func(_ string, l leaveNotice) bool { return now.After(l.expiresAt) })
+	var out []wire.LeavingEngine
+	g.leaving.Range(func(id string, l leaveNotice) bool {
+		out = append(out, wire.LeavingEngine{Engine: id, StartMS: l.startMS})
 		return true
 	})
+	return out
 }
 
 // TotalLoads returns the sums of the loads of all daemons that reported to this
@@ -150,12 +178,38 @@
 // HandleReport applies the report of another daemon.
 func (g *meshAdapter) HandleReport(r *wire.LoadReport) {
 	now := time.Now()
-	ttl := time.Duration(r.IntervalMS) * time.Millisecond * 4
-	if r.SumParts > 0 {
-		g.tracker.SetLoadSums(reportedLoads(r), func(id string) bool { return mesh.SumPartIndex(id, r.SumParts) == r.SumPart }, now.Add(ttl))
-	} else {
-		g.tracker.SetRemoteLoads(r.Sender, reportedLoads(r), now.Add(ttl), now)
+	if r.SumParts == 0 {
+		g.tracker.SetRemoteLoads(r.Sender, reportedLoads(r), now.Add(reportTTL(r)), now)
 	}
+	g.applyState(r, now)
+}
+
+// HandleSums applies the sums of a collector, and its report in them.
+func (g *meshAdapter) HandleSums(s *wire.LoadSums) {
+	now := time.Now()
+	g.applyState(&s.Report, now)
+	loads, err := s.Unpack()
+	if err != nil {
+		klog.V(1).ErrorS(err, "sums of a collector ignored", "sender", s.Report.Sender)
+		return
+	}
+	byHash := make(map[uint32]balance.Load, len(loads))
+	for _, l := range loads {
+		byHash[l.Hash] = balance.Load{InFlight: l.InFlight, PendingTokens: l.PendingTokens}
+	}
+	g.tracker.SetLoadSums(func(id string) (balance.Load, bool) {
+		hash := wire.EngineHash(id)
+		return byHash[hash], s.From <= hash && hash <= s.To
+	}, now.Add(reportTTL(&s.Report)))
+}
+
+// reportTTL returns how long the loads of a report are used.
+func reportTTL(r *wire.LoadReport) time.Duration {
+	return loadReportIntervals * time.Duration(r.IntervalMS) * time.Millisecond
+}
+
+// applyState applies what a report says besides the loads.
+func (g *meshAdapter) applyState(r *wire.LoadReport, now time.Time) {
 	for _, s := range r.Suspects {
 		g.handleSuspicion(s, now)
 	}
@@ -189,6 +243,29 @@
 	}
 }
 
+// HandleLeaving applies the notices of engines that leave, which another daemon has
+// received. Like suspicions, a store reader passes new ones on.
+func (g *meshAdapter) HandleLeaving(n *wire.LeaveNotices) {
+	for _, l := range n.Engines {
+		if g.d.directory.MarkLeaving(l.Engine, l.StartMS, n.Sender) && g.isStoreReader() {
+			g.passOnLeaving(l.Engine, l.StartMS)
+		}
+	}
+}
+
+// reportLeaving records that an engine has said in an answer that it leaves, and
+// sends the notice to the other daemons.
+func (g *meshAdapter) reportLeaving(id string, startMS int64, request string) {
+	if g.d.directory.MarkLeaving(id, startMS, request) {
+		g.passOnLeaving(id, startMS)
+	}
+}
+
+func (g *meshAdapter) passOnLeaving(id string, startMS int64) {
+	g.leaving.Set(id, leaveNotice{startMS, time.Now().Add(suspicionTTL)})
+	g.d.mesh.SendNow()
+}
+
 // HandleRecords applies records that another daemon read from the store.
 func (g *meshAdapter) HandleRecords(r *wire.RecordPush) {
 	records := make([]directory.Record, len(r.Records))
@@ -201,7 +278,7 @@
 // pushRecords sends records that this daemon read to the other daemons, if it is a
 // store reader.
 func (g *meshAdapter) pushRecords(t directory.Topic, from uint64, records []directory.Record) {
-	if !g.isStoreReader() {
+	if !g.isCollector() {
 		return
 	}
 	out := make([]wire.KeyedValue, len(records))
@@ -212,6 +289,17 @@
 	g.d.mesh.SendNow()
 }
 
+// isCollector reports whether this daemon collects loads and pushes records on behalf
+// of the others. Until it has had time to learn of them it cannot know its rank.
+func (g *meshAdapter) isCollector() bool {
+	return boottime.Now()-g.startedAt >= discoveryPeriod && g.isStoreReader()
+}
+
+// isRanked reports whether the other daemons need to know whether this one is alive.
+func (g *meshAdapter) isRanked() bool {
+	return g.d.planner.HoldsLease() || g.ranksWithin(rankedDaemons)
+}
+
 // isStoreReader reports whether this daemon reads the store on behalf of the
 // others: it ranks among the first storeReaders of those that can reach the store.
 // The result is cached for rankTTL, since it is needed for each report received.
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -24,6 +24,9 @@
 func (d *testDaemon) TotalLoads() []wire.EngineLoad          { return nil }
 func (d *testDaemon) ModelWork() []wire.ModelWork            { return d.work }
 func (d *testDaemon) HandleReport(*wire.LoadReport)          {}
+func (d *testDaemon) LeavingEngines() []wire.LeavingEngine   { return nil }
+func (d *testDaemon) HandleLeaving(*wire.LeaveNotices)       {}
+func (d *testDaemon) HandleSums(*wire.LoadSums)              {}
 func (d *testDaemon) HandleRecords(*wire.RecordPush)         {}
 func (d *testDaemon) HandleDemand(report *wire.DemandReport) { d.demand <- report }
 
@@ -44,7 +47,7 @@
 			d.work = []wire.ModelWork{{Service: "s", Model: name, Requests: 3, Offered: 2, Refused: 1}}
 		}
 		daemons[name] = d
-		m := New(Options{Node: name, BootID: "b", Addr: addr, Source: d, Handler: d, IsCollector: func() bool { return false }})
+		m := New(Options{Node: name, BootID: "b", Addr: addr, Source: d, Handler: d, IsCollector: func() bool { return false }, IsRanked: func() bool { return false }})
 		go func() { _ = m.Run(ctx) }()
 	}
 	heard := map[string]wire.ModelWork{}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,9 @@
 	// TotalLoads returns the loads of all engines, summed over the daemons that
 	// report to this one.
 	TotalLoads() []wire.EngineLoad
+	// LeavingEngines returns the engines whose notice that they leave is to be passed
+	// on.
+	LeavingEngines() []wire.LeavingEngine
 	// ModelWork returns the work that clients have requested of this daemon.
 	ModelWork() []wire.ModelWork
 }
@@ -78,6 +82,10 @@
 type Handler interface {
 	// HandleReport handles a report of a peer.
 	HandleReport(r *wire.LoadReport)
+	// HandleSums handles the sums of a collector, and its report in them.
+	HandleSums(s *wire.LoadSums)
+	// HandleLeaving handles the notices that a peer has received.
+	HandleLeaving(n *wire.LeaveNotices)
 	// HandleDemand handles a demand report of a peer.
 	HandleDemand(r *wire.DemandReport)
 	// HandleRecords handles records that a peer has read from the store.
@@ -97,6 +105,10 @@
 	// reports at least every collectorInterval, and in a fleet larger than
 	// maxDirectFleet it sends the summed loads to the other daemons.
 	IsCollector func() bool
+	// IsRanked reports whether the other daemons of a large fleet need to know
+	// whether this one is alive: it plans, or may soon read the store or plan for
+	// all.
+	IsRanked func() bool
 }
 
 // Mesh sends and receives datagrams. It is safe for concurrent use.
@@ -191,11 +203,19 @@
 
 // sendLoop sends rounds of reports until ctx ends.
 func (m *Mesh) sendLoop(ctx context.Context) error {
-	var lastPresence, lastDemand time.Time
-	for ctx.Err() == nil {
+	var lastPresence, lastDemand, collectorSince time.Time
+	for n := 0; ctx.Err() == nil; n++ {
 		addrs := m.opts.Source.DaemonAddrs()
 		fleet := m.fleetView(addrs)
-		fleet.presenceDue = time.Since(lastPresence) >= presenceInterval
+		fleet.round, fleet.presenceDue = n, time.Since(lastPresence) >= presenceInterval
+		if !fleet.isCollector {
+			collectorSince = time.Time{}
+		} else if collectorSince.IsZero() {
+			collectorSince = time.Now()
+		}
+		if fleet.isCollector {
+			fleet.collecting = time.Since(collectorSince)
+		}
 		round := fleet.planRound()
 		if len(round.presence) > 0 {
 			lastPresence = time.Now()
@@ -218,12 +238,13 @@
 
 // fleetView returns the current peers and collectors.
 func (m *Mesh) fleetView(addrs map[string]string) *fleetView {
-	fleet := &fleetView{isCollector: m.opts.IsCollector(), collectors: map[string]bool{}}
+	fleet := &fleetView{isCollector: m.opts.IsCollector(), isRanked: m.opts.IsRanked(), collectors: map[string]bool{}}
 	for name := range addrs {
 		if name != m.opts.Node {
 			fleet.names = append(fleet.names, name)
 		}
 	}
+	slices.Sort(fleet.names)
 	now := time.Now()
 	m.peers.Range(func(name string, p peerState) bool {
 		if p.isCollector && now.Before(p.expires) {
@@ -243,9 +264,11 @@
 		r.Loads = r.Loads[:maxLoads]
 	}
 	m.sendEach(addrs, round.full, r)
+	m.sendLeaving(addrs, round.full, round.sums)
 	if len(round.sums) > 0 {
+		r.IntervalMS = collectorInterval.Milliseconds()
 		for _, part := range splitSums(&r, m.opts.Source.TotalLoads()) {
-			m.sendEach(addrs, round.sums, part)
+			m.sendSums(addrs, round.sums, part)
 		}
 	}
 	r.Loads, r.IntervalMS = nil, presenceInterval.Milliseconds()
@@ -273,19 +296,55 @@
 	}
 }
 
-// sendEach sends a report to the named daemons, with the send time of each one's
-// last report as the echo.
+// sendEach sends a report to the named daemons.
 func (m *Mesh) sendEach(addrs map[string]string, names []string, r wire.LoadReport) {
 	for _, name := range names {
-		p, _ := m.peers.Get(name)
-		r.EchoNS, r.SentNS = p.lastSentNS, int64(boottime.Now())
-		m.sendReport(addrs[name], &r)
+		m.addTimes(name, &r)
+		m.send(addrs[name], func() ([]byte, error) { return wire.EncodeLoadReport(&r) }, &r)
+	}
+}
+
+// sendSums sends a part of the sums to the named daemons.
+func (m *Mesh) sendSums(addrs map[string]string, names []string, s wire.LoadSums) {
+	for _, name := range names {
+		m.addTimes(name, &s.Report)
+		m.send(addrs[name], func() ([]byte, error) { return wire.EncodeLoadSums(&s) }, &s.Report)
+	}
+}
+
+// sendLeaving sends the notices of engines that leave to the named daemons.
+func (m *Mesh) sendLeaving(addrs map[string]string, recipients ...[]string) {
+	for engines := range slices.Chunk(m.opts.Source.LeavingEngines(), maxLoads) {
+		b, err := wire.EncodeLeaveNotices(&wire.LeaveNotices{Sender: m.opts.Node, Engines: engines})
+		if err != nil {
+			klog.ErrorS(err, "notices of leaving engines not sent")
+			return
+		}
+		for _, names := range recipients {
+			for _, name := range names {
+				m.write(b, addrs[name])
+			}
+		}
 	}
 }
 
-// sendReport encodes a report and sends it to addr.
-func (m *Mesh) sendReport(addr string, r *wire.LoadReport) {
-	b, err := wire.EncodeLoadReport(r)
+// addTimes sets the send time of a report to a peer, and that of the peer's last
+// report as the echo.
+func (m *Mesh) addTimes(peer string, r *wire.LoadReport) {
+	p, _ := m.peers.Get(peer)
+	r.EchoNS, r.SentNS = p.lastSentNS, int64(boottime.Now())
+}
+
+// send encodes a datagram and sends it to addr. If it is too large, it is sent with
+// fewer of the report's lists: the rest of the report must arrive also when many
+// engines are suspected at once.
+func (m *Mesh) send(addr string, encode func() ([]byte, error), r *wire.LoadReport) {
+	b, err := encode()
+	for err == nil && len(b) > maxDatagram && len(r.Loads)+len(r.Suspects) > 0 {
+		r.Loads = r.Loads[:len(r.Loads)/2]
+		r.Suspects = r.Suspects[:len(r.Suspects)/2]
+		b, err = encode()
+	}
 	if err != nil || len(b) > maxDatagram {
 		klog.ErrorS(err, "load report not sent: encoding failed or larger than one datagram", "bytes", len(b))
 		return
@@ -312,9 +371,15 @@
 		}
 		switch r := msg.(type) {
 		case *wire.LoadReport:
-			if r.Sender != "" && r.Sender != m.opts.Node {
-				m.handleReport(r)
+			if m.recordPeer(r) {
+				m.opts.Handler.HandleReport(r)
+			}
+		case *wire.LoadSums:
+			if m.recordPeer(&r.Report) {
+				m.opts.Handler.HandleSums(r)
 			}
+		case *wire.LeaveNotices:
+			m.opts.Handler.HandleLeaving(r)
 		case *wire.DemandReport:
 			m.opts.Handler.HandleDemand(r)
 		case *wire.PushPart:
@@ -398,9 +463,12 @@
 	}
 }
 
-// handleReport stores the state of the sending peer and hands the report to the
-// Handler.
-func (m *Mesh) handleReport(r *wire.LoadReport) {
+// recordPeer stores the state of the sending peer. It reports false for a report
+// without a sender, or of this daemon itself.
+func (m *Mesh) recordPeer(r *wire.LoadReport) bool {
+	if r.Sender == "" || r.Sender == m.opts.Node {
+		return false
+	}
 	now := time.Now()
 	old, known := m.peers.Get(r.Sender)
 	if !known || old.bootID != r.BootID || now.After(old.expires) {
@@ -411,7 +479,7 @@
 		bootID: r.BootID, lastSentNS: r.SentNS, expires: now.Add(max(minPeerExpiry, peerExpiryIntervals*interval)),
 		upToDate: senderUpToDate(r), planning: r.Planning, plannerKnown: r.PlannerKnown, capacity: r.Capacity, isCollector: r.IsCollector,
 	})
-	m.opts.Handler.HandleReport(r)
+	return true
 }
 
 // senderUpToDate reports whether the sender's configuration was recently confirmed
--- a/internal/mesh/round.go
+++ b/internal/mesh/round.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
-	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -14,15 +16,19 @@
 	// processor time. In larger fleets daemons report to a few collectors, which
 	// send the sums to all.
 	maxDirectFleet = 40
-	// presenceInterval is the interval of the presence reports to all daemons in
-	// fleets larger than maxDirectFleet. They only show which daemons are alive, for
-	// rankings that change over minutes. With 300 daemons each daemon sends 60 of
-	// them a second.
-	presenceInterval = 5 * time.Second
-	// meanSumEntries is the mean number of engines in one report of sums. Engines
-	// are assigned to reports by hash, so the number varies; maxLoads is three
-	// standard deviations above a mean of 25.
-	meanSumEntries = 25
+	// presenceInterval is the interval of the presence reports of ranked daemons to
+	// all others in fleets larger than maxDirectFleet.
+	presenceInterval = 500 * time.Millisecond
+	// sumSlices is the number of rounds in which a collector sends sums to all
+	// daemons, a part of them in each, so that they do not fill its link's queue at
+	// once.
+	sumSlices = 5
+	// collectorWarmup is how long a daemon has to be a collector before it sends
+	// sums. By then the others have reported their loads to it.
+	collectorWarmup = 2 * collectorInterval
+	// maxSumEntries is the number of engines in one part of the sums, so that it
+	// fits in maxDatagram.
+	maxSumEntries = 90
 )
 
 // reportRound is the plan of one round of reports.
@@ -37,15 +43,19 @@
 
 // fleetView is a daemon's view of its peers when it plans a round.
 type fleetView struct {
-	// names are the names of all peers.
+	// names are the names of all peers, sorted.
 	names []string
-	// isCollector is set if this daemon is a collector. collectors are the peers
-	// that are collectors.
+	// isCollector is set if this daemon is a collector, and collecting is for how
+	// long it has been one. collectors are the peers that are collectors.
 	isCollector bool
+	collecting  time.Duration
 	collectors  map[string]bool
-	// presenceDue is set if a presence report to the peers that are not collectors
-	// is due.
+	// isRanked is set if the other daemons need to know whether this one is alive.
+	isRanked bool
+	// presenceDue is set if presence reports are due.
 	presenceDue bool
+	// round numbers the rounds, for the slices of a collector's recipients.
+	round int
 }
 
 // planRound returns the recipients of the next round and the time until the one
@@ -53,46 +63,62 @@
 func (f *fleetView) planRound() reportRound {
 	n := len(f.names) + 1
 	round := reportRound{interval: max(minReportInterval, time.Duration(n)*intervalPerPeer)}
-	if f.isCollector {
-		round.interval = min(round.interval, collectorInterval)
-	}
 	switch {
-	case n <= maxDirectFleet || (!f.isCollector && len(f.collectors) == 0):
+	case n <= maxDirectFleet:
+		if f.isCollector {
+			round.interval = min(round.interval, collectorInterval)
+		}
 		round.full = f.names
 		return round
-	case !f.isCollector:
-		round.interval = collectorInterval
+	case !f.isCollector && len(f.collectors) == 0:
+		round.full = f.names
+		return round
+	}
+	sendsSums := f.isCollector && f.collecting >= collectorWarmup
+	round.interval = collectorInterval
+	if sendsSums {
+		round.interval /= sumSlices
 	}
-	for _, name := range f.names {
+	for i, name := range f.names {
 		switch {
 		case f.collectors[name]:
 			round.full = append(round.full, name)
-		case f.isCollector:
+		case sendsSums && i%sumSlices == f.round%sumSlices:
 			round.sums = append(round.sums, name)
-		case f.presenceDue:
+		case !sendsSums && f.presenceDue && (f.isRanked || f.isCollector):
 			round.presence = append(round.presence, name)
 		}
 	}
 	return round
 }
 
-// splitSums distributes the summed loads over several reports that each fit in one
-// datagram. An engine is assigned to a report by hash, so the receiver knows that
-// an engine of a part that is missing from its report has no load.
-func splitSums(base *wire.LoadReport, sums []wire.EngineLoad) []wire.LoadReport {
-	parts := len(sums)/meanSumEntries + 1
-	out := make([]wire.LoadReport, parts)
-	for i := range out {
-		out[i] = *base
-		out[i].Loads, out[i].SumPart, out[i].SumParts = nil, i, parts
+// splitSums returns the summed loads in parts that each fit in one datagram. The
+// parts together cover all hashes, so the receiver knows that an engine that is
+// missing from its part has no load.
+func splitSums(base *wire.LoadReport, sums []wire.EngineLoad) []wire.LoadSums {
+	hashed := make([]wire.HashedLoad, len(sums))
+	for i, l := range sums {
+		hashed[i] = wire.HashedLoad{Hash: wire.EngineHash(l.Engine), InFlight: l.InFlight, PendingTokens: l.PendingTokens}
 	}
-	for _, l := range sums {
-		part := SumPartIndex(l.Engine, parts)
-		out[part].Loads = append(out[part].Loads, l)
+	slices.SortFunc(hashed, func(a, b wire.HashedLoad) int { return cmp.Compare(a.Hash, b.Hash) })
+	report := *base
+	report.Loads = nil
+	var out []wire.LoadSums
+	from := uint32(0)
+	for {
+		n := min(len(hashed), maxSumEntries)
+		part := wire.LoadSums{Report: report, From: from, To: math.MaxUint32}
+		for _, l := range hashed[:n] {
+			part.AppendLoad(l)
+		}
+		hashed = hashed[n:]
+		if len(hashed) > 0 {
+			part.To = hashed[0].Hash - 1
+		}
+		out = append(out, part)
+		if len(hashed) == 0 {
+			return out
+		}
+		from = hashed[0].Hash
 	}
-	return out
 }
-
-// SumPartIndex returns the index of the report of sums, out of parts, that an
-// engine is assigned to.
-func SumPartIndex(engine string, parts int) int { return int(shard.Hash(engine) % uint64(parts)) }
--- a/internal/wire/compat_test.go
+++ b/internal/wire/compat_test.go
@@ -63,6 +63,8 @@
 	{"keyed record", func() any { return &once.Record{} }, false},
 	{"member datagram", func() any { return &memberMessage{} }, true},
 	{"load datagram", func() any { return &LoadReport{} }, true},
+	{"sums datagram", func() any { return &LoadSums{} }, true},
+	{"leave datagram", func() any { return &LeaveNotices{} }, true},
 	{"demand datagram", func() any { return &DemandReport{} }, true},
 	{"push", func() any { return &RecordPush{} }, true},
 	{"push part", func() any { return &PushPart{} }, true},
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -18,9 +18,9 @@
 	// Topics holds the sender's position in each topic of the store, in the order
 	// of the topic constants in package directory.
 	Topics []TopicEnd
-	// IsCollector is set if the sender collects the loads of all daemons. If
-	// SumParts is above 0, Loads holds the sum over all daemons for the engines
-	// that hash to part SumPart of SumParts.
+	// IsCollector is set if the sender collects the loads of all daemons. SumPart and
+	// SumParts are set by releases that send sums in load reports; newer ones send
+	// LoadSums and ignore a report whose SumParts is above 0.
 	IsCollector       bool
 	SumPart, SumParts int
 	// Capacity is the sender's share of the processor times its link rate.
@@ -58,23 +58,42 @@
 	Epoch  int64
 }
 
+// LeaveNotices lists the engines that have recently said in an answer to the sender
+// that they leave. The order of the fields is the encoding.
+type LeaveNotices struct {
+	Sender  string
+	Engines []LeavingEngine
+}
+
+// LeavingEngine identifies an incarnation of an engine that leaves by its start time
+// in Unix milliseconds.
+type LeavingEngine struct {
+	Engine  string
+	StartMS int64
+}
+
 // The first byte of a mesh datagram is its kind.
 const (
 	loadDatagram   = 'L' // LoadReport
 	partDatagram   = 'R' // PushPart
 	demandDatagram = 'D' // DemandReport
+	sumsDatagram   = 'S' // LoadSums
+	leaveDatagram  = 'V' // LeaveNotices
 )
 
 // EncodeLoadReport encodes a report as a datagram.
 func EncodeLoadReport(r *LoadReport) ([]byte, error) { return encodeDatagram(loadDatagram, r) }
 
+// EncodeLeaveNotices encodes notices as a datagram.
+func EncodeLeaveNotices(n *LeaveNotices) ([]byte, error) { return encodeDatagram(leaveDatagram, n) }
+
 func encodeDatagram(kind byte, v any) ([]byte, error) {
 	b, err := encodeCompact(v)
 	return append([]byte{kind}, b...), err
 }
 
-// DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart or a
-// *DemandReport.
+// DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart, a
+// *DemandReport, a *LoadSums or *LeaveNotices.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -89,6 +108,12 @@
 	case demandDatagram:
 		r := &DemandReport{}
 		return r, Unmarshal(b[1:], r)
+	case sumsDatagram:
+		s := &LoadSums{}
+		return s, Unmarshal(b[1:], s)
+	case leaveDatagram:
+		n := &LeaveNotices{}
+		return n, Unmarshal(b[1:], n)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "datagram of unknown kind %d", b[0])
 	}
--- a/internal/wire/load_test.go
+++ b/internal/wire/load_test.go
@@ -39,6 +39,37 @@
 	must.LessEq(t, 1400, len(b))
 }
 
+func TestLoadSumsRoundTrip(t *testing.T) {
+	sums := &LoadSums{Report: LoadReport{Sender: "front-1", IntervalMS: 250}, From: 7, To: 1 << 31}
+	loads := []HashedLoad{{1, 0, 0}, {1 << 31, 22, 41_000}, {5, 300, 1 << 30}}
+	for _, l := range loads {
+		sums.AppendLoad(l)
+	}
+	b, err := EncodeLoadSums(sums)
+	must.NoError(t, err)
+	v, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	got, ok := v.(*LoadSums)
+	must.True(t, ok)
+	must.Eq(t, sums, got)
+	unpacked, err := got.Unpack()
+	must.NoError(t, err)
+	must.Eq(t, loads, unpacked)
+	for _, n := range []int{1, 5, len(sums.Loads) - 1} {
+		_, err := (&LoadSums{Loads: sums.Loads[:n]}).Unpack()
+		must.Error(t, err, must.Sprint("cut after ", n))
+	}
+}
+
+func TestLeaveNoticesRoundTrip(t *testing.T) {
+	notices := &LeaveNotices{Sender: "front-1", Engines: []LeavingEngine{{"i-1", 1 << 41}}}
+	b, err := EncodeLeaveNotices(notices)
+	must.NoError(t, err)
+	got, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, any(notices), got)
+}
+
 func FuzzDecodeDatagram(f *testing.F) {
 	b, err := EncodeLoadReport(&LoadReport{Sender: "x"})
 	must.NoError(f, err)
@@ -47,9 +78,15 @@
 	b, err = EncodeDemandReport(&DemandReport{Sender: "x", Models: []ModelWork{{}}})
 	must.NoError(f, err)
 	f.Add(b)
+	b, err = EncodeLoadSums(&LoadSums{Loads: []byte{0, 0, 0, 1, 2, 3}})
+	must.NoError(f, err)
+	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if v, err := DecodeDatagram(b); err == nil {
 			must.NotNil(t, v)
+			if s, ok := v.(*LoadSums); ok {
+				_, _ = s.Unpack() // must not panic
+			}
 		}
 	})
 }
