--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -88,6 +88,9 @@
 	}
 	size := e.Membership.Rank + 1
 	if m, ok := spec.Model(g.Model); ok {
+		if m.GroupSize > 0 && e.Membership.Rank >= m.GroupSize && len(g.Members) > 0 {
+			return // not a rank of the model's groups
+		}
 		size = max(size, m.GroupSize)
 	}
 	for len(g.Members) < size {
