Follow leave notices and waits in engines' answers

Change: the head of every answer, of whatever status, is looked at. A leaving incarnation counts as draining from then on, without the store, until a later start; other daemons get the notice in datagrams, and the planner closes its group as for any draining member. An engine that asks to wait is no candidate of this daemon until then (per start; a time that is no number, negative or beyond the longest timeout is replaced and logged); if all wait, callers are told when the first takes requests again. 503, 429 and 408 of an engine without its statement that the request has not run are no longer passed on, since clients take them for that promise.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -63,7 +63,7 @@
 	margin := t.tieMargin()
 	for _, c := range cands {
 		st := t.Status(c.Head, c.Service.ColdRequestsPerSecond, now)
-		if st.Suspected != suspected {
+		if st.Suspected != suspected || now.Before(st.UnavailableUntil) {
 			continue
 		}
 		if c.Head.ColdRemainingAt(now) > 0 && c.Service.ColdRequestsPerSecond > 0 && !st.ColdAllowed {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -64,6 +64,10 @@
 	suspectUntil time.Time
 	suspectGroup catalog.GroupID
 	lastProgress time.Time
+	// unavailableUntil is the end of the wait that the engine's incarnation that
+	// started at unavailableStart (Unix milliseconds) has asked this daemon for.
+	unavailableUntil time.Time
+	unavailableStart int64
 	// coldAllowance is a token bucket for requests to the engine while it is cold.
 	coldAllowance  float64
 	coldRefilledAt time.Time
@@ -83,6 +87,9 @@
 	// FailureRate is the moving average of failed requests, from 0 to 1.
 	FailureRate    float64
 	MeanAnswerTime time.Duration
+	// UnavailableUntil is the end of the wait that the engine has asked this daemon
+	// for, or the zero time.
+	UnavailableUntil time.Time
 	// ColdAllowed reports whether this daemon may send a request to the engine while
 	// it is cold.
 	ColdAllowed bool
@@ -112,6 +119,8 @@
 		FailureRate:    s.failureRate,
 		MeanAnswerTime: s.meanAnswerTime,
 		ColdAllowed:    s.coldAllowance >= 1,
+
+		UnavailableUntil: s.unavailable(e.StartUnixMS),
 	}
 }
 
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -197,13 +197,20 @@
 	// an API key to an index into Tenants.
 	byHost map[string][]int
 	byKey  map[string]int
+	// longestTimeout is the longest Timeout of a route.
+	longestTimeout time.Duration
 }
 
-// BuildIndex builds the indexes used by Route and Tenant. It must be called once
+// LongestTimeout returns the longest time that a route lets a request wait, or 0 if
+// no route limits it.
+func (c *Config) LongestTimeout() time.Duration { return c.longestTimeout }
+
+// BuildIndex builds the indexes used by Route, Tenant and LongestTimeout. It must be called once
 // before the configuration is shared between goroutines.
 func (c *Config) BuildIndex() {
 	c.byHost = make(map[string][]int)
 	for i := range c.Routes {
+		c.longestTimeout = max(c.longestTimeout, c.Routes[i].Timeout)
 		host := strings.ToLower(c.Routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], i)
 	}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -107,6 +107,7 @@
 		BufferBytes: s.bufferBytes(),
 		Observer:    d.stats,
 		OnSuspect:   d.meshAdapter.reportSuspicion,
+		OnLeaving:   d.meshAdapter.reportLeaving,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -255,10 +255,13 @@
 
 // reportLeaving records that an engine has said in an answer that it leaves, and
 // sends the notice to the other daemons.
-func (g *meshAdapter) reportLeaving(id string, startMS int64, request string) {
-	if g.d.directory.MarkLeaving(id, startMS, request) {
-		g.passOnLeaving(id, startMS)
+// It reports whether the notice is new.
+func (g *meshAdapter) reportLeaving(id string, startMS int64, request string) bool {
+	if !g.d.directory.MarkLeaving(id, startMS, request) {
+		return false
 	}
+	g.passOnLeaving(id, startMS)
+	return true
 }
 
 func (g *meshAdapter) passOnLeaving(id string, startMS int64) {
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -22,6 +22,8 @@
 	metricRetries       = "repeats"
 	metricResumes       = "resumes"
 	metricLate          = "late_answers"
+	metricLeaveNotices  = "leave_notices"
+	metricEngineWaits   = "engine_waits"
 	metricFirstEvent    = "first_event_seconds"
 	metricRequestTime   = "request_seconds"
 	metricConfigVersion = "config_version"
@@ -66,6 +68,8 @@
 		tags := map[string]string{"service": r.Service, "model": r.Model, "outcome": r.Outcome}
 		s.registry.Scope().Tagged(tags).Counter(metricModelRequests).Inc(1)
 	}
+	scope.Counter(metricLeaveNotices).Inc(int64(r.LeaveNotices))
+	scope.Counter(metricEngineWaits).Inc(int64(r.EngineWaits))
 	if r.Late {
 		scope.Counter(metricLate).Inc(1)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -115,6 +115,10 @@
 		j.opts.Tracker.RecordOutcome(e, false, time.Since(start), resp.Load(), time.Now())
 		return nil, fault.Refuse(fault.Overload, "use another engine", "engine %s rejected the request with status %d", e.ID, resp.Status())
 	}
+	if err := unprovenPromise(e, resp); err != nil {
+		j.opts.Tracker.RecordOutcome(e, false, time.Since(start), resp.Load(), time.Now())
+		return nil, err
+	}
 	body, err := j.readBody(resp)
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
@@ -124,6 +128,17 @@
 	return &bufferedResponse{resp.Status(), resp.Header(), body}, nil
 }
 
+// unprovenPromise returns an error for a response whose status tells clients that the
+// request has not run, although the engine does not state it.
+func unprovenPromise(e *catalog.Engine, resp Response) error {
+	switch resp.Status() {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fault.New(fault.Interrupted, "check the engine", "engine %s answered with status %d without stating that the request has not run", e.ID, resp.Status())
+	default:
+		return nil
+	}
+}
+
 // attemptDeadline returns the deadline of an attempt: that of the request, or an
 // earlier one if the request may still be sent to another engine.
 func (j *job) attemptDeadline(c balance.Choice) time.Time {
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -35,6 +35,10 @@
 	// buffered response.
 	TimeToFirst time.Duration
 	TotalTime   time.Duration
+	// LeaveNotices counts the engines that were first heard to leave in a response to
+	// the request, EngineWaits those that asked for a wait.
+	LeaveNotices int
+	EngineWaits  int
 	// Late is set if the response missed the route's target latency.
 	Late bool
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -60,6 +61,10 @@
 	Observer Observer
 	// OnSuspect is called when an engine has made no progress for too long.
 	OnSuspect func(id string, group catalog.GroupID)
+	// OnLeaving is called when the incarnation of an engine that started at startMS
+	// (Unix milliseconds) has stated in the response to the request that it leaves.
+	// It reports whether that was not known.
+	OnLeaving func(id string, startMS int64, requestID string) bool
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -224,10 +229,11 @@
 	if remaining < time.Duration(minRemainingFraction*float64(j.route.TargetLatency)) || remaining <= 0 {
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
-	choice, ok := balance.Choose(j.candidates(), j.opts.Tracker, j.req.Work, j.opts.Zone, now)
+	candidates := j.candidates()
+	choice, ok := balance.Choose(candidates, j.opts.Tracker, j.req.Work, j.opts.Zone, now)
 	switch {
 	case !ok:
-		return choice, j.refuseForCapacity("no engine available", now)
+		return choice, j.refuseWithoutEngine(candidates, now)
 	case choice.Predicted.FirstEvent > remaining:
 		return choice, j.refuseForCapacity("predicted wait exceeds the time left", now)
 	case j.sends == 0 && !balance.Admit(choice, j.route.TargetLatency):
@@ -239,6 +245,19 @@
 	return choice, nil
 }
 
+// refuseWithoutEngine returns the refusal of a request that none of the candidates
+// can be sent. If they have asked for a wait, the client is told when the first of
+// them takes requests again.
+func (j *job) refuseWithoutEngine(candidates []balance.Candidate, now time.Time) *Refusal {
+	at, waiting := balance.EarliestAvailable(candidates, j.opts.Tracker, now)
+	if !waiting {
+		return j.refuseForCapacity("no engine available", now)
+	}
+	refusal := j.refuseForCapacity("all engines have asked to wait", now)
+	refusal.RetryAfter = min(refusal.RetryAfter, at.Sub(now))
+	return refusal
+}
+
 // refuseForCapacity returns the refusal of a request for which no engine has room,
 // and records it in the demand for the model.
 func (j *job) refuseForCapacity(reason string, now time.Time) *Refusal {
@@ -268,10 +287,41 @@
 	j.sends++
 	j.triedEngines[e.ID] = true
 	j.opts.Tracker.Begin(e, j.req.Work, now)
-	return j.opts.Sender.Send(ctx, &Attempt{
+	resp, err := j.opts.Sender.Send(ctx, &Attempt{
 		Request: j.req, Engine: e, Tenant: j.tenant, Priority: j.priority,
 		Remaining: j.deadline.Sub(now), LastEventID: lastEventID, AtMostOnce: !j.route.Repeatable(),
 	})
+	if err == nil {
+		j.recordNotices(e, resp)
+	}
+	return resp, err
+}
+
+// recordNotices records what the head of a response, of whatever status, says about
+// its engine: that it leaves, or wants no requests for some time.
+func (j *job) recordNotices(e *catalog.Engine, resp Response) {
+	if resp.Leaving() && j.opts.OnLeaving(e.ID, e.StartUnixMS, j.req.ID) {
+		j.summary.LeaveNotices++
+		j.logDecision("engine leaves", "engine", e.ID, "status", resp.Status(), "announced_ms_ago", time.Since(e.SeenAt).Milliseconds())
+	}
+	seconds, ok := resp.RequestedWait()
+	if !ok {
+		return
+	}
+	wait, replaced := balance.BoundWait(seconds, j.longestDeadline())
+	j.opts.Tracker.SetUnavailable(e, time.Now().Add(wait))
+	j.summary.EngineWaits++
+	// The value is logged as text, since NaN and infinity have no JSON form.
+	j.logDecision("engine asks to wait", "engine", e.ID, "status", resp.Status(), "wait_ms", wait.Milliseconds(),
+		"asked_s", strconv.FormatFloat(seconds, 'g', -1, 64), "replaced", replaced)
+}
+
+// longestDeadline returns the longest time that a request may wait.
+func (j *job) longestDeadline() time.Duration {
+	if cfg := j.opts.Directory.Config(); cfg != nil && cfg.LongestTimeout() > 0 {
+		return cfg.LongestTimeout()
+	}
+	return defaultClientTimeout
 }
 
 // reserveRetry reports whether another attempt may be made, and takes it from the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -150,6 +150,9 @@
 // already written.
 func (j *job) handleErrorStatus(e *catalog.Engine, resp Response, headerSent bool) error {
 	j.opts.Tracker.RecordOutcome(e, false, 0, resp.Load(), time.Now())
+	if err := unprovenPromise(e, resp); err != nil {
+		return err
+	}
 	body, err := j.readBody(resp)
 	failed := resp.Status() >= http.StatusInternalServerError
 	if err != nil || headerSent || (failed && j.route.Repeatable() && j.possibleRuns+1 < j.route.MaxAttempts) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -61,6 +61,13 @@
 	Header() map[string][]string
 	// NotRun reports whether the engine states that it did not run the request.
 	NotRun() bool
+	// Leaving reports whether the engine states that it leaves and wants no further
+	// requests.
+	Leaving() bool
+	// RequestedWait returns the seconds for which the engine wants no requests from
+	// this daemon, which are NaN if they are not a number. ok is false if the engine
+	// states no time.
+	RequestedWait() (seconds float64, ok bool)
 	// Load returns the load that the engine reported, or nil.
 	Load() *balance.Load
 	// Read reads the body. It returns io.EOF only at the proper end of the body.
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -51,6 +51,12 @@
 	stalled      bool
 	orders       []Order
 	stallCh      chan struct{}
+	// leaving is set if responses state that the engine leaves.
+	leaving bool
+	// refusals is the number of requests still to refuse, with the given wait.
+	refusals    int
+	refusalWait string
+	arrivals    int
 }
 
 // groupMembership is the engine's membership in a group, as announced.
@@ -128,6 +134,29 @@
 	e.announce()
 }
 
+// LeaveInResponses makes all further responses state that the engine leaves. Its
+// entry in the store stays unchanged.
+func (e *Engine) LeaveInResponses() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Refuse makes the engine refuse the next n requests and ask for a wait, which is
+// sent as it is given.
+func (e *Engine) Refuse(n int, wait string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusals, e.refusalWait = n, wait
+}
+
+// Arrivals returns the number of requests that have arrived, refused ones included.
+func (e *Engine) Arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
 // ExecutedRequests returns the ids of the requests that started to execute.
 func (e *Engine) ExecutedRequests() []string {
 	var ids []string
@@ -301,6 +330,15 @@
 	e.mu.Lock()
 	plainService := e.config.EventsPerStream == 0
 	refused := !plainService && (e.group.State != "open" || e.group.Rank != 0)
+	e.arrivals++
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if e.refusals > 0 {
+		e.refusals--
+		refused = true
+		w.Header().Set("Retry-After", e.refusalWait)
+	}
 	if !refused {
 		e.store.recordExecution(Execution{RequestID: id, EngineID: e.config.ID, At: time.Now()})
 	}
