Withdraw a claim that times out while its intent is appended

Cause of the known failure TestTimedOutClaimIsWithdrawn: an entry was marked as possibly logged only after the append had returned. A claim that timed out during the append was told that its intent is not in the log, did not withdraw it, and the key stayed held by an attempt that nobody knew of.

Change: entries are marked before the append, and the mark is taken back if the append has certainly failed.

--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -328,6 +328,21 @@
 	n.mustAcquire(t, in)
 }
 
+// TestClaimTimedOutDuringAppendIsWithdrawn lets a claim time out while the append of
+// its intent is under way. The intent is in the log afterwards, and must be withdrawn.
+func TestClaimTimedOutDuringAppendIsWithdrawn(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	n := c.nodes["d0"]
+	n.mustAcquire(t, newIntent("warm"))
+	c.log.set(func(l *fakeLog) { l.latency = 600 * time.Millisecond })
+	in := newIntent("k")
+	_, err := n.claim(t, in, 100*time.Millisecond)
+	test.Eq(t, fault.Timeout, fault.KindOf(err))
+	c.log.set(func(l *fakeLog) { l.latency = 0 })
+	n.flush(t)
+	n.mustAcquire(t, in)
+}
+
 // TestDecisionsSurviveTrimming checks that a new home that can read only the records
 // within the retention still knows that a key of an earlier daemon is held.
 func TestDecisionsSurviveTrimming(t *testing.T) {
--- a/internal/keyed/queue.go
+++ b/internal/keyed/queue.go
@@ -15,8 +15,8 @@
 	queuedAt time.Time
 	done     chan struct{} // closed once err is set or the record was read back
 	err      error
-	// mayBeLogged means that an append of the record was attempted and was not
-	// certain to have failed.
+	// mayBeLogged means that an append of the record is under way, or was attempted
+	// and is not certain to have failed.
 	mayBeLogged bool
 	// canceled means that no goroutine waits for the entry any more.
 	canceled bool
--- a/internal/keyed/stream.go
+++ b/internal/keyed/stream.go
@@ -174,11 +174,13 @@
 		s.markDown(err)
 		return
 	}
+	// A claim may time out while the append is under way.
+	marked := s.markMayBeLogged(batch)
 	a, err := s.appendBatch(ctx, batch)
-	lost := err != nil && fault.As(err).Outcome != fault.NotRun
-	if err == nil || lost {
-		s.markMayBeLogged(batch)
+	if err == nil || fault.As(err).Outcome != fault.NotRun {
 		err = s.readBack(ctx, err)
+	} else {
+		s.unmarkMayBeLogged(marked)
 	}
 	s.completeBatch(batch, a)
 	if err != nil {
@@ -235,11 +237,26 @@
 	return err
 }
 
-func (s *stream) markMayBeLogged(batch []*entry) {
+// markMayBeLogged marks the entries of a batch as possibly logged and returns those
+// that were not marked before.
+func (s *stream) markMayBeLogged(batch []*entry) (marked []*entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range batch {
-		e.mayBeLogged = true
+		if !e.mayBeLogged {
+			e.mayBeLogged = true
+			marked = append(marked, e)
+		}
+	}
+	return marked
+}
+
+// unmarkMayBeLogged reverts markMayBeLogged after an append that certainly failed.
+func (s *stream) unmarkMayBeLogged(marked []*entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range marked {
+		e.mayBeLogged = false
 	}
 }
 
