Do not call on a connection that the peer has closed

Cause of the known failure TestStopFinishesCallsInFlight: the client wrote to a kept connection whose end its read loop had not yet noticed, so the call of a stopped server ended as possibly run.

Change: before a call the client peeks at the connection, and dials anew if the peer has closed it; a refused connection is not run.

--- a/internal/peer/addrconn.go
+++ b/internal/peer/addrconn.go
@@ -31,10 +31,11 @@
 // may already be closed when the caller uses it.
 func (a *addrConn) get(ctx context.Context) (*clientConn, error) {
 	a.mu.Lock()
-	if a.conn != nil {
+	if a.conn != nil && !a.conn.closedByPeer() {
 		defer a.mu.Unlock()
 		return a.conn, nil
 	}
+	a.conn = nil // readLoop closes it
 	if a.dialing == nil {
 		a.dialing = &dialAttempt{done: make(chan struct{})}
 		go a.connect(a.dialing)
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/sockpeek"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -82,6 +83,13 @@
 	c.timer = time.AfterFunc(c.addrConn.client.opts.IdleTimeout, c.onTimer)
 }
 
+// closedByPeer reports whether the peer has closed the connection, which readLoop may
+// not have noticed yet. A call on it would not be answered.
+func (c *clientConn) closedByPeer() bool {
+	counted, ok := c.conn.(countedConn)
+	return ok && sockpeek.Peek(counted.Conn) == sockpeek.Closed
+}
+
 // close closes the connection. Pending calls fail with err, or with the error of
 // an earlier close.
 func (c *clientConn) close(err error) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/sockpeek"
 )
 
 const (
@@ -149,7 +150,8 @@
 		if cn == nil {
 			break
 		}
-		if time.Since(cn.lastUsed) < cn.maxIdle && cn.br.Buffered() == 0 && isIdle(cn.Conn) {
+		// Unread bytes belong to no request, so the connection cannot be reused.
+		if time.Since(cn.lastUsed) < cn.maxIdle && cn.br.Buffered() == 0 && sockpeek.Peek(cn.Conn) == sockpeek.Quiet {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -175,27 +177,6 @@
 	return errors.Join(err, setErr)
 }
 
-// isIdle reports whether an idle connection is open and has no bytes to read.
-// Unread bytes belong to no request, so the connection cannot be reused.
-func isIdle(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var open bool
-	var buf [1]byte
-	err = rc.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
-
 // popIdle removes and returns the most recently used idle connection to addr, or
 // nil.
 func (c *Client) popIdle(addr string) *conn {
