--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -51,12 +51,15 @@
 
 // Platform holds the platform adapters that a daemon needs.
 type Platform struct {
-	Log          directory.Log
-	Decoder      directory.Decoder
-	Topics       directory.Topics
-	Lease        planner.Lease
-	Heads        planner.HeadStore
-	Announcer    Announcer
+	Log       directory.Log
+	Decoder   directory.Decoder
+	Topics    directory.Topics
+	Lease     planner.Lease
+	Heads     planner.HeadStore
+	Announcer Announcer
+	// ObserveCalls sets the function that is called with the name and the topic of
+	// each call of the store. It may be nil.
+	ObserveCalls func(observe func(call, topic string))
 	EngineClient planner.EngineClient
 	Codec        interface {
 		ingress.Codec
@@ -82,6 +85,9 @@
 		debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryBytes)))
 	}
 	d := &Daemon{settings: s, platform: p, stats: newStats()}
+	if p.ObserveCalls != nil {
+		p.ObserveCalls(d.stats.recordStoreCall)
+	}
 	tracker := balance.NewTracker(s.Node, d.fleetSize)
 	demand := balance.NewDemand()
 	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, demand: demand, suspicions: shard.NewMap[suspicion](), leaving: shard.NewMap[leaveNotice](), startedAt: boottime.Now()}
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -24,6 +24,7 @@
 	metricLate          = "late_answers"
 	metricLeaveNotices  = "leave_notices"
 	metricEngineWaits   = "engine_waits"
+	metricStoreCalls    = "store_calls"
 	metricFirstEvent    = "first_event_seconds"
 	metricRequestTime   = "request_seconds"
 	metricConfigVersion = "config_version"
@@ -75,6 +76,11 @@
 	}
 }
 
+// recordStoreCall counts a call of the store.
+func (s *stats) recordStoreCall(call, topic string) {
+	s.registry.Scope().Tagged(map[string]string{"call": call, "topic": topic}).Counter(metricStoreCalls).Inc(1)
+}
+
 // hasServed reports whether this daemon has finished a request.
 func (s *stats) hasServed() bool { return s.requests.Load() > 0 }
 
