--- a/internal/directory/index.go
+++ b/internal/directory/index.go
@@ -187,8 +187,10 @@
 		if s.serving {
 			msg = "group serves"
 		}
-		fields := []any{"service", s.group.Service, "group", s.group.ID.Name, "epoch", s.group.ID.Epoch, "model", s.group.Model,
-			"members", len(s.group.Members), "present", len(s.group.PresentMembers())}
+		fields := []any{
+			"service", s.group.Service, "group", s.group.ID.Name, "epoch", s.group.ID.Epoch, "model", s.group.Model,
+			"members", len(s.group.Members), "present", len(s.group.PresentMembers()),
+		}
 		if head != nil {
 			fields = append(fields, "head", head.ID, "head_state", head.Membership.State.String(), "domain", head.FabricDomain)
 		}
