Divide requests over groups by the age of the known loads

Load answered: many daemons that choose from the same loads. Each took the group with the best prediction, within a random margin of 0.8 in a large fleet.

Change: the arrivals expected within the age of the loads (the requests in flight by the time that each stays) are poured on the groups with the lowest predictions, and a group's part of them is its probability. The age follows from the way that reports take. The margin per daemon goes.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -14,6 +14,9 @@
 	Slots: 10, StepsPerPass: 5, StepMS: 6, PrefillTokensPerSecond: 50_000, PrefillChunk: 2048, MeanPromptTokens: 1000, MeanAnswerTokens: 100,
 }
 
+// reportAge is the age of the loads in these tests.
+func reportAge() time.Duration { return 50 * time.Millisecond }
+
 func daemonCount(n int) func() int { return func() int { return n } }
 
 func head(id string) *catalog.Engine {
@@ -49,7 +52,7 @@
 
 func TestChooseLeastLoadedUnsuspected(t *testing.T) {
 	now := time.Now()
-	tr := NewTracker("n", daemonCount(1))
+	tr := NewTracker("n", daemonCount(1), reportAge)
 	a, b := head("a"), head("b")
 	cands := []Candidate{llm(a), llm(b)}
 	for range 8 {
@@ -75,7 +78,7 @@
 
 func TestSuspicionEndsWithGroup(t *testing.T) {
 	now := time.Now()
-	tr := NewTracker("n", daemonCount(1))
+	tr := NewTracker("n", daemonCount(1), reportAge)
 	e := head("a")
 	tr.Suspect("a", e.Membership.Group, now)
 	must.True(t, tr.Status(e, 0, now).Suspected)
@@ -95,7 +98,7 @@
 			e.ColdRemaining, e.SeenAt = time.Hour, start
 			daemons := make([]*Tracker, n)
 			for i := range daemons {
-				daemons[i] = NewTracker(fmt.Sprintf("node-%d", i), daemonCount(n))
+				daemons[i] = NewTracker(fmt.Sprintf("node-%d", i), daemonCount(n), reportAge)
 			}
 			var sent []time.Time
 			for k := range ticks {
@@ -123,7 +126,7 @@
 
 func TestRemoteLoadsExpire(t *testing.T) {
 	now := time.Now()
-	tr := NewTracker("n", daemonCount(2))
+	tr := NewTracker("n", daemonCount(2), reportAge)
 	e := head("a")
 	tr.SetRemoteLoads("peer", map[string]Load{"a": {InFlight: 5, PendingTokens: 700}}, now.Add(time.Second), now)
 	must.Eq(t, Load{InFlight: 5, PendingTokens: 700}, tr.Status(e, 0, now).Load)
@@ -173,7 +176,7 @@
 // added.
 func TestLoadSumsCountOwnLoadOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tr := NewTracker("a", func() int { return 100 })
+	tr := NewTracker("a", func() int { return 100 }, reportAge)
 	e := &catalog.Engine{ID: "i-1"}
 	load := func(at time.Time) int { return tr.Status(e, 0, at).Load.InFlight }
 	sums := func(loads map[string]Load) func(string) (Load, bool) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,20 +1,12 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
 const (
-	// tieMarginPerDaemon, times the number of daemons but at most maxTieMargin, is
-	// the relative difference of predicted times below which two engines count as
-	// equal. All daemons choose from the same reports, and without a random choice
-	// among equals all would choose the same engine. The margin grows with the
-	// fleet, because reports are rarer and older in a large one.
-	tieMarginPerDaemon = 0.01
-	maxTieMargin       = 0.8
 	// failurePenalty, times an engine's recent failure rate, is the relative
 	// increase of its predicted time.
 	failurePenalty = 12
@@ -42,7 +34,7 @@
 	Load      Load
 }
 
-// Choose returns the candidate with the shortest predicted time to the first
+// Choose returns one of the candidates with the shortest predicted times to the first
 // event, and prefers the daemon's zone among equals. Suspected engines are used
 // only if there is no other, and cold engines only within their rate limit. It
 // returns false if no candidate may be used.
@@ -57,10 +49,7 @@
 // chooseAmong is Choose among the candidates that are suspected, or among those
 // that are not.
 func chooseAmong(cands []Candidate, t *Tracker, w Work, zone string, now time.Time, suspected bool) (Choice, bool) {
-	var best Choice
-	var bestScore float64
-	found := false
-	margin := t.tieMargin()
+	list := make([]scored, 0, len(cands))
 	for _, c := range cands {
 		st := t.Status(c.Head, c.Service.ColdRequestsPerSecond, now)
 		if st.Suspected != suspected || now.Before(st.UnavailableUntil) {
@@ -69,17 +58,31 @@
 		if c.Head.ColdRemainingAt(now) > 0 && c.Service.ColdRequestsPerSecond > 0 && !st.ColdAllowed {
 			continue
 		}
-		pred := c.predict(st, w)
-		score := float64(pred.FirstEvent) * (1 + failurePenalty*st.FailureRate)
-		if c.Head.Zone != zone {
-			score *= otherZonePenalty
-		}
-		score *= 1 + margin*rand.Float64()
-		if !found || score < bestScore {
-			best, bestScore, found = Choice{c, pred, st.Load}, score, true
-		}
+		list = append(list, c.score(st, w, zone))
+	}
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	return pick(list, expectedArrivals(list, t.reportAge())), true
+}
+
+// score predicts a request's course at the candidate, and how much one more such
+// request would change it.
+func (c *Candidate) score(st Status, w Work, zone string) scored {
+	pred := c.predict(st, w)
+	more := st
+	more.Load.InFlight++
+	more.Load.PendingTokens += w.PromptTokens
+	factor := 1 + failurePenalty*st.FailureRate
+	if c.Head.Zone != zone {
+		factor *= otherZonePenalty
+	}
+	return scored{
+		choice:    Choice{*c, pred, st.Load},
+		score:     float64(pred.FirstEvent) * factor,
+		added:     float64(c.predict(more, w).FirstEvent - pred.FirstEvent),
+		residence: pred.Residence,
 	}
-	return best, found
 }
 
 // predict returns the expected course of a request at the candidate.
@@ -96,5 +99,6 @@
 	// A plain engine slows down as its slots fill, so load below the limit counts
 	// too.
 	busy := 1 + float64(st.Load.InFlight)/float64(slots)/2
-	return Prediction{FirstEvent: wait + time.Duration(float64(mean)*busy), SlotWait: wait}
+	answer := time.Duration(float64(mean) * busy)
+	return Prediction{FirstEvent: wait + answer, SlotWait: wait, Residence: answer}
 }
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -38,6 +38,8 @@
 	// prompts.
 	SlotWait time.Duration
 	Backlog  time.Duration
+	// Residence is the time from the start of the prefill to the end of a mean answer.
+	Residence time.Duration
 }
 
 // tokensPerK and pairsPerM convert the units of the published parameters.
@@ -68,6 +70,7 @@
 		FirstEvent: fromMS(first),
 		Gap:        fromMS(pass + timeFactor*prefillMS(spec, math.Min(float64(l.PendingTokens), float64(spec.PrefillChunk)))),
 		SlotWait:   fromMS(wait),
+		Residence:  fromMS(prefill + pass + spec.MeanAnswerTokens*step),
 		Backlog:    fromMS(wait + timeFactor*prefillMS(spec, float64(l.PendingTokens))),
 	}
 }
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -36,6 +36,9 @@
 	node            string
 	// daemons returns the number of daemons that share a cold engine's rate limit.
 	daemons func() int
+	// reportAge returns the mean age of what this daemon knows of the loads that other
+	// daemons cause.
+	reportAge func() time.Duration
 }
 
 // engineState is the state of one engine.
@@ -97,8 +100,8 @@
 
 // NewTracker returns an empty Tracker for the daemon with the name node. daemons
 // returns the number of daemons that share the rate limit of a cold engine.
-func NewTracker(node string, daemons func() int) *Tracker {
-	return &Tracker{engines: shard.NewMap[*engineState](), reportedEngines: shard.NewMap[[]string](), node: node, daemons: daemons}
+func NewTracker(node string, daemons func() int, reportAge func() time.Duration) *Tracker {
+	return &Tracker{engines: shard.NewMap[*engineState](), reportedEngines: shard.NewMap[[]string](), node: node, daemons: daemons, reportAge: reportAge}
 }
 
 func (t *Tracker) engine(id string) *engineState {
@@ -180,12 +183,6 @@
 	s.coldRefilledAt = now
 }
 
-// tieMargin returns the relative difference of predicted times below which two
-// engines count as equal.
-func (t *Tracker) tieMargin() float64 {
-	return min(maxTieMargin, tieMarginPerDaemon*float64(t.daemons()))
-}
-
 // Begin records that a request is sent to the engine.
 func (t *Tracker) Begin(e *catalog.Engine, w Work, now time.Time) {
 	s := t.engine(e.ID)
--- a/internal/balance/unavailable_test.go
+++ b/internal/balance/unavailable_test.go
@@ -52,7 +52,7 @@
 		{"one has started again", 2, 1, true, "a", 1},
 	}
 	for _, c := range cases {
-		tr := NewTracker("n", daemonCount(1))
+		tr := NewTracker("n", daemonCount(1), reportAge)
 		a, b := head("a"), head("b")
 		a.StartUnixMS, b.StartUnixMS = 5, 5
 		if c.a > 0 {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -88,7 +88,7 @@
 	if p.ObserveCalls != nil {
 		p.ObserveCalls(d.stats.recordStoreCall)
 	}
-	tracker := balance.NewTracker(s.Node, d.fleetSize)
+	tracker := balance.NewTracker(s.Node, d.fleetSize, func() time.Duration { return mesh.ReportAge(d.fleetSize()) })
 	demand := balance.NewDemand()
 	d.meshAdapter = &meshAdapter{d: d, tracker: tracker, demand: demand, suspicions: shard.NewMap[suspicion](), leaving: shard.NewMap[leaveNotice](), startedAt: boottime.Now()}
 	d.directory = directory.New(directory.Options{
--- a/internal/mesh/round.go
+++ b/internal/mesh/round.go
@@ -31,6 +31,19 @@
 	maxSumEntries = 90
 )
 
+// transitTime is the time from the sending of a report until its loads are used.
+const transitTime = 5 * time.Millisecond
+
+// ReportAge returns the mean age of the loads of other daemons that a daemon knows, in
+// a fleet of the given size.
+func ReportAge(daemons int) time.Duration {
+	if daemons <= maxDirectFleet {
+		return max(minReportInterval, time.Duration(daemons)*intervalPerPeer)/2 + transitTime
+	}
+	// Half an interval on the way to a collector, and half of one from there.
+	return collectorInterval + 2*transitTime
+}
+
 // reportRound is the plan of one round of reports.
 type reportRound struct {
 	// full, sums and presence are the names of recipients: full receive this
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -17,7 +17,7 @@
 	for _, slack := range []float64{0, 100} {
 		budget := retry.NewSharedBudget(retry.Allowance{Ratio: 0, Slack: slack, Window: time.Second}, func() int { return 1 })
 		r := New(Options{
-			RetryBudget: budget, Tracker: balance.NewTracker("n", func() int { return 1 }),
+			RetryBudget: budget, Tracker: balance.NewTracker("n", func() int { return 1 }, func() time.Duration { return 0 }),
 			OnSuspect: func(string, catalog.GroupID) {},
 		})
 		j := &job{
