Send another attempt of a request on a connection of its own

Cause: the client for targets (interface of serve) compares the echoed request id, which is the same for all attempts of a request. A target that wrote the refusal of an earlier attempt once more, late, on a kept connection made the next attempt end as not run while the target ran it (reported by another operator).

Change: attempts after the first use a new connection, as requests that may run once always did.

Test: a target that does so; the second attempt ended as not run before. Another request was never given the copy (its id differs): that case passes before and after.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -117,6 +117,7 @@
 		Addr: at.grant.Addr, Method: r.Method, Path: r.Path, ID: r.ID, AttemptID: at.id, IdempotencyKey: r.Key,
 		Workspace: r.Workspace, Priority: at.j.route.Priority,
 		ContentType: r.ContentType, Body: r.Body, Deadline: at.j.deadline, AtMostOnce: atMostOnce,
+		Resent: at.j.retryState.RetriesMade > 0,
 	}
 	if at.j.generate != nil {
 		g := *at.j.generate
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -79,6 +79,10 @@
 	// closed cannot be told from a lost response, and it waits for the
 	// response until Deadline.
 	AtMostOnce bool
+	// Resent marks a request that may have been sent before under the same ID. It gets
+	// a connection of its own, since on a reused one the response to the earlier
+	// attempt, written once more, cannot be told from its own.
+	Resent bool
 }
 
 // Client sends requests to targets. It makes one HTTP exchange per call and
@@ -91,6 +95,7 @@
 // hostClients holds the HTTP clients of one target address.
 type hostClients struct {
 	keepAlive *fasthttp.HostClient // reuses connections; for requests that may be repeated
+	resent    *fasthttp.HostClient // a new connection per request, with the timeouts of keepAlive
 	singleUse *fasthttp.HostClient // a new connection per request
 }
 
@@ -106,8 +111,10 @@
 	var clients *hostClients
 	c.hosts.Update(addr, func(h *hostClients, ok bool) (*hostClients, bool) {
 		if !ok {
+			timeouts := silenceTimeouts{firstByte: c.opts.FirstByteTimeout, betweenReads: c.opts.SilenceTimeout}
 			h = &hostClients{
-				keepAlive: c.newHostClient(addr, silenceTimeouts{firstByte: c.opts.FirstByteTimeout, betweenReads: c.opts.SilenceTimeout}),
+				keepAlive: c.newHostClient(addr, timeouts),
+				resent:    c.newHostClient(addr, timeouts),
 				singleUse: c.newHostClient(addr, silenceTimeouts{}),
 			}
 		}
@@ -205,10 +212,14 @@
 }
 
 func (c *Client) selectClient(r *Request) *fasthttp.HostClient {
-	if r.AtMostOnce {
+	switch {
+	case r.AtMostOnce:
 		return c.clientsFor(r.Addr).singleUse
+	case r.Resent:
+		return c.clientsFor(r.Addr).resent
+	default:
+		return c.clientsFor(r.Addr).keepAlive
 	}
-	return c.clientsFor(r.Addr).keepAlive
 }
 
 func (r *Request) writeTo(req *fasthttp.Request) {
@@ -224,7 +235,7 @@
 	if r.ContentType != "" {
 		req.Header.SetContentType(r.ContentType)
 	}
-	if r.AtMostOnce {
+	if r.AtMostOnce || r.Resent {
 		req.SetConnectionClose()
 	}
 	req.SetBodyRaw(r.Body)
