Prove that an earlier refusal is not taken for the next answer

The client for engines skips answers with another request id, refusals included, and refusals without an id; one that gets only such answers ends as possibly run. No change of code.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -113,6 +113,46 @@
 	must.Eq(t, fault.Unknown, fault.As(err).Outcome)
 }
 
+// TestEarlierRefusalIsNotTakenForTheNext lets an engine write the refusal of an earlier
+// request once more, late, on a kept connection on which it runs the next one.
+func TestEarlierRefusalIsNotTakenForTheNext(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	nameless := strings.Replace(refusal, "Request-Id: 1\r\n", "", 1)
+	cases := []struct {
+		name, late string
+		answered   bool
+	}{
+		{"once", refusal, true},
+		{"twice", refusal + refusal, true},
+		{"without an id", nameless, true},
+		{"instead of the answer", strings.Repeat(refusal, 3), false},
+	}
+	for _, c := range cases {
+		s := startEngine(t, func(n int64, id string) string {
+			switch {
+			case n == 0:
+				return refusal
+			case c.answered:
+				return c.late + okResponse(id, "ok")
+			default:
+				return c.late
+			}
+		})
+		client := NewClient()
+		_, err := get(client, s.addr, "1", false)
+		must.NoError(t, err, must.Sprint(c.name))
+		body, err := get(client, s.addr, "2", false)
+		must.Eq(t, 1, s.accepted.Load(), must.Sprint(c.name, ": the connection was not kept"))
+		if c.answered {
+			must.NoError(t, err, must.Sprint(c.name))
+			must.Eq(t, "ok", body, must.Sprint(c.name))
+			continue
+		}
+		must.Error(t, err, must.Sprint(c.name))
+		must.Eq(t, fault.Unknown, fault.As(err).Outcome, must.Sprint(c.name, ": the engine may have run the request"))
+	}
+}
+
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
 	s := startEngine(t, func(n int64, id string) string {
 		if n == 0 {
