Keep a slow stream if there is no other engine to go on at

Cause: a stream whose pauses exceeded its route's limit was given up when the budget allowed another attempt, whether or not another engine could take it.

Change: the attempt is given up only if an engine that was not tried and is not suspected may take the request.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,19 +182,19 @@
 	return j.opts.Directory.ConfigAge() < time.Duration(keyTrustFraction*float64(j.opts.RevokeBound))
 }
 
-// candidates returns the engines that may serve the request and have not been
-// tried.
-func (j *job) candidates() []balance.Candidate {
+// candidates returns the engines that may serve the request and are not among the
+// tried ones.
+func (j *job) candidates(tried map[string]bool) []balance.Candidate {
 	view, ok := j.opts.Directory.Service(j.service)
 	if !ok {
 		return nil
 	}
 	if view.Service.Engine != nil {
-		return j.groupCandidates(view)
+		return j.groupCandidates(view, tried)
 	}
 	out := make([]balance.Candidate, 0, len(view.Engines))
 	for _, e := range view.Engines {
-		if e.Draining || j.triedEngines[e.ID] || j.opts.Directory.ZoneOutOfService(e.Zone) {
+		if e.Draining || tried[e.ID] || j.opts.Directory.ZoneOutOfService(e.Zone) {
 			continue
 		}
 		out = append(out, balance.Candidate{Head: e, Service: view.Service, TimeFactor: 1})
@@ -203,11 +203,11 @@
 }
 
 // groupCandidates returns the heads of the groups that serve the request's model.
-func (j *job) groupCandidates(view *directory.ServiceView) []balance.Candidate {
+func (j *job) groupCandidates(view *directory.ServiceView, tried map[string]bool) []balance.Candidate {
 	out := make([]balance.Candidate, 0, len(view.Groups))
 	for i := range view.Groups {
 		g := &view.Groups[i]
-		if g.Model != j.req.Model && j.req.Model != "" || !g.Serving() || j.triedEngines[g.Head().ID] {
+		if g.Model != j.req.Model && j.req.Model != "" || !g.Serving() || tried[g.Head().ID] {
 			continue
 		}
 		c := balance.Candidate{Head: g.Head(), Service: view.Service, TimeFactor: 1}
@@ -229,7 +229,7 @@
 	if remaining < time.Duration(minRemainingFraction*float64(j.route.TargetLatency)) || remaining <= 0 {
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
-	candidates := j.candidates()
+	candidates := j.candidates(j.triedEngines)
 	choice, ok := balance.Choose(candidates, j.opts.Tracker, j.req.Work, j.opts.Zone, now)
 	switch {
 	case !ok:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -244,16 +246,20 @@
 	startedAt   time.Time
 	receivedAny atomic.Bool
 	stalled     atomic.Bool
-	// canRetry is set if another engine may resume the stream.
+	// canRetry is set if another engine may resume the stream. tried are the engines
+	// that may not, this one included.
 	canRetry        bool
+	tried           map[string]bool
 	timer           *time.Timer
 	firstEventLimit time.Duration
 }
 
 // startWatchdog starts the watchdog of an attempt; cancel ends the attempt.
 func (j *job) startWatchdog(c balance.Choice, cancel context.CancelFunc) *watchdog {
+	tried := map[string]bool{c.Candidate.Head.ID: true}
+	maps.Copy(tried, j.triedEngines)
 	w := &watchdog{
-		j: j, engine: c.Candidate.Head, cancel: cancel, startedAt: time.Now(),
+		j: j, engine: c.Candidate.Head, cancel: cancel, startedAt: time.Now(), tried: tried,
 		canRetry:        j.route.Repeatable() && j.possibleRuns+1 < j.route.MaxAttempts,
 		firstEventLimit: max(firstEventPredictedFactor*c.Predicted.FirstEvent, time.Duration(firstEventTargetFactor*float64(j.route.TargetLatency))),
 		gapLimit:        max(gapPredictedFactor*c.Predicted.Gap, time.Duration(gapTargetFactor*float64(j.route.MaxEventGap))),
@@ -292,9 +298,10 @@
 		w.j.logDecision("engine suspected", "engine", w.engine.ID, "group", w.engine.Membership.Group.Name, "silent_ms", sinceEvent.Milliseconds(), "limit_ms", limit.Milliseconds())
 		w.j.opts.OnSuspect(w.engine.ID, w.engine.Membership.Group)
 	}
-	// The attempt is not given up before the budget allows another one: its engine
-	// may still go on, and the client would get neither the rest nor a refusal.
-	if !w.canRetry || !w.j.opts.RetryBudget.TrySpend(w.j.service, now) {
+	// The attempt is not given up before there is another engine and the budget allows
+	// another attempt: its engine may be slow and go on, and the client would get
+	// neither the rest nor a refusal.
+	if !w.canRetry || !w.hasAlternative() || !w.j.opts.RetryBudget.TrySpend(w.j.service, now) {
 		w.timer.Reset(recheckInterval)
 		return
 	}
@@ -302,6 +309,16 @@
 	w.cancel()
 }
 
+// hasAlternative reports whether an engine that the request was not sent to may take
+// it, and is not suspected itself.
+func (w *watchdog) hasAlternative() bool {
+	now := time.Now()
+	return slices.ContainsFunc(w.j.candidates(w.tried), func(c balance.Candidate) bool {
+		st := w.j.opts.Tracker.Status(c.Head, c.Service.ColdRequestsPerSecond, now)
+		return !st.Suspected && !now.Before(st.UnavailableUntil)
+	})
+}
+
 // wrapStall converts err into a timeout if the watchdog cancelled the attempt.
 func (w *watchdog) wrapStall(err error) error {
 	if !w.stalled.Load() {
