Give each run of the daemon's sessions addresses of its own

Finding: TestSpoiltAnswersAreNoSuccess (one run more than requests) and TestRestartedDaemonFollowsWhatHasChanged (never served) failed once in a run beside another of the same package. Traced: the daemons of both test processes listened on 127.7.0.1 and up, and answered each other's requests and datagrams. Reproduced: of ten runs beside another one, six failed (one to four subtests each); alone, three of three passed.

Change: the addresses depend on the process.

--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -39,7 +40,9 @@
 	grace time.Duration
 }
 
-// lastDaemonIP numbers the loopback addresses, so that each daemon has its own.
+// lastDaemonIP numbers the loopback addresses, so that each daemon has its own. Two runs
+// of these tests at the same time have different ones, or the daemons of one would
+// answer requests of the other.
 var lastDaemonIP atomic.Int64
 
 func newFixture(t *testing.T) *fixture {
@@ -82,7 +85,7 @@
 // addDaemon starts a daemon and returns the function that stops it gracefully.
 func (f *fixture) addDaemon() (stop func()) {
 	n := lastDaemonIP.Add(1)
-	ip := fmt.Sprintf("127.7.%d.%d", n/250, 1+n%250)
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250, 1+n%250)
 	s := edge.Settings{
 		Node: "front-" + ip, Zone: "a", IP: ip, FrontAddr: ip + ":8227", ReadyAddr: ip + ":8220", MeshPort: 7340,
 		StoreAddr: f.store.Addr(), FirstStart: true, Heartbeat: 400 * time.Millisecond, GracePeriod: f.grace,
