--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -49,6 +50,7 @@
 	group        groupMembership
 	draining     bool
 	stalled      bool
+	dripping     bool
 	orders       []Order
 	stallCh      chan struct{}
 	// leaving is set if responses state that the engine leaves.
@@ -57,8 +59,28 @@
 	refusals    int
 	refusalWait string
 	arrivals    int
+	// spoilt is the number of answers still to spoil, in the given way.
+	spoilt int
+	spoil  Spoil
 }
 
+// Spoil is a way in which an engine spoils the answer to a request that it has run.
+type Spoil uint8
+
+// The ways to spoil an answer.
+const (
+	// LoseAnswer closes the connection without an answer.
+	LoseAnswer Spoil = iota
+	// CutLength ends the connection within a body with a length.
+	CutLength
+	// CutChunks ends the connection within a chunked body.
+	CutChunks
+	// ResetUnframed resets the connection within a body without a length.
+	ResetUnframed
+	// UnprovenRefusal answers with 503, but not that the request has not run.
+	UnprovenRefusal
+)
+
 // groupMembership is the engine's membership in a group, as announced.
 type groupMembership struct {
 	Name    string `json:"name"`
@@ -126,6 +148,30 @@
 	}
 }
 
+// DripStreams makes all streams send a comment now and then instead of events.
+func (e *Engine) DripStreams() {
+	e.mu.Lock()
+	e.dripping = true
+	e.mu.Unlock()
+	e.StallStreams()
+}
+
+// dripInterval is the interval between the comments of a dripping stream.
+const dripInterval = 40 * time.Millisecond
+
+// drip sends comments until the client has left.
+func (e *Engine) drip(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	dripping := e.dripping
+	e.mu.Unlock()
+	for dripping && pause.For(r.Context(), dripInterval) {
+		fmt.Fprint(w, ": \n\n")
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+	}
+}
+
 // Drain announces that the engine is draining.
 func (e *Engine) Drain() {
 	e.mu.Lock()
@@ -150,6 +196,13 @@
 	e.refusals, e.refusalWait = n, wait
 }
 
+// SpoilAnswers makes the engine spoil the answers to the next n requests that it runs.
+func (e *Engine) SpoilAnswers(n int, how Spoil) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spoilt, e.spoil = n, how
+}
+
 // Arrivals returns the number of requests that have arrived, refused ones included.
 func (e *Engine) Arrivals() int {
 	e.mu.Lock()
@@ -342,7 +395,15 @@
 	if !refused {
 		e.store.recordExecution(Execution{RequestID: id, EngineID: e.config.ID, At: time.Now()})
 	}
+	spoilt, spoil := e.spoilt > 0 && !refused, e.spoil
+	if spoilt {
+		e.spoilt--
+	}
 	e.mu.Unlock()
+	if spoilt {
+		spoilAnswer(w, id, spoil)
+		return
+	}
 	w.Header().Set("Request-Id", id)
 	if refused {
 		w.Header().Set("Not-Executed", "1")
@@ -358,6 +419,33 @@
 	e.writeStream(w, r)
 }
 
+// spoilAnswer takes over the connection of a request and spoils the answer.
+func spoilAnswer(w http.ResponseWriter, id string, how Spoil) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // can't happen: the server speaks HTTP/1.1
+	}
+	defer func() { _ = conn.Close() }()
+	ok := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\n"
+	answers := map[Spoil]string{
+		CutLength:       ok + "Content-Length: 100\r\n\r\nhalf of it",
+		CutChunks:       ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		ResetUnframed:   ok + "Connection: close\r\n\r\nhalf of it",
+		UnprovenRefusal: "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
+	}
+	// A write fails only if the caller has closed the connection.
+	_, _ = conn.Write([]byte(answers[how]))
+	if tcp, ok := conn.(*net.TCPConn); ok && how == ResetUnframed {
+		// The caller reads the half before the reset discards it.
+		time.Sleep(resetDelay)
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// resetDelay is the time between the bytes of an answer and the reset of its
+// connection.
+const resetDelay = 50 * time.Millisecond
+
 func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request) {
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -368,6 +456,7 @@
 	for ; next <= e.config.EventsPerStream; next++ {
 		select {
 		case <-e.stallCh:
+			e.drip(w, r)
 			<-r.Context().Done()
 			return
 		case <-time.After(e.config.EventInterval):
