Spare calls of the store at a start, and spread pushes over the link

Each daemon read every topic once more right after its first read, because it took itself for a reader until it had heard of others, and published an address that was in the store already. On the large site pushes went to 294 daemons at once, up to 2 MB on a link of 200 Mbit/s; what was lost each daemon read itself.

Change: no daemon reads for others in its first half second; an address that is published is not written again; a push takes 0.4 of the link.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -32,8 +32,15 @@
 	// bodies that are read whole. defaultBufferBytes applies if that is unknown.
 	bufferFraction     = 0.1
 	defaultBufferBytes = 64 << 20
+	// bytesPerMbit converts the rate of a link.
+	bytesPerMbit = 1e6 / 8
 	// announceRetryDelay is the delay before a failed announcement is retried.
 	announceRetryDelay = 500 * time.Millisecond
+	// announceWait is the interval of the checks whether the addresses of the daemons
+	// have been read, and maxAnnounceWait the longest wait for them. A daemon that is
+	// restarted finds its address published.
+	announceWait    = 10 * time.Millisecond
+	maxAnnounceWait = 300 * time.Millisecond
 	// readyFraction is the fraction of RevokeBound within which the configuration
 	// must have been confirmed for this daemon to report ready.
 	readyFraction = 0.6
@@ -98,7 +105,8 @@
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, BootID: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
-		Source: d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isCollector, IsRanked: d.meshAdapter.isRanked,
+		BytesPerSecond: s.LinkMbps * bytesPerMbit,
+		Source:         d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isStoreReader, IsRanked: d.meshAdapter.isRanked,
 	})
 	d.planner = planner.New(planner.Options{
 		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Demand: demand,
@@ -168,11 +176,14 @@
 	}
 }
 
-// announce publishes this daemon's address, retries until it succeeds, and returns
-// when ctx ends.
+// announce publishes this daemon's address unless it is published already, retries
+// until it succeeds, and returns when ctx ends.
 func (d *Daemon) announce(ctx context.Context) error {
 	addr := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.MeshPort))
-	for ctx.Err() == nil {
+	for waited := time.Duration(0); waited < maxAnnounceWait && !d.directory.Cursor(directory.DaemonsTopic).Known; waited += announceWait {
+		pause.For(ctx, announceWait)
+	}
+	for ctx.Err() == nil && d.directory.Daemons()[d.settings.Node] != addr {
 		err := d.platform.Announcer.Announce(d.settings.Node, addr)
 		if err == nil {
 			break
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -281,7 +281,7 @@
 // pushRecords sends records that this daemon read to the other daemons, if it is a
 // store reader.
 func (g *meshAdapter) pushRecords(t directory.Topic, from uint64, records []directory.Record) {
-	if !g.isCollector() {
+	if !g.isStoreReader() {
 		return
 	}
 	out := make([]wire.KeyedValue, len(records))
@@ -292,22 +292,21 @@
 	g.d.mesh.SendNow()
 }
 
-// isCollector reports whether this daemon collects loads and pushes records on behalf
-// of the others. Until it has had time to learn of them it cannot know its rank.
-func (g *meshAdapter) isCollector() bool {
-	return boottime.Now()-g.startedAt >= discoveryPeriod && g.isStoreReader()
-}
-
 // isRanked reports whether the other daemons need to know whether this one is alive.
 func (g *meshAdapter) isRanked() bool {
 	return g.d.planner.HoldsLease() || g.ranksWithin(rankedDaemons)
 }
 
-// isStoreReader reports whether this daemon reads the store on behalf of the
-// others: it ranks among the first storeReaders of those that can reach the store.
-// The result is cached for rankTTL, since it is needed for each report received.
+// isStoreReader reports whether this daemon reads the store and collects loads on
+// behalf of the others: it ranks among the first storeReaders of those that can reach
+// the store. In the discoveryPeriod it cannot know its rank, and its first read of
+// each topic is recent. The result is cached for rankTTL, since it is needed for each
+// report received.
 func (g *meshAdapter) isStoreReader() bool {
 	now := int64(boottime.Now())
+	if now-int64(g.startedAt) < int64(discoveryPeriod) {
+		return false
+	}
 	if now < g.readerCacheExpiry.Load() {
 		return g.cachedIsReader.Load()
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -40,6 +40,10 @@
 	// of this size compress to about one datagram, so that a lost datagram loses
 	// few records.
 	pushBatchBytes = 6 << 10
+	// maxBurstBytes is the number of bytes of a push that are sent at once, and
+	// pushLinkShare the share of the link's rate that a push takes.
+	maxBurstBytes = 32 << 10
+	pushLinkShare = 0.4
 	// maxPushSenders limits the number of senders whose pushes are assembled. Only
 	// a few daemons push at a time.
 	maxPushSenders = 64
@@ -98,9 +102,11 @@
 	Node   string
 	BootID string
 	// Addr is the local UDP address.
-	Addr    string
-	Source  Source
-	Handler Handler
+	Addr string
+	// BytesPerSecond is the rate of the machine's link; 0 if it is unknown.
+	BytesPerSecond float64
+	Source         Source
+	Handler        Handler
 	// IsCollector reports whether this daemon is a collector. A collector sends
 	// reports at least every collectorInterval, and in a fleet larger than
 	// maxDirectFleet it sends the summed loads to the other daemons.
@@ -412,16 +418,32 @@
 	}
 }
 
-// sendAll sends all parts of a push to every peer.
+// sendAll sends all parts of a push to every peer. It spreads them over time, so that
+// they do not fill the queue of the machine's link, where datagrams are lost.
 func (m *Mesh) sendAll(parts [][]byte) {
+	burst := 0
 	for name, addr := range m.opts.Source.DaemonAddrs() {
 		if name == m.opts.Node {
 			continue
 		}
 		for _, b := range parts {
 			m.write(b, addr)
+			burst += len(b)
 		}
+		if burst >= maxBurstBytes {
+			time.Sleep(burstPause(burst, m.opts.BytesPerSecond))
+			burst = 0
+		}
+	}
+}
+
+// burstPause returns the pause after a burst of datagrams that keeps their rate within
+// pushLinkShare of the link's.
+func burstPause(bytes int, linkBytesPerSecond float64) time.Duration {
+	if linkBytesPerSecond <= 0 {
+		return 0
 	}
+	return time.Duration(float64(bytes) / (pushLinkShare * linkBytesPerSecond) * float64(time.Second))
 }
 
 // write sends a datagram to addr. Errors are logged only.
--- a/internal/mesh/round_test.go
+++ b/internal/mesh/round_test.go
@@ -141,3 +141,13 @@
 	must.True(t, ok)
 	must.Greater(t, 10, len(report.Suspects))
 }
+
+// TestPushesStayWithinTheLink checks the rate of a push to a large fleet.
+func TestPushesStayWithinTheLink(t *testing.T) {
+	const link = 200 * 1e6 / 8
+	must.Zero(t, burstPause(maxBurstBytes, 0))
+	perSecond := maxBurstBytes / burstPause(maxBurstBytes, link).Seconds()
+	must.InDelta(t, pushLinkShare*link, perSecond, 1)
+	// A push of one datagram to 294 daemons takes less than a report interval.
+	must.Less(t, collectorInterval, burstPause(294*maxDatagram, link))
+}
