Keep members of a new group reserved until they announce it

Cause: an engine was free for other groups 600 ms after its join, in which time its announcement was expected. In the first seconds of the large site announcements take longer: the first division (from 793 of 1,095 engines, since it waited 1.25 heartbeats) and the next ones used the same engines.

Change: a member stays reserved until it announces the group, for as long as the group may still be completed; a group is given up when a member has left, started again or announces a later group. The first division waits until no new engine was announced for 0.3 heartbeats, at most 4.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -33,6 +33,10 @@
 	// for announcements while no groups exist. Each engine announces itself once
 	// per heartbeat interval.
 	announceHeartbeats = 1.25
+	// quietHeartbeats is the number of heartbeat intervals without a new engine after
+	// which no more are expected, and maxAnnounceHeartbeats the longest wait for that.
+	quietHeartbeats       = 0.3
+	maxAnnounceHeartbeats = 4
 	// stateLogInterval is the minimum time between two log lines with the state of a
 	// service, which name all groups.
 	stateLogInterval = 500 * time.Millisecond
@@ -82,6 +86,23 @@
 		"models", placement.SummarizeModels(s), "free", free, "free_scattered", scattered)
 }
 
+// ungroupedEngines describes the announcements of a service without groups: when the
+// first was seen, and when the number of engines last changed.
+type ungroupedEngines struct {
+	count            int
+	since, changedAt time.Time
+}
+
+// settled reports whether all engines have had time to announce themselves: each does
+// so once per heartbeat, but the entries of a large fleet arrive over several.
+func (u *ungroupedEngines) settled(heartbeat time.Duration, now time.Time) bool {
+	age, quiet := now.Sub(u.since), now.Sub(u.changedAt)
+	if age <= time.Duration(announceHeartbeats*float64(heartbeat)) {
+		return false
+	}
+	return quiet > time.Duration(quietHeartbeats*float64(heartbeat)) || age > maxAnnounceHeartbeats*heartbeat
+}
+
 // announcementsComplete reports whether groups exist or all engines have had time
 // to announce themselves. Forming groups from the first few engines would divide
 // the engines badly between the models.
@@ -89,14 +110,19 @@
 	if len(view.Engines) == 0 || len(view.Groups) > 0 {
 		return len(view.Groups) > 0
 	}
-	first := time.Now()
-	p.ungroupedSince.Update(view.Service.Name, func(t time.Time, ok bool) (time.Time, bool) {
-		if ok {
-			first = t
+	now := time.Now()
+	var seen ungroupedEngines
+	p.ungrouped.Update(view.Service.Name, func(u ungroupedEngines, ok bool) (ungroupedEngines, bool) {
+		if !ok {
+			u.since = now
 		}
-		return first, true
+		if u.count != len(view.Engines) {
+			u.count, u.changedAt = len(view.Engines), now
+		}
+		seen = u
+		return u, true
 	})
-	return time.Since(first) > time.Duration(announceHeartbeats*float64(p.opts.Heartbeat))
+	return seen.settled(p.opts.Heartbeat, now)
 }
 
 // buildSnapshot returns the planner's input for a service.
@@ -137,10 +163,7 @@
 		s.CloseAcked[id] = true
 		return true
 	})
-	p.formations.Range(func(_ string, f formation) bool {
-		s.JoinDeadlines[f.id] = f.until
-		return true
-	})
+	p.addFormations(s, view)
 	for i := range view.Groups {
 		g := &view.Groups[i]
 		if p.headStopped(g, now) {
@@ -150,6 +173,37 @@
 	return s
 }
 
+// addFormations adds the groups that this planner is forming to the snapshot, and
+// reserves the members that do not announce them yet. It gives up the groups that can
+// no longer be completed.
+func (p *Planner) addFormations(s *placement.Snapshot, view *directory.ServiceView) {
+	engines := make(map[string]*catalog.Engine, len(view.Engines))
+	for _, e := range view.Engines {
+		engines[e.ID] = e
+	}
+	var abandoned []string
+	p.formations.Range(func(name string, f formation) bool {
+		if f.service != view.Service.Name {
+			return true
+		}
+		if f.abandoned(engines) {
+			abandoned = append(abandoned, name)
+			return true
+		}
+		s.JoinDeadlines[f.id] = f.until
+		if s.Now.Before(f.until) {
+			for _, id := range f.pending(engines) {
+				s.Reserved[id] = true
+			}
+		}
+		return true
+	})
+	for _, name := range abandoned {
+		p.formations.Delete(name)
+		klog.InfoS("formation given up: a member has left, started again or joined a later group", "group", name)
+	}
+}
+
 // addUnexpired adds the keys whose time has not passed to the sets.
 func addUnexpired(m *shard.Map[time.Time], now time.Time, sets ...map[string]bool) {
 	m.Range(func(key string, until time.Time) bool {
@@ -287,9 +341,10 @@
 	fence := p.nextFence()
 	id := catalog.GroupID{Name: "g" + strconv.FormatInt(fence, 36), Epoch: fence}
 	members := make([]string, len(f.Members))
+	starts := make(map[string]int64, len(f.Members))
 	joinTime := loadedJoinTime
 	for i, e := range f.Members {
-		members[i] = e.ID
+		members[i], starts[e.ID] = e.ID, e.StartUnixMS
 		switch {
 		case e.Model == f.Model.Name:
 		case e.HasStaged(f.Model.Name):
@@ -300,7 +355,7 @@
 	}
 	p.budget.spend(f.Loads, time.Now())
 	until := time.Now().Add(joinTime + joinMargin)
-	p.formations.Set(id.Name, formation{id, until})
+	p.formations.Set(id.Name, formation{id, service.Name, until, starts})
 	klog.InfoS("group formed", "group", id.Name, "epoch", id.Epoch, "service", service.Name, "model", f.Model.Name,
 		"members", members, "loads", f.Loads, "domain", f.Members[0].FabricDomain, "takes_ms", joinTime.Milliseconds())
 	go p.saveHead(id, f.Members[0])
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -171,9 +171,8 @@
 	closedGroups *shard.Map[catalog.GroupID]
 	// stagedLoads holds the running loads by engine id.
 	stagedLoads *shard.Map[stagedLoad]
-	// ungroupedSince holds, by service, when engines were first seen without any
-	// group.
-	ungroupedSince *shard.Map[time.Time]
+	// ungrouped holds the engines of each service that has no groups.
+	ungrouped *shard.Map[ungroupedEngines]
 	// memberlessSince holds, by name, since when a group with a stored head has had
 	// no members.
 	memberlessSince *shard.Map[time.Time]
@@ -202,8 +201,35 @@
 
 // formation is a group that this planner is forming.
 type formation struct {
-	id    catalog.GroupID
-	until time.Time
+	id      catalog.GroupID
+	service string
+	until   time.Time
+	// members holds the start times of the members by id, in Unix milliseconds.
+	members map[string]int64
+}
+
+// abandoned reports whether the group can no longer be completed: a member has left,
+// has started again, or is in a group that was formed later.
+func (f *formation) abandoned(engines map[string]*catalog.Engine) bool {
+	for id, startMS := range f.members {
+		e := engines[id]
+		if e == nil || e.StartUnixMS != startMS || e.Membership.Group.Epoch > f.id.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// pending returns the members that do not announce the group yet. Their orders may
+// have been answered long before: the announcements of a large fleet take seconds.
+func (f *formation) pending(engines map[string]*catalog.Engine) []string {
+	var out []string
+	for id := range f.members {
+		if engines[id].Membership.Group != f.id {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // New returns a planner. Run starts it.
@@ -218,7 +244,7 @@
 		openingUntil:    shard.NewMap[time.Time](),
 		closedGroups:    shard.NewMap[catalog.GroupID](),
 		stagedLoads:     shard.NewMap[stagedLoad](),
-		ungroupedSince:  shard.NewMap[time.Time](),
+		ungrouped:       shard.NewMap[ungroupedEngines](),
 		headlessSince:   shard.NewMap[time.Time](),
 		memberlessSince: shard.NewMap[time.Time](),
 		loggedState:     shard.NewMap[loggedState](),
