Send pushes of records one after the other

Cause: since pushes are spread over time, those of different topics mixed, and a receiver gives up a push when a part of a later one arrives.

Change: one goroutine numbers and sends the pushes.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,8 +126,9 @@
 	peers *shard.Map[peerState]
 	// sendNow wakes sendLoop before the end of the interval.
 	sendNow chan struct{}
-	// pushSeq is the sequence number of the last push.
-	pushSeq atomic.Int64
+	// pushes is the queue of pushLoop, which closes stopped when it ends.
+	pushes  chan pushJob
+	stopped chan struct{}
 	// assemblies holds the incomplete pushes by sender. Only receiveLoop uses it.
 	assemblies map[string]*wire.Assembly
 }
@@ -148,7 +149,10 @@
 
 // New returns a mesh. Run opens its socket and starts sending.
 func New(o Options) *Mesh {
-	return &Mesh{opts: o, peers: shard.NewMap[peerState](), sendNow: make(chan struct{}, 1), assemblies: map[string]*wire.Assembly{}}
+	return &Mesh{
+		opts: o, peers: shard.NewMap[peerState](), sendNow: make(chan struct{}, 1), assemblies: map[string]*wire.Assembly{},
+		pushes: make(chan pushJob), stopped: make(chan struct{}),
+	}
 }
 
 // Run sends and receives datagrams until ctx ends.
@@ -165,6 +169,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return m.sendLoop(ctx) })
 	g.Go(func() error { return m.receiveLoop(ctx, conn) })
+	g.Go(func() error { return m.pushLoop(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return conn.Close()
@@ -394,7 +399,8 @@
 	}
 }
 
-// Push sends records of a topic, beginning at offset from, to all peers in batches.
+// Push sends records of a topic, beginning at offset from, to all peers in batches,
+// and returns when they are sent or Run has ended.
 // If a batch is too large, it and the following batches are not sent; the peers
 // detect the gap and read the store.
 func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
@@ -404,20 +410,47 @@
 			size += len(records[n].Value)
 			n++
 		}
-		push := &wire.RecordPush{Topic: topic, FirstOffset: from, Records: records[:n]}
-		// Sequence numbers restart with each process, so the sender's name includes
-		// the boot id.
-		parts, err := wire.EncodeRecordPush(m.opts.Node+"/"+m.opts.BootID, m.pushSeq.Add(1), push)
-		if err != nil {
+		job := pushJob{&wire.RecordPush{Topic: topic, FirstOffset: from, Records: records[:n]}, make(chan error, 1)}
+		select {
+		case m.pushes <- job:
+		case <-m.stopped:
+			return
+		}
+		if err := <-job.result; err != nil {
 			klog.V(1).ErrorS(err, "records not pushed to peers", "topic", topic, "from", from, "bytes", size)
 			return
 		}
-		m.sendAll(parts)
 		from += uint64(n)
 		records = records[n:]
 	}
 }
 
+// pushJob is a push that waits to be sent. result receives nil once it was sent to all
+// peers, or the reason why it cannot be sent.
+type pushJob struct {
+	push   *wire.RecordPush
+	result chan error
+}
+
+// pushLoop numbers and sends pushes, one after the other, until ctx ends. A receiver
+// gives up a push when a part of a later one arrives, so the parts of two must not mix.
+func (m *Mesh) pushLoop(ctx context.Context) error {
+	defer close(m.stopped)
+	// Sequence numbers restart with each process, so the sender's name includes the
+	// boot id.
+	sender := m.opts.Node + "/" + m.opts.BootID
+	for seq := int64(1); ; seq++ {
+		select {
+		case job := <-m.pushes:
+			parts, err := wire.EncodeRecordPush(sender, seq, job.push)
+			m.sendAll(parts)
+			job.result <- err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // sendAll sends all parts of a push to every peer. It spreads them over time, so that
 // they do not fill the queue of the machine's link, where datagrams are lost.
 func (m *Mesh) sendAll(parts [][]byte) {
--- /dev/null
+++ b/internal/mesh/push_test.go
@@ -0,0 +1,78 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// pushReceiver is a daemon that collects the records that it receives.
+type pushReceiver struct {
+	testDaemon
+	records chan *wire.RecordPush
+}
+
+func (r *pushReceiver) HandleRecords(p *wire.RecordPush) { r.records <- p }
+
+// TestPushesOfSeveralTopicsArrive pushes large and small records of three topics at the
+// same time. All of them must arrive: a part of one push must not come between those
+// of another, since the receiver then gives the other up.
+func TestPushesOfSeveralTopicsArrive(t *testing.T) {
+	const pushes = 20
+	addrs := map[string]string{}
+	for _, name := range []string{"sender", "receiver"} {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		must.NoError(t, err)
+		addrs[name] = l.LocalAddr().String()
+		must.NoError(t, l.Close())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	receiver := &pushReceiver{testDaemon{addrs: addrs, demand: make(chan *wire.DemandReport, 64)}, make(chan *wire.RecordPush, 1000)}
+	no := func() bool { return false }
+	start := func(name string, d interface {
+		Source
+		Handler
+	},
+	) *Mesh {
+		m := New(Options{Node: name, BootID: "b", Addr: addrs[name], Source: d, Handler: d, IsCollector: no, IsRanked: no, BytesPerSecond: 4 << 20})
+		go func() { _ = m.Run(ctx) }()
+		for m.conn.Load() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		return m
+	}
+	start("receiver", receiver)
+	sender := start("sender", &testDaemon{addrs: addrs, demand: make(chan *wire.DemandReport, 64)})
+	r := rand.NewChaCha8([32]byte{1})
+	value := make([]byte, 5<<10) // several parts, since it does not compress
+	_, _ = r.Read(value)
+	var senders sync.WaitGroup
+	for topic := range 3 {
+		senders.Go(func() {
+			for i := range pushes {
+				sender.Push(topic, uint64(i), []wire.KeyedValue{{Key: fmt.Sprint(i), Value: value[:len(value)>>(2*topic)]}})
+			}
+		})
+	}
+	senders.Wait()
+	got := map[int]int{}
+	for n := 0; n < 3*pushes; n++ {
+		select {
+		case p := <-receiver.records:
+			got[p.Topic]++
+			must.True(t, bytes.Equal(value[:len(value)>>(2*p.Topic)], p.Records[0].Value))
+		case <-time.After(20 * time.Second):
+			t.Fatalf("only these pushes arrived: %v", got)
+		}
+	}
+}
