Do not refuse a request for the backlog of one group while another has room

Cause: a group is chosen at random among the lowest predictions, and admission then looked at the chosen one only.

Change: groups whose backlog admits the request go first. A request that was sent once is not refused for it, as before.

Test: two full groups and one with room, with old loads; without the preference the full ones are chosen.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
@@ -38,17 +39,29 @@
 // event, and prefers the daemon's zone among equals. Suspected engines are used
 // only if there is no other, and cold engines only within their rate limit. It
 // returns false if no candidate may be used.
-func Choose(cands []Candidate, t *Tracker, w Work, zone string, now time.Time) (Choice, bool) {
-	best, found := chooseAmong(cands, t, w, zone, now, false)
-	if !found {
-		best, found = chooseAmong(cands, t, w, zone, now, true)
+//
+// If target is positive, the candidates that Admit accepts for that target latency are
+// preferred.
+func Choose(cands []Candidate, t *Tracker, w Work, zone string, target time.Duration, now time.Time) (Choice, bool) {
+	list := usable(cands, t, w, zone, now, false)
+	if len(list) == 0 {
+		list = usable(cands, t, w, zone, now, true)
+	}
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	if target > 0 {
+		admitted := slices.DeleteFunc(slices.Clone(list), func(s scored) bool { return !Admit(s.choice, target) })
+		if len(admitted) > 0 {
+			list = admitted
+		}
 	}
-	return best, found
+	return pick(list, expectedArrivals(list, t.reportAge())), true
 }
 
-// chooseAmong is Choose among the candidates that are suspected, or among those
-// that are not.
-func chooseAmong(cands []Candidate, t *Tracker, w Work, zone string, now time.Time, suspected bool) (Choice, bool) {
+// usable returns the candidates that may be used now, with their scores, of those that
+// are suspected or of those that are not.
+func usable(cands []Candidate, t *Tracker, w Work, zone string, now time.Time, suspected bool) []scored {
 	list := make([]scored, 0, len(cands))
 	for _, c := range cands {
 		st := t.Status(c.Head, c.Service.ColdRequestsPerSecond, now)
@@ -60,10 +73,7 @@
 		}
 		list = append(list, c.score(st, w, zone))
 	}
-	if len(list) == 0 {
-		return Choice{}, false
-	}
-	return pick(list, expectedArrivals(list, t.reportAge())), true
+	return list
 }
 
 // score predicts a request's course at the candidate, and how much one more such
--- a/internal/balance/unavailable_test.go
+++ b/internal/balance/unavailable_test.go
@@ -66,7 +66,7 @@
 			a.StartUnixMS = 6
 		}
 		cands := []Candidate{llm(a), llm(b)}
-		choice, ok := Choose(cands, tr, Work{}, "z", at(0.1))
+		choice, ok := Choose(cands, tr, Work{}, "z", 0, at(0.1))
 		must.Eq(t, c.want != "", ok, must.Sprint(c.name))
 		if ok && c.want != "any" {
 			must.Eq(t, c.want, choice.Candidate.Head.ID, must.Sprint(c.name))
@@ -76,7 +76,27 @@
 		if waits {
 			must.Eq(t, at(c.earliest), until, must.Sprint(c.name))
 		}
-		_, ok = Choose(cands, tr, Work{}, "z", at(2))
+		_, ok = Choose(cands, tr, Work{}, "z", 0, at(2))
 		must.True(t, ok, must.Sprint(c.name, ": the waits are over"))
 	}
 }
+
+// TestChoosePrefersAdmittedEngines checks that a request is not refused for the backlog
+// of one engine while another has room.
+func TestChoosePrefersAdmittedEngines(t *testing.T) {
+	const target = 200 * time.Millisecond
+	now := time.Unix(1000, 0)
+	// With old loads many arrivals are expected, so that even full engines are likely.
+	tr := NewTracker("n", daemonCount(300), func() time.Duration { return 10 * time.Second })
+	cands := []Candidate{llm(head("full-1")), llm(head("full-2")), llm(head("room"))}
+	for range 9 {
+		for _, c := range cands[:2] {
+			tr.Begin(c.Head, Work{PromptTokens: 1500}, now)
+		}
+	}
+	for range 200 {
+		choice, ok := Choose(cands, tr, Work{PromptTokens: 100}, "z", target, now)
+		must.True(t, ok)
+		must.True(t, Admit(choice, target))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -230,7 +230,11 @@
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
 	candidates := j.candidates(j.triedEngines)
-	choice, ok := balance.Choose(candidates, j.opts.Tracker, j.req.Work, j.opts.Zone, now)
+	target := j.route.TargetLatency
+	if j.sends > 0 {
+		target = 0 // a request that was sent once is not refused for the backlog
+	}
+	choice, ok := balance.Choose(candidates, j.opts.Tracker, j.req.Work, j.opts.Zone, target, now)
 	switch {
 	case !ok:
 		return choice, j.refuseWithoutEngine(candidates, now)
