Compete for the planners' lease only when the ranks are known

Change: the time before a candidacy grows by 5 ms per known daemon, as the reports of a large fleet take longer to arrive.

--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -47,6 +47,10 @@
 	// discoveryPeriod is the time after the start in which this daemon learns of
 	// the other daemons.
 	discoveryPeriod = 500 * time.Millisecond
+	// discoveryPerDaemon is the additional time per daemon after which this daemon may
+	// compete for the planners' lease. A candidacy is never given up, so the daemons
+	// that rank first must be known by then.
+	discoveryPerDaemon = 5 * time.Millisecond
 )
 
 // topics lists the store's topics in the order of wire.LoadReport.Topics.
@@ -334,7 +338,7 @@
 // has planned for maxPlannerAbsence.
 func (g *meshAdapter) isPlannerCandidate() bool {
 	now := boottime.Now()
-	if now-g.startedAt < discoveryPeriod {
+	if now-g.startedAt < candidateDelay(g.d.directory.DaemonCount()) {
 		return false
 	}
 	if g.ranksWithin(plannerCandidates) {
@@ -343,11 +347,17 @@
 	return now-g.lastPlannedAt(now) > maxPlannerAbsence
 }
 
+// candidateDelay returns the time after its start from which a daemon may compete for
+// the planners' lease, in a fleet of the given size.
+func candidateDelay(daemons int) time.Duration {
+	return discoveryPeriod + time.Duration(daemons)*discoveryPerDaemon
+}
+
 // lastPlannedAt returns when another daemon was last known to hold the planner
 // lease, by its own report or that of a third daemon. If none has been seen, it is
 // the end of the discovery period.
 func (g *meshAdapter) lastPlannedAt(now time.Duration) time.Duration {
-	last := max(g.lastPlanned.Load(), int64(g.startedAt+discoveryPeriod))
+	last := max(g.lastPlanned.Load(), int64(g.startedAt+candidateDelay(g.d.directory.DaemonCount())))
 	for _, p := range g.d.mesh.LivePeers() {
 		if p.Planning || p.PlannerKnown {
 			last = int64(now)
--- a/internal/edge/rank_test.go
+++ b/internal/edge/rank_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -33,3 +34,13 @@
 	})
 	must.Eq(t, "d", equal[3].name)
 }
+
+// TestCandidateDelay checks that a daemon has heard of those that rank before it when it
+// may compete for the planners' lease: it learns their addresses in the discovery
+// period, and their presence reports come twice a second.
+func TestCandidateDelay(t *testing.T) {
+	must.LessEq(t, 600*time.Millisecond, candidateDelay(15))
+	must.GreaterEq(t, 2*500*time.Millisecond, candidateDelay(117))
+	must.GreaterEq(t, 3*500*time.Millisecond, candidateDelay(295))
+	must.LessEq(t, 2500*time.Millisecond, candidateDelay(350))
+}
