--- a/internal/edge/reports_test.go
+++ b/internal/edge/reports_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -173,29 +172,8 @@
 func TestDrippingStreamIsResumed(t *testing.T) {
 	const events = 30
 	f := newFixture(t)
-	f.publish(1, goodKey)
-	engines := slices.Concat(f.addEngines("d0", 3, events, 20*time.Millisecond), f.addEngines("d1", 3, events, 20*time.Millisecond))
-	f.addDaemon()
-	f.waitUntilServes(0, smallName)
-	eventually(t, "both groups are open", func() bool {
-		open := 0
-		for _, e := range engines {
-			if _, state := e.GroupState(); state == "open" {
-				open++
-			}
-		}
-		return open == 2
-	})
-	resp, err := f.call(0, http.MethodPost, streamPath, goodKey, smallName)
-	must.NoError(t, err)
-	lines := bufio.NewScanner(resp.Body)
-	must.True(t, lines.Scan())
-	id := resp.Request.Header.Get("Request-Id")
-	for _, e := range engines {
-		if runs := e.ExecutedRequests(); len(runs) > 0 && runs[len(runs)-1] == id {
-			e.DripStreams()
-		}
-	}
+	lines, serving := f.streamFromOneOfTwoGroups(events)
+	serving.DripStreams()
 	ids := []string{lines.Text()}
 	for lines.Scan() {
 		if strings.HasPrefix(lines.Text(), "id: ") {
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -230,17 +230,16 @@
 	})
 }
 
-// TestStreamResumesAtAnotherGroup stalls the group that serves a stream. The stream
-// must continue from another group without a gap, within the same response.
-func TestStreamResumesAtAnotherGroup(t *testing.T) {
-	const events = 40
-	f := newFixture(t)
+// streamFromOneOfTwoGroups forms two groups of the small model and starts a stream. It
+// returns its lines after the first one, and the head of the group that serves it.
+func (f *fixture) streamFromOneOfTwoGroups(events int) (lines *bufio.Scanner, serving *site.Engine) {
+	f.t.Helper()
 	f.publish(1, goodKey)
 	engines := f.addEngines("d0", 3, events, 20*time.Millisecond)
 	engines = append(engines, f.addEngines("d1", 3, events, 20*time.Millisecond)...)
 	f.addDaemon()
 	f.waitUntilServes(0, smallName)
-	eventually(t, "both groups are open", func() bool {
+	eventually(f.t, "both groups are open", func() bool {
 		open := 0
 		for _, e := range engines {
 			if _, state := e.GroupState(); state == "open" {
@@ -250,16 +249,27 @@
 		return open == 2
 	})
 	resp, err := f.call(0, http.MethodPost, streamPath, goodKey, smallName)
-	must.NoError(t, err)
-	lines := bufio.NewScanner(resp.Body)
-	must.True(t, lines.Scan())
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	lines = bufio.NewScanner(resp.Body)
+	must.True(f.t, lines.Scan())
 	id := resp.Request.Header.Get("Request-Id")
 	for _, e := range engines {
-		runs := e.ExecutedRequests()
-		if len(runs) > 0 && runs[len(runs)-1] == id {
-			e.StallStreams()
+		if runs := e.ExecutedRequests(); len(runs) > 0 && runs[len(runs)-1] == id {
+			serving = e
 		}
 	}
+	must.NotNil(f.t, serving)
+	return lines, serving
+}
+
+// TestStreamResumesAtAnotherGroup stalls the group that serves a stream. The stream
+// must continue from another group without a gap, within the same response.
+func TestStreamResumesAtAnotherGroup(t *testing.T) {
+	const events = 40
+	f := newFixture(t)
+	lines, serving := f.streamFromOneOfTwoGroups(events)
+	serving.StallStreams()
 	got := 1
 	for lines.Scan() {
 		if strings.HasPrefix(lines.Text(), "id: ") {
