Ask a store reader for missed records before reading the store

Cause: a daemon that missed one datagram of a push read the store; where the store turned it away it tried twice a second and fell behind for as long as that lasted, with an old configuration and old engines.

Change: store readers keep the latest records of each topic (2,048, 512 KB); a daemon that waits for records asks one of them first, and reads the store if that does not help. A new datagram, which older builds ignore.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -103,6 +103,9 @@
 	// OnRead is called with the records of each incremental read, before the new
 	// position is visible. It may be nil.
 	OnRead func(t Topic, from uint64, records []Record)
+	// RequestRecords asks a peer for the records of a topic from offset next on, and
+	// reports whether one was asked. It may be nil.
+	RequestRecords func(t Topic, next uint64) bool
 }
 
 // Directory is the state that results from the store's topics. It is safe for
@@ -152,6 +155,9 @@
 	if o.IsReader == nil {
 		o.IsReader = func() bool { return true }
 	}
+	if o.RequestRecords == nil {
+		o.RequestRecords = func(Topic, uint64) bool { return false }
+	}
 	if o.OnRead == nil {
 		o.OnRead = func(Topic, uint64, []Record) {}
 	}
--- /dev/null
+++ b/internal/directory/history.go
@@ -0,0 +1,57 @@
+package directory
+
+import "sync"
+
+// maxHistoryRecords and maxHistoryBytes bound the records of a topic that a History
+// keeps. They cover some seconds of a large fleet's announcements.
+const (
+	maxHistoryRecords = 2048
+	maxHistoryBytes   = 512 << 10
+)
+
+// History keeps the latest records of a topic that this daemon has read from the store,
+// for peers that have missed them. The zero value is ready to use. It is safe for
+// concurrent use.
+type History struct {
+	mu sync.Mutex
+	// records have consecutive offsets.
+	records []Record
+	bytes   int
+}
+
+// Add adds records that follow each other. Records that do not follow those added
+// before replace them.
+func (h *History) Add(records []Record) {
+	if len(records) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.records); n > 0 && h.records[n-1].Offset+1 != records[0].Offset {
+		h.records, h.bytes = nil, 0
+	}
+	h.records = append(h.records, records...)
+	for _, r := range records {
+		h.bytes += len(r.Value)
+	}
+	drop := 0
+	for len(h.records)-drop > maxHistoryRecords || h.bytes > maxHistoryBytes && drop < len(h.records) {
+		h.bytes -= len(h.records[drop].Value)
+		drop++
+	}
+	h.records = append([]Record(nil), h.records[drop:]...)
+}
+
+// From returns the records from an offset on, or nil if one of them is not kept.
+func (h *History) From(offset uint64) []Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.records) == 0 || offset < h.records[0].Offset {
+		return nil
+	}
+	i := offset - h.records[0].Offset
+	if i >= uint64(len(h.records)) {
+		return nil
+	}
+	return append([]Record(nil), h.records[i:]...)
+}
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -42,7 +42,7 @@
 	// still applied in time.
 	peerTrustFactor float64
 	// pushWait is how long to wait for the push of records that are known to exist
-	// before reading them from the store.
+	// before asking a peer for them, and then before reading them from the store.
 	pushWait time.Duration
 }
 
@@ -194,6 +194,9 @@
 			continue
 		}
 		pause.For(ctx, topicTimings[t].pushWait)
+		if pos.hasUnread() && d.opts.RequestRecords(t, pos.snapshot().Next) {
+			pause.For(ctx, topicTimings[t].pushWait)
+		}
 		if pos.hasUnread() {
 			return
 		}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -101,6 +101,7 @@
 	d.directory = directory.New(directory.Options{
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		IsReader: d.meshAdapter.isStoreReader, OnRead: d.meshAdapter.pushRecords,
+		RequestRecords: d.meshAdapter.requestRecords,
 	})
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -40,7 +40,9 @@
 	demand     *balance.Demand
 	suspicions *shard.Map[suspicion]
 	leaving    *shard.Map[leaveNotice]
-	startedAt  time.Duration
+	// history holds the records that this daemon has read for others, by topic.
+	history   [len(topics)]directory.History
+	startedAt time.Duration
 	// lastPlanned is the boot time at which another daemon was last known to hold
 	// the planners' lease.
 	lastPlanned atomic.Int64
@@ -264,12 +266,32 @@
 	if !g.isStoreReader() {
 		return
 	}
+	g.history[t].Add(records)
+	g.d.mesh.Push(int(t), from, keyedValues(records))
+	g.d.mesh.SendNow()
+}
+
+// HandleRecordRequest returns the records that a peer has missed, if this daemon has read
+// them from the store lately.
+func (g *meshAdapter) HandleRecordRequest(r *wire.RecordRequest) []wire.KeyedValue {
+	if r.Topic < 0 || r.Topic >= len(g.history) {
+		return nil
+	}
+	return keyedValues(g.history[r.Topic].From(r.Next))
+}
+
+// requestRecords asks a store reader for records that were not pushed in time, so that a
+// daemon that the store turns away can follow, and others spare it calls.
+func (g *meshAdapter) requestRecords(t directory.Topic, next uint64) bool {
+	return g.d.mesh.RequestRecords(int(t), next)
+}
+
+func keyedValues(records []directory.Record) []wire.KeyedValue {
 	out := make([]wire.KeyedValue, len(records))
 	for i, rec := range records {
 		out[i] = wire.KeyedValue{Key: rec.Key, Value: rec.Value}
 	}
-	g.d.mesh.Push(int(t), from, out)
-	g.d.mesh.SendNow()
+	return out
 }
 
 // reportedLoads returns the loads in a report by engine.
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -19,15 +19,18 @@
 	demand   chan *wire.DemandReport
 }
 
-func (d *testDaemon) DaemonAddrs() map[string]string         { return d.addrs }
-func (d *testDaemon) FillReport(r *wire.LoadReport)          { r.Planning = d.planning }
-func (d *testDaemon) TotalLoads() []wire.EngineLoad          { return nil }
-func (d *testDaemon) ModelWork() []wire.ModelWork            { return d.work }
-func (d *testDaemon) HandleReport(*wire.LoadReport)          {}
-func (d *testDaemon) LeavingEngines() []wire.LeavingEngine   { return nil }
-func (d *testDaemon) HandleLeaving(*wire.LeaveNotices)       {}
-func (d *testDaemon) HandleSums(*wire.LoadSums)              {}
-func (d *testDaemon) HandleRecords(*wire.RecordPush)         {}
+func (d *testDaemon) DaemonAddrs() map[string]string       { return d.addrs }
+func (d *testDaemon) FillReport(r *wire.LoadReport)        { r.Planning = d.planning }
+func (d *testDaemon) TotalLoads() []wire.EngineLoad        { return nil }
+func (d *testDaemon) ModelWork() []wire.ModelWork          { return d.work }
+func (d *testDaemon) HandleReport(*wire.LoadReport)        {}
+func (d *testDaemon) LeavingEngines() []wire.LeavingEngine { return nil }
+func (d *testDaemon) HandleLeaving(*wire.LeaveNotices)     {}
+func (d *testDaemon) HandleSums(*wire.LoadSums)            {}
+func (d *testDaemon) HandleRecords(*wire.RecordPush)       {}
+func (d *testDaemon) HandleRecordRequest(*wire.RecordRequest) []wire.KeyedValue {
+	return nil
+}
 func (d *testDaemon) HandleDemand(report *wire.DemandReport) { d.demand <- report }
 
 func TestDemandIsReportedToThePlannerOnly(t *testing.T) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -92,6 +93,9 @@
 	HandleLeaving(n *wire.LeaveNotices)
 	// HandleDemand handles a demand report of a peer.
 	HandleDemand(r *wire.DemandReport)
+	// HandleRecordRequest returns the records that a peer has missed, or none if this
+	// daemon does not have them.
+	HandleRecordRequest(r *wire.RecordRequest) []wire.KeyedValue
 	// HandleRecords handles records that a peer has read from the store.
 	HandleRecords(r *wire.RecordPush)
 }
@@ -126,6 +130,8 @@
 	peers *shard.Map[peerState]
 	// sendNow wakes sendLoop before the end of the interval.
 	sendNow chan struct{}
+	// requests is the queue of requestLoop.
+	requests chan *wire.RecordRequest
 	// pushes is the queue of pushLoop, which closes stopped when it ends.
 	pushes  chan pushJob
 	stopped chan struct{}
@@ -151,7 +157,7 @@
 func New(o Options) *Mesh {
 	return &Mesh{
 		opts: o, peers: shard.NewMap[peerState](), sendNow: make(chan struct{}, 1), assemblies: map[string]*wire.Assembly{},
-		pushes: make(chan pushJob), stopped: make(chan struct{}),
+		requests: make(chan *wire.RecordRequest, maxPushSenders), pushes: make(chan pushJob), stopped: make(chan struct{}),
 	}
 }
 
@@ -170,6 +176,7 @@
 	g.Go(func() error { return m.sendLoop(ctx) })
 	g.Go(func() error { return m.receiveLoop(ctx, conn) })
 	g.Go(func() error { return m.pushLoop(ctx) })
+	g.Go(func() error { return m.requestLoop(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return conn.Close()
@@ -391,6 +398,8 @@
 			}
 		case *wire.LeaveNotices:
 			m.opts.Handler.HandleLeaving(r)
+		case *wire.RecordRequest:
+			m.answerRequest(r)
 		case *wire.DemandReport:
 			m.opts.Handler.HandleDemand(r)
 		case *wire.PushPart:
@@ -404,13 +413,64 @@
 // If a batch is too large, it and the following batches are not sent; the peers
 // detect the gap and read the store.
 func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
+	m.push("", topic, from, records)
+}
+
+// RequestRecords asks one of the collectors for the records of a topic from offset next
+// on. It reports false if no collector is known.
+func (m *Mesh) RequestRecords(topic int, next uint64) bool {
+	var collectors []string
+	now := time.Now()
+	m.peers.Range(func(name string, p peerState) bool {
+		if p.isCollector && now.Before(p.expires) {
+			collectors = append(collectors, name)
+		}
+		return true
+	})
+	if len(collectors) == 0 {
+		return false
+	}
+	b, err := wire.EncodeRecordRequest(&wire.RecordRequest{Sender: m.opts.Node, Topic: topic, Next: next})
+	if err != nil {
+		klog.ErrorS(err, "records not requested from a peer", "topic", topic)
+		return false
+	}
+	m.write(b, m.opts.Source.DaemonAddrs()[collectors[rand.IntN(len(collectors))]])
+	return true
+}
+
+// answerRequest sends a peer the records that it has missed. While other requests wait
+// it is dropped; the peer asks again.
+func (m *Mesh) answerRequest(r *wire.RecordRequest) {
+	select {
+	case m.requests <- r:
+	default:
+	}
+}
+
+// requestLoop answers the requests of peers until ctx ends.
+func (m *Mesh) requestLoop(ctx context.Context) error {
+	for {
+		select {
+		case r := <-m.requests:
+			if records := m.opts.Handler.HandleRecordRequest(r); len(records) > 0 {
+				m.push(r.Sender, r.Topic, r.Next, records)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// push sends records to one peer, or to all if peer is empty.
+func (m *Mesh) push(peer string, topic int, from uint64, records []wire.KeyedValue) {
 	for len(records) > 0 {
 		n, size := 0, 0
 		for n < len(records) && (n == 0 || size+len(records[n].Value) < pushBatchBytes) {
 			size += len(records[n].Value)
 			n++
 		}
-		job := pushJob{&wire.RecordPush{Topic: topic, FirstOffset: from, Records: records[:n]}, make(chan error, 1)}
+		job := pushJob{peer, &wire.RecordPush{Topic: topic, FirstOffset: from, Records: records[:n]}, make(chan error, 1)}
 		select {
 		case m.pushes <- job:
 		case <-m.stopped:
@@ -428,6 +488,8 @@
 // pushJob is a push that waits to be sent. result receives nil once it was sent to all
 // peers, or the reason why it cannot be sent.
 type pushJob struct {
+	// peer is the receiver; empty for all peers.
+	peer   string
 	push   *wire.RecordPush
 	result chan error
 }
@@ -443,7 +505,7 @@
 		select {
 		case job := <-m.pushes:
 			parts, err := wire.EncodeRecordPush(sender, seq, job.push)
-			m.sendAll(parts)
+			m.sendParts(job.peer, parts)
 			job.result <- err
 		case <-ctx.Done():
 			return nil
@@ -451,12 +513,13 @@
 	}
 }
 
-// sendAll sends all parts of a push to every peer. It spreads them over time, so that
-// they do not fill the queue of the machine's link, where datagrams are lost.
-func (m *Mesh) sendAll(parts [][]byte) {
+// sendParts sends all parts of a push to one peer, or to every peer if peer is empty. It
+// spreads them over time, so that they do not fill the queue of the machine's link,
+// where datagrams are lost.
+func (m *Mesh) sendParts(peer string, parts [][]byte) {
 	burst := 0
 	for name, addr := range m.opts.Source.DaemonAddrs() {
-		if name == m.opts.Node {
+		if name == m.opts.Node || peer != "" && name != peer {
 			continue
 		}
 		for _, b := range parts {
--- a/internal/mesh/push_test.go
+++ b/internal/mesh/push_test.go
@@ -76,3 +76,52 @@
 		}
 	}
 }
+
+// requestedRecords is a collector that has records of topic 1 from offset 7 on.
+type requestedRecords struct{ testDaemon }
+
+func (requestedRecords) HandleRecordRequest(r *wire.RecordRequest) []wire.KeyedValue {
+	if r.Topic != 1 || r.Next != 7 {
+		return nil
+	}
+	return []wire.KeyedValue{{Key: "a", Value: []byte("x")}, {Key: "b", Value: []byte("y")}}
+}
+
+// TestMissedRecordsAreSentOnRequest asks a collector for records. They go to the daemon
+// that asked only.
+func TestMissedRecordsAreSentOnRequest(t *testing.T) {
+	addrs := map[string]string{}
+	for _, name := range []string{"asks", "other", "collector"} {
+		l, err := net.ListenPacket("udp", "127.0.0.1:0")
+		must.NoError(t, err)
+		addrs[name] = l.LocalAddr().String()
+		must.NoError(t, l.Close())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	receivers := map[string]*pushReceiver{}
+	meshes := map[string]*Mesh{}
+	for name, addr := range addrs {
+		o := Options{Node: name, BootID: "b", Addr: addr, IsRanked: func() bool { return false }, IsCollector: func() bool { return name == "collector" }}
+		if name == "collector" {
+			d := &requestedRecords{testDaemon{addrs: addrs, demand: make(chan *wire.DemandReport, 64)}}
+			o.Source, o.Handler = d, d
+		} else {
+			d := &pushReceiver{testDaemon{addrs: addrs, demand: make(chan *wire.DemandReport, 64)}, make(chan *wire.RecordPush, 16)}
+			receivers[name], o.Source, o.Handler = d, d, d
+		}
+		m := New(o)
+		meshes[name] = m
+		go func() { _ = m.Run(ctx) }()
+	}
+	for !meshes["asks"].RequestRecords(1, 7) {
+		time.Sleep(time.Millisecond) // until the collector was heard
+	}
+	select {
+	case p := <-receivers["asks"].records:
+		must.Eq(t, wire.RecordPush{Topic: 1, FirstOffset: 7, Records: []wire.KeyedValue{{Key: "a", Value: []byte("x")}, {Key: "b", Value: []byte("y")}}}, *p)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the records did not arrive")
+	}
+	must.Eq(t, 0, len(receivers["other"].records))
+}
--- a/internal/wire/compat_test.go
+++ b/internal/wire/compat_test.go
@@ -65,6 +65,7 @@
 	{"load datagram", func() any { return &LoadReport{} }, true},
 	{"sums datagram", func() any { return &LoadSums{} }, true},
 	{"leave datagram", func() any { return &LeaveNotices{} }, true},
+	{"record request", func() any { return &RecordRequest{} }, true},
 	{"demand datagram", func() any { return &DemandReport{} }, true},
 	{"push", func() any { return &RecordPush{} }, true},
 	{"push part", func() any { return &PushPart{} }, true},
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -79,6 +79,8 @@
 	demandDatagram = 'D' // DemandReport
 	sumsDatagram   = 'S' // LoadSums
 	leaveDatagram  = 'V' // LeaveNotices
+	// requestDatagram is a RecordRequest.
+	requestDatagram = 'Q'
 )
 
 // EncodeLoadReport encodes a report as a datagram.
@@ -93,7 +95,7 @@
 }
 
 // DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart, a
-// *DemandReport, a *LoadSums or *LeaveNotices.
+// *DemandReport, a *LoadSums, *LeaveNotices or a *RecordRequest.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -114,6 +116,9 @@
 	case leaveDatagram:
 		n := &LeaveNotices{}
 		return n, Unmarshal(b[1:], n)
+	case requestDatagram:
+		r := &RecordRequest{}
+		return r, Unmarshal(b[1:], r)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "datagram of unknown kind %d", b[0])
 	}
