--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -37,17 +36,6 @@
 	// maxDatagram is the maximum size of a report in bytes, so that it fits in one
 	// packet.
 	maxDatagram = 1400
-	// pushBatchBytes is the maximum size of the records in one push. Announcements
-	// of this size compress to about one datagram, so that a lost datagram loses
-	// few records.
-	pushBatchBytes = 6 << 10
-	// maxBurstBytes is the number of bytes of a push that are sent at once, and
-	// pushLinkShare the share of the link's rate that a push takes.
-	maxBurstBytes = 32 << 10
-	pushLinkShare = 0.4
-	// maxPushSenders limits the number of senders whose pushes are assembled. Only
-	// a few daemons push at a time.
-	maxPushSenders = 64
 	// maxLoads is the maximum number of engines in a report, so that it fits in
 	// maxDatagram.
 	maxLoads = 40
@@ -408,140 +396,6 @@
 	}
 }
 
-// Push sends records of a topic, beginning at offset from, to all peers in batches,
-// and returns when they are sent or Run has ended.
-// If a batch is too large, it and the following batches are not sent; the peers
-// detect the gap and read the store.
-func (m *Mesh) Push(topic int, from uint64, records []wire.KeyedValue) {
-	m.push("", topic, from, records)
-}
-
-// RequestRecords asks one of the collectors for the records of a topic from offset next
-// on. It reports false if no collector is known.
-func (m *Mesh) RequestRecords(topic int, next uint64) bool {
-	var collectors []string
-	now := time.Now()
-	m.peers.Range(func(name string, p peerState) bool {
-		if p.isCollector && now.Before(p.expires) {
-			collectors = append(collectors, name)
-		}
-		return true
-	})
-	if len(collectors) == 0 {
-		return false
-	}
-	b, err := wire.EncodeRecordRequest(&wire.RecordRequest{Sender: m.opts.Node, Topic: topic, Next: next})
-	if err != nil {
-		klog.ErrorS(err, "records not requested from a peer", "topic", topic)
-		return false
-	}
-	m.write(b, m.opts.Source.DaemonAddrs()[collectors[rand.IntN(len(collectors))]])
-	return true
-}
-
-// answerRequest sends a peer the records that it has missed. While other requests wait
-// it is dropped; the peer asks again.
-func (m *Mesh) answerRequest(r *wire.RecordRequest) {
-	select {
-	case m.requests <- r:
-	default:
-	}
-}
-
-// requestLoop answers the requests of peers until ctx ends.
-func (m *Mesh) requestLoop(ctx context.Context) error {
-	for {
-		select {
-		case r := <-m.requests:
-			if records := m.opts.Handler.HandleRecordRequest(r); len(records) > 0 {
-				m.push(r.Sender, r.Topic, r.Next, records)
-			}
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// push sends records to one peer, or to all if peer is empty.
-func (m *Mesh) push(peer string, topic int, from uint64, records []wire.KeyedValue) {
-	for len(records) > 0 {
-		n, size := 0, 0
-		for n < len(records) && (n == 0 || size+len(records[n].Value) < pushBatchBytes) {
-			size += len(records[n].Value)
-			n++
-		}
-		job := pushJob{peer, &wire.RecordPush{Topic: topic, FirstOffset: from, Records: records[:n]}, make(chan error, 1)}
-		select {
-		case m.pushes <- job:
-		case <-m.stopped:
-			return
-		}
-		if err := <-job.result; err != nil {
-			klog.V(1).ErrorS(err, "records not pushed to peers", "topic", topic, "from", from, "bytes", size)
-			return
-		}
-		from += uint64(n)
-		records = records[n:]
-	}
-}
-
-// pushJob is a push that waits to be sent. result receives nil once it was sent to all
-// peers, or the reason why it cannot be sent.
-type pushJob struct {
-	// peer is the receiver; empty for all peers.
-	peer   string
-	push   *wire.RecordPush
-	result chan error
-}
-
-// pushLoop numbers and sends pushes, one after the other, until ctx ends. A receiver
-// gives up a push when a part of a later one arrives, so the parts of two must not mix.
-func (m *Mesh) pushLoop(ctx context.Context) error {
-	defer close(m.stopped)
-	// Sequence numbers restart with each process, so the sender's name includes the
-	// boot id.
-	sender := m.opts.Node + "/" + m.opts.BootID
-	for seq := int64(1); ; seq++ {
-		select {
-		case job := <-m.pushes:
-			parts, err := wire.EncodeRecordPush(sender, seq, job.push)
-			m.sendParts(job.peer, parts)
-			job.result <- err
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// sendParts sends all parts of a push to one peer, or to every peer if peer is empty. It
-// spreads them over time, so that they do not fill the queue of the machine's link,
-// where datagrams are lost.
-func (m *Mesh) sendParts(peer string, parts [][]byte) {
-	burst := 0
-	for name, addr := range m.opts.Source.DaemonAddrs() {
-		if name == m.opts.Node || peer != "" && name != peer {
-			continue
-		}
-		for _, b := range parts {
-			m.write(b, addr)
-			burst += len(b)
-		}
-		if burst >= maxBurstBytes {
-			time.Sleep(burstPause(burst, m.opts.BytesPerSecond))
-			burst = 0
-		}
-	}
-}
-
-// burstPause returns the pause after a burst of datagrams that keeps their rate within
-// pushLinkShare of the link's.
-func burstPause(bytes int, linkBytesPerSecond float64) time.Duration {
-	if linkBytesPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(bytes) / (pushLinkShare * linkBytesPerSecond) * float64(time.Second))
-}
-
 // write sends a datagram to addr. Errors are logged only.
 func (m *Mesh) write(b []byte, addr string) {
 	conn := m.conn.Load()
@@ -560,27 +414,6 @@
 	}
 }
 
-// handlePushPart adds a part of a peer's push to its assembly. Only receiveLoop
-// calls it.
-func (m *Mesh) handlePushPart(p *wire.PushPart) {
-	a, ok := m.assemblies[p.Sender]
-	if !ok {
-		if len(m.assemblies) >= maxPushSenders {
-			clear(m.assemblies)
-		}
-		a = &wire.Assembly{}
-		m.assemblies[p.Sender] = a
-	}
-	push, err := a.Add(p)
-	if err != nil {
-		klog.V(1).ErrorS(err, "invalid record push of a peer ignored", "sender", p.Sender)
-		return
-	}
-	if push != nil {
-		m.opts.Handler.HandleRecords(push)
-	}
-}
-
 // recordPeer stores the state of the sending peer. It reports false for a report
 // without a sender, or of this daemon itself.
 func (m *Mesh) recordPeer(r *wire.LoadReport) bool {
