--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,21 @@
 			Evidence{Observations: []Observation{{Request: write, StartedAt: now.Add(time.Second)}}, Executions: []site.Execution{executionAt(now.Add(4 * time.Second))}, RevokedAt: map[string]time.Time{"key-1": now}},
 			"executed 4000 ms after its key was revoked",
 		},
+		{
+			"stream resumed after the bound, sent within it",
+			Evidence{Observations: []Observation{{Request: stream, Response: complete("id: 1\n\nid: 2\n\n"), StartedAt: now.Add(time.Second)}}, Executions: []site.Execution{executionAt(now.Add(2 * time.Second)), executionAt(now.Add(5 * time.Second))}, RevokedAt: map[string]time.Time{"key-1": now}},
+			"",
+		},
+		{
+			"stream begun after the bound",
+			Evidence{Observations: []Observation{{Request: stream, Response: complete("id: 1\n\nid: 2\n\n"), StartedAt: now.Add(time.Second)}}, Executions: []site.Execution{executionAt(now.Add(4 * time.Second))}, RevokedAt: map[string]time.Time{"key-1": now}},
+			"executed 4000 ms after its key was revoked",
+		},
+		{
+			"stream resumed, sent after the bound",
+			Evidence{Observations: []Observation{{Request: stream, Response: complete("id: 1\n\nid: 2\n\n"), StartedAt: now.Add(3100 * time.Millisecond)}}, Executions: []site.Execution{executionAt(now.Add(3150 * time.Millisecond)), executionAt(now.Add(3300 * time.Millisecond))}, RevokedAt: map[string]time.Time{"key-1": now}},
+			"executed 3300 ms after its key was revoked",
+		},
 		{"disruptive join", Evidence{DisruptiveJoins: []string{"i-1 joined g2"}}, "disruptive join of a member of a serving group: i-1 joined g2"},
 		{"daemon does not exit", Evidence{Stops: stopped(GracefulStop{At: now})}, "did not exit within its grace period"},
 		{"daemon killed during its stop", Evidence{Stops: stopped(GracefulStop{At: now, Disturbed: true})}, ""},
@@ -102,6 +117,7 @@
 	cause string
 }{
 	{1, "none: the seed that CI runs"},
+	{4004, "a stream sent 0.3 s after its key was withdrawn was resumed 4 s later; the check counted the resumption"},
 }
 
 // regressionFaultsFor is how long faults are injected for each seed. Runs of new seeds
