Wait for the retry budget before a rejected stream is cut

Trace: a stream whose group stood still for 2.2 s was given up with one retry reserved; the next engine rejected it (503, shed) 2 ms later, the budget had nothing for a third, and the answer ended there, beside a change of the configuration.

Change: a stream of which the client has a part and which the last engine rejected waits for the budget, until its deadline or all attempts are made.

Test: a table over the budget, the deadline and the attempts.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -335,8 +335,7 @@
 	if mayHaveRun {
 		j.possibleRuns++
 	}
-	attemptsUsedUp := j.possibleRuns >= j.route.MaxAttempts || j.sends >= j.route.MaxAttempts+maxRejections
-	if j.ctx.Err() != nil || (mayHaveRun && !j.route.Repeatable()) || attemptsUsedUp {
+	if j.ctx.Err() != nil || (mayHaveRun && !j.route.Repeatable()) || j.attemptsUsedUp() {
 		return false
 	}
 	reserved := j.retryReserved
@@ -350,6 +349,11 @@
 	return true
 }
 
+// attemptsUsedUp reports whether the request was sent as often as it may be.
+func (j *job) attemptsUsedUp() bool {
+	return j.possibleRuns >= j.route.MaxAttempts || j.sends >= j.route.MaxAttempts+maxRejections
+}
+
 // refuseAfterAttempts refuses the request after its attempts failed. If one of them
 // may have been executed, it replaces the cause by one that does not promise that
 // the request has not run.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,6 +13,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 )
 
 const (
@@ -62,7 +63,11 @@
 			return
 		}
 		mayHaveRun := fault.As(err).Outcome != fault.NotRun
-		if !j.reserveRetry(mayHaveRun, err.Error()) {
+		retry := j.reserveRetry(mayHaveRun, err.Error())
+		if !retry && headerSent && !mayHaveRun {
+			retry = j.awaitRetry(err.Error())
+		}
+		if !retry {
 			j.abortStream(headerSent, j.refusalFor(err, mayHaveRun))
 			return
 		}
@@ -100,6 +105,25 @@
 	}
 }
 
+// awaitRetry waits until the budget allows another attempt of a stream of which the client
+// has a part and which the last engine rejected. Its first engine was given up in
+// favour of the rejected attempt, so ending the stream now would be the only loss. It
+// reports false at the deadline, or when no further attempt is allowed.
+func (j *job) awaitRetry(why string) bool {
+	for !j.attemptsUsedUp() && time.Now().Before(j.deadline) {
+		pause.For(j.ctx, min(recheckInterval, time.Until(j.deadline)))
+		if j.ctx.Err() != nil {
+			return false
+		}
+		if j.opts.RetryBudget.TrySpend(j.service, time.Now()) {
+			j.summary.Retries++
+			j.logDecision("retry", "why", why, "budget_left", j.opts.RetryBudget.Remaining(j.service))
+			return true
+		}
+	}
+	return false
+}
+
 // abortStream ends a stream that cannot be completed: it aborts the response, or
 // refuses the request if the response header has not been written.
 func (j *job) abortStream(headerSent bool, r Refusal) {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -128,3 +128,31 @@
 		cancel()
 	}
 }
+
+// TestRejectedStreamWaitsForTheRetryBudget checks how long a stream that was given up at
+// its first engine and rejected by the next one waits for the budget.
+func TestRejectedStreamWaitsForTheRetryBudget(t *testing.T) {
+	const window = 400 * time.Millisecond
+	cases := []struct {
+		name     string
+		deadline time.Duration
+		sends    int
+		want     bool
+	}{
+		{"until the budget allows another attempt", time.Hour, 2, true},
+		{"until the deadline", window / 8, 2, false},
+		{"not if all attempts are made", time.Hour, 4, false},
+	}
+	for _, c := range cases {
+		budget := retry.NewSharedBudget(retry.Allowance{Slack: 4, Window: window}, func() int { return 1 })
+		now := time.Now()
+		for budget.TrySpend("llm", now) {
+			continue
+		}
+		j := &job{
+			Relay: New(Options{RetryBudget: budget}), ctx: t.Context(), req: &Request{Arrived: now}, service: "llm", sends: c.sends,
+			possibleRuns: 1, deadline: now.Add(c.deadline), route: &catalog.Route{Kind: catalog.Stream, Resumable: true, MaxAttempts: 2},
+		}
+		must.Eq(t, c.want, j.awaitRetry("rejected"), must.Sprint(c.name))
+	}
+}
