Log whether an engine ended under a broken attempt, and under which request

Change: after a break without an answer the daemon looks at the engine's entry and connects to it; the line 'attempt broken off' says whether the engine has ended, by which evidence, and the fingerprint of the request (service, method, target, caller, body). Counter engines_ended. No decision depends on it.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -71,6 +71,9 @@
 	Codec        interface {
 		ingress.Codec
 		relay.EngineSender
+		// Refuses reports whether the host of addr refuses connections there, so
+		// that no engine runs.
+		Refuses(ctx context.Context, addr string) bool
 	}
 }
 
@@ -114,6 +117,7 @@
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
+	ends := &endCheck{directory: d.directory, refuses: p.Codec.Refuses}
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Sender: p.Codec, Demand: demand,
 		RetryBudget: retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleetSize),
@@ -123,6 +127,7 @@
 		Observer:    d.stats,
 		OnSuspect:   d.meshAdapter.reportSuspicion,
 		OnLeaving:   d.meshAdapter.reportLeaving,
+		EngineEnd:   ends.check,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -24,6 +24,7 @@
 	metricLate          = "late_answers"
 	metricLeaveNotices  = "leave_notices"
 	metricEngineWaits   = "engine_waits"
+	metricEnginesEnded  = "engines_ended"
 	metricStoreCalls    = "store_calls"
 	metricFirstEvent    = "first_event_seconds"
 	metricRequestTime   = "request_seconds"
@@ -71,6 +72,7 @@
 	}
 	scope.Counter(metricLeaveNotices).Inc(int64(r.LeaveNotices))
 	scope.Counter(metricEngineWaits).Inc(int64(r.EngineWaits))
+	scope.Counter(metricEnginesEnded).Inc(int64(r.EnginesEnded))
 	if r.Late {
 		scope.Counter(metricLate).Inc(1)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -106,6 +106,7 @@
 	resp, err := j.send(ctx, c, "")
 	defer j.opts.Tracker.End(e)
 	if err != nil {
+		j.examineBreak(ctx, e, start, false, err)
 		err = j.asTimeout(ctx, err)
 		j.opts.Tracker.RecordOutcome(e, false, time.Since(start), nil, time.Now())
 		return nil, err
@@ -123,6 +124,7 @@
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
 	if err != nil {
+		j.examineBreak(ctx, e, start, false, err)
 		return nil, j.asTimeout(ctx, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of engine %s", e.ID))
 	}
 	return &bufferedResponse{resp.Status(), resp.Header(), body}, nil
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -39,6 +39,9 @@
 	// the request, EngineWaits those that asked for a wait.
 	LeaveNotices int
 	EngineWaits  int
+	// EnginesEnded counts the attempts that ended with their engines before they had an
+	// answer.
+	EnginesEnded int
 	// Late is set if the response missed the route's target latency.
 	Late bool
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
 const (
@@ -65,6 +66,9 @@
 	// (Unix milliseconds) has stated in the response to the request that it leaves.
 	// It reports whether that was not known.
 	OnLeaving func(id string, startMS int64, requestID string) bool
+	// EngineEnd finds out whether the incarnation of an engine that has broken off an
+	// attempt has ended.
+	EngineEnd func(ctx context.Context, e *catalog.Engine) EngineEnd
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -86,6 +90,7 @@
 	tenant   string
 	priority int
 	service  string
+	identity suspect.Identity
 	deadline time.Time // by the client's or the route's timeout, whichever is shorter
 	// sends counts the attempts. possibleRuns counts those that the engine may have
 	// executed.
@@ -153,6 +158,7 @@
 		return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "configuration too old to trust the key"}
 	}
 	j.service = route.SelectService(j.req.ID)
+	j.identity = suspect.Identify(j.service, j.req.Method, j.req.Target, j.tenant, j.req.Body)
 	if s, ok := cfg.Services[j.service]; ok {
 		if s.Engine != nil {
 			if m, ok := s.Engine.Model(j.req.Model); ok {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -152,6 +152,7 @@
 	resp, err := j.send(ctx, c, lastEventID)
 	defer j.opts.Tracker.End(e)
 	if err != nil {
+		j.examineBreak(ctx, e, sent, false, err)
 		j.opts.Tracker.RecordOutcome(e, false, 0, nil, time.Now())
 		return watch.wrapStall(j.asTimeout(ctx, err))
 	}
@@ -166,6 +167,7 @@
 	err = j.copyEvents(ctx, e, resp, filter, headerSent, watch)
 	j.opts.Tracker.RecordOutcome(e, err == nil, time.Since(sent), resp.Load(), time.Now())
 	if err != nil && !errors.Is(err, errClientGone) {
+		j.examineBreak(ctx, e, sent, watch.receivedAny.Load(), err)
 		return watch.wrapStall(j.asTimeout(ctx, fault.Wrap(fault.Interrupted, err, "check the engine", "read the stream of engine %s", e.ID)))
 	}
 	return err
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -19,6 +19,9 @@
 // Hash maps a string to a 64-bit value that is the same on every daemon.
 func Hash(s string) uint64 { return xxhash.Sum64String(s) }
 
+// HashBytes returns the hash of Hash for a byte slice, without a copy.
+func HashBytes(b []byte) uint64 { return xxhash.Sum64(b) }
+
 // mapShard is one shard of a Map.
 type mapShard[V any] struct {
 	mu      sync.RWMutex
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -168,6 +168,18 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, maxIdle: idleTimeout}, nil
 }
 
+// Refuses reports whether no process listens at addr: the host refuses a connection.
+// It reports false if the host accepts one, or does not answer before ctx ends.
+func (c *Client) Refuses(ctx context.Context, addr string) bool {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close()
+	return false
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a connection that is being dialed.
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
 	var setErr error
