Reproduce a request that ends one engine after the other

What callers see: one request with the same path, caller and body, sent again and again at any daemon, ends each engine that runs it; sound requests lose their engines. Test: three daemons, ten plain engines or eight groups, sound requests beside it. The stand-in's engine closes its listener before its connections, as a process that ends does, and can be ended by a request.

--- /dev/null
+++ b/internal/edge/crashing_test.go
@@ -0,0 +1,139 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/standin/site"
+)
+
+// deadlyBody is the body of a request that ends the engines that run it.
+const deadlyBody = "deadly"
+
+// endingEngines starts engines that a request with deadlyBody ends.
+func (f *fixture) endingEngines(service, domain string, n, events int) []*site.Engine {
+	var out []*site.Engine
+	for range n {
+		out = append(out, site.StartEngine(f.store, site.EngineConfig{
+			ID: fmt.Sprintf("i-%d", len(f.engines)), Service: service, Zone: "a", FabricDomain: domain, Slots: 8, EventsPerStream: events, EventInterval: 5 * time.Millisecond,
+			Deadly: func(r *http.Request) bool {
+				body, err := io.ReadAll(r.Body)
+				return err == nil && string(body) == deadlyBody
+			},
+		}))
+		f.engines = append(f.engines, out[len(out)-1])
+	}
+	return out
+}
+
+// post sends a request with a body and returns the status and the text of the answer;
+// the status is 0 if it broke off.
+func (f *fixture) post(n int, path, model, body string) (int, string) {
+	r, err := site.NewHTTPRequest(context.Background(), f.daemons[n], site.Request{
+		ID: fmt.Sprintf("request-%d", lastRequestID.Add(1)), Method: http.MethodPost, Path: path, APIKey: goodKey, Model: model, Body: body,
+	})
+	must.NoError(f.t, err)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+func ended(engines []*site.Engine) int {
+	n := 0
+	for _, e := range engines {
+		if e.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRequestThatEndsEnginesIsNotSentOnAndOn sends one deadly request again and again,
+// at any daemon, beside sound ones of the same caller and path.
+func TestRequestThatEndsEnginesIsNotSentOnAndOn(t *testing.T) {
+	// The rule allows three ends, and three more sends.
+	const maxEnds, maxLate = 3, 3
+	cases := []struct{ name, path, model string }{
+		{"non-idempotent", site.NonIdempotentPath, ""},
+		{"idempotent", site.IdempotentPath, ""},
+		{"stream", site.StreamPath, smallName},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, goodKey)
+			var engines []*site.Engine
+			if c.model == "" {
+				engines = f.endingEngines(site.PlainService, "", 10, 0)
+			} else {
+				for d := range 8 {
+					engines = append(engines, f.endingEngines(site.ModelService, fmt.Sprintf("d%d", d), site.SmallGroupSize, 3)...)
+				}
+			}
+			for range 3 {
+				f.addDaemon()
+			}
+			for n := range f.daemons {
+				eventually(t, "the daemon serves", func() bool { status, _ := f.post(n, c.path, c.model, "sound"); return status == http.StatusOK })
+			}
+			if c.model != "" {
+				eventually(t, "all groups are open", func() bool {
+					open := 0
+					for _, e := range engines {
+						if _, state := e.GroupState(); state == "open" {
+							open++
+						}
+					}
+					return open == 8
+				})
+			}
+			var sound, failed atomic.Int64
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if status, _ := f.post(n%3, c.path, c.model, fmt.Sprintf("sound-%d", n)); status == http.StatusUnprocessableEntity {
+						failed.Add(1)
+					}
+					sound.Add(1)
+				}
+			}()
+			for n := range 40 {
+				f.post(n%3, c.path, c.model, deadlyBody)
+			}
+			must.LessEq(t, maxEnds+maxLate, ended(engines), must.Sprint("engines ended"))
+			before := ended(engines)
+			for n := range 20 {
+				status, text := f.post(n%3, c.path, c.model, deadlyBody)
+				must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
+			}
+			must.Eq(t, before, ended(engines))
+			eventually(t, "sound requests go on", func() bool { return sound.Load() > 20 })
+			close(stop)
+			<-stopped
+			must.Eq(t, 0, failed.Load(), must.Sprint("sound requests refused for the deadly one"))
+			for n := range f.daemons {
+				eventually(t, "the daemon serves sound requests", func() bool { status, _ := f.post(n, c.path, c.model, "sound"); return status == http.StatusOK })
+			}
+		})
+	}
+}
--- a/internal/standin/site/client.go
+++ b/internal/standin/site/client.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,8 @@
 	ID, Method, Path, APIKey string
 	// Model is the model of a generate request, empty for other requests.
 	Model string
+	// Body is the request's body; "body" if it is empty.
+	Body string
 }
 
 // Response is a daemon's response as the client received it.
@@ -34,7 +37,7 @@
 
 // NewHTTPRequest returns the HTTP request to the daemon at the given address.
 func NewHTTPRequest(ctx context.Context, daemon string, request Request) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, request.Method, "http://"+daemon+request.Path, strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, request.Method, "http://"+daemon+request.Path, strings.NewReader(cmp.Or(request.Body, "body")))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -28,6 +28,9 @@
 	// ProxyAddr, if not nil, maps the engine's own address to that of a proxy,
 	// which the engine announces instead.
 	ProxyAddr func(addr string) (string, error)
+	// Deadly, if not nil, reports whether a request ends the engine when it would
+	// begin to be answered.
+	Deadly func(*http.Request) bool
 }
 
 // Engine is a model engine or a plain service. It announces itself in the store
@@ -123,10 +126,13 @@
 func (e *Engine) Crash() {
 	e.crashed.Store(true)
 	e.StallStreams()
-	e.server.CloseClientConnections()
 	e.server.Listener.Close() //nolint:errcheck // the listener is closed even if this fails
+	e.server.CloseClientConnections()
 }
 
+// Ended reports whether the engine has ended without an announcement.
+func (e *Engine) Ended() bool { return e.crashed.Load() }
+
 // ExpireEntry removes the engine's entry from the store.
 func (e *Engine) ExpireEntry() { e.store.Put("keyed.servers", e.config.ID, nil) }
 
@@ -410,6 +416,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if e.config.Deadly != nil && e.config.Deadly(r) {
+		pause.For(r.Context(), e.config.EventInterval)
+		go e.Crash() // closes this connection too
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Response-Seal", "seal-"+e.config.ID)
 	if plainService {
 		pause.For(r.Context(), e.config.EventInterval)
