--- /dev/null
+++ b/internal/edge/crashes.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
+	"github.com/ragwortquay/ragwortquay/internal/wire"
+)
+
+// exposuresPerNews, answersPerNews and quarantinesPerNews bound the items in one
+// datagram of crash news.
+const (
+	exposuresPerNews   = 8
+	answersPerNews     = 64
+	quarantinesPerNews = 8
+)
+
+// newWatch returns the daemon's watch of requests under which engines end.
+func (d *Daemon) newWatch() *suspect.Watch {
+	return suspect.NewWatch(suspect.Options{
+		OnChange: d.recordVerdict,
+		Publish:  func() { d.mesh.SendNow() },
+		PassesOn: func() bool { return d.meshAdapter.isStoreReader() },
+		Now:      time.Now,
+	})
+}
+
+// recordVerdict logs and counts a change of the verdict on a request.
+func (d *Daemon) recordVerdict(c suspect.Change) {
+	v := suspect.Verdict{Verdict: c.To, Fingerprint: c.Fingerprint, History: c.History}
+	klog.InfoS("verdict changed", "fingerprint", suspect.Text(c.Fingerprint), "from", c.From.String(), "to", c.To.String(),
+		"engines", v.Crashes(), "last_end_ms_ago", time.Since(c.History.LastCrashAt).Milliseconds(), "expires", c.History.ExpiresAt)
+	d.stats.recordVerdict(c.To.String())
+}
+
+// CrashNews returns the news of engines that ended under requests.
+func (g *meshAdapter) CrashNews() []wire.CrashNews {
+	news := g.d.watch.News()
+	now := time.Now()
+	var out []wire.CrashNews
+	for part := range slices.Chunk(news.Exposures, exposuresPerNews) {
+		n := wire.CrashNews{}
+		for i := range part {
+			e := &part[i]
+			n.Exposures = append(n.Exposures, wire.CrashExposure{
+				Engine: e.Engine, StartMS: e.StartMS, Request: uint64(e.Identity.Request),
+				SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(),
+			})
+		}
+		out = append(out, n)
+	}
+	for part := range slices.Chunk(news.Answers, answersPerNews) {
+		n := wire.CrashNews{}
+		for _, f := range part {
+			n.Answers = append(n.Answers, uint64(f))
+		}
+		out = append(out, n)
+	}
+	for part := range slices.Chunk(news.Quarantines, quarantinesPerNews) {
+		n := wire.CrashNews{}
+		for i := range part {
+			n.Quarantines = append(n.Quarantines, encodeQuarantine(&part[i], now))
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// HandleCrashNews applies the news of another daemon.
+func (g *meshAdapter) HandleCrashNews(n *wire.CrashNews) {
+	now := time.Now()
+	news := suspect.News{}
+	for i := range n.Exposures {
+		e := &n.Exposures[i]
+		news.Exposures = append(news.Exposures, suspect.Exposure{
+			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: retry.Fingerprint(e.Request)},
+			SentAt: ago(now, e.SentAgeUS), EndedAt: ago(now, e.EndAgeUS),
+		})
+	}
+	for _, f := range n.Answers {
+		news.Answers = append(news.Answers, retry.Fingerprint(f))
+	}
+	for i := range n.Quarantines {
+		news.Quarantines = append(news.Quarantines, decodeQuarantine(&n.Quarantines[i], now))
+	}
+	g.d.watch.Apply(&news)
+}
+
+func ago(now time.Time, ageUS int64) time.Time {
+	return now.Add(-time.Duration(ageUS) * time.Microsecond)
+}
+
+func encodeQuarantine(q *suspect.Quarantine, now time.Time) wire.Quarantine {
+	out := wire.Quarantine{
+		Fingerprint: uint64(q.Fingerprint), LastCrashAgeUS: now.Sub(q.LastCrashAt).Microseconds(), RemainingUS: q.ExpiresAt.Sub(now).Microseconds(),
+	}
+	for _, c := range q.Crashes {
+		startMS, err := strconv.ParseInt(c.Incarnation, 10, 64)
+		if err == nil {
+			out.Crashes = append(out.Crashes, wire.CrashedEngine{Engine: c.Replica, StartMS: startMS})
+		}
+	}
+	return out
+}
+
+func decodeQuarantine(q *wire.Quarantine, now time.Time) suspect.Quarantine {
+	remaining := min(time.Duration(q.RemainingUS)*time.Microsecond, retry.QuarantineTTL)
+	out := suspect.Quarantine{Fingerprint: retry.Fingerprint(q.Fingerprint), LastCrashAt: ago(now, q.LastCrashAgeUS), ExpiresAt: now.Add(remaining)}
+	for _, c := range q.Crashes {
+		out.Crashes = append(out.Crashes, retry.ReplicaIncarnation{Replica: c.Engine, Incarnation: strconv.FormatInt(c.StartMS, 10)})
+	}
+	return out
+}
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -87,6 +87,7 @@
 			for range 3 {
 				f.addDaemon()
 			}
+			f.waitUntilDaemonsHearEachOther()
 			for n := range f.daemons {
 				eventually(t, "the daemon serves", func() bool { status, _ := f.post(n, c.path, c.model, "sound"); return status == http.StatusOK })
 			}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
 const (
@@ -87,6 +88,7 @@
 	mesh        *mesh.Mesh
 	meshAdapter *meshAdapter
 	stats       *stats
+	watch       *suspect.Watch
 }
 
 // New assembles a daemon; Run starts it.
@@ -106,6 +108,7 @@
 		IsReader: d.meshAdapter.isStoreReader, OnRead: d.meshAdapter.pushRecords,
 		RequestRecords: d.meshAdapter.requestRecords,
 	})
+	d.watch = d.newWatch()
 	boot := ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
 		Node: s.Node, BootID: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
@@ -117,7 +120,7 @@
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
-	ends := &endCheck{directory: d.directory, refuses: p.Codec.Refuses}
+	ends := &endCheck{listed: d.directory.Engine, refuses: p.Codec.Refuses}
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Sender: p.Codec, Demand: demand,
 		RetryBudget: retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleetSize),
@@ -128,6 +131,7 @@
 		OnSuspect:   d.meshAdapter.reportSuspicion,
 		OnLeaving:   d.meshAdapter.reportLeaving,
 		EngineEnd:   ends.check,
+		Watch:       d.watch,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
--- a/internal/edge/ended.go
+++ b/internal/edge/ended.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
-	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 )
 
@@ -18,7 +17,8 @@
 
 // endCheck finds out whether engines that broke off an attempt have ended.
 type endCheck struct {
-	directory *directory.Directory
+	// listed returns the engine with an id as the store lists it.
+	listed func(id string) (*catalog.Engine, bool)
 	// refuses reports whether the host of an address refuses connections there.
 	refuses func(ctx context.Context, addr string) bool
 	// dials joins the checks of one incarnation, since all attempts at an engine
@@ -30,7 +30,7 @@
 // announced that it leaves, or has left the list before, was stopped in order. One that
 // is cut off, whose host does not answer, may go on.
 func (c *endCheck) check(ctx context.Context, e *catalog.Engine) relay.EngineEnd {
-	listed, known := c.directory.Engine(e.ID)
+	listed, known := c.listed(e.ID)
 	switch {
 	case known && listed.StartUnixMS > e.StartUnixMS:
 		return relay.EngineEnd{Ended: true, Evidence: "started again"}
--- a/internal/edge/page_test.go
+++ b/internal/edge/page_test.go
@@ -13,7 +13,7 @@
 	must.NoError(t, err)
 	for _, name := range []string{
 		metricRequests, metricRetries, metricResumes, metricLate, metricFirstEvent, metricRequestTime, metricConfigVersion,
-		metricConfigAge, metricEnginesAge, metricDaemons, metricPlanning, metricGroupsServing,
+		metricConfigAge, metricEnginesAge, metricDaemons, metricPlanning, metricGroupsServing, metricEnginesEnded, metricVerdicts,
 	} {
 		must.True(t, strings.Contains(string(page), "`"+name+"`"), must.Sprintf("docs/OPERATIONS.md does not name %s", name))
 	}
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -35,6 +36,7 @@
 	store   *site.Store
 	engines []*site.Engine
 	daemons []string // listen addresses for clients
+	metrics []string // listen addresses for metrics, by daemon
 	stops   []func()
 	// grace is the daemons' grace period.
 	grace time.Duration
@@ -87,7 +89,7 @@
 	n := lastDaemonIP.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n/250, 1+n%250)
 	s := edge.Settings{
-		Node: "front-" + ip, Zone: "a", IP: ip, FrontAddr: ip + ":8227", ReadyAddr: ip + ":8220", MeshPort: 7340,
+		Node: "front-" + ip, Zone: "a", IP: ip, FrontAddr: ip + ":8227", ReadyAddr: ip + ":8220", MetricsAddr: ip + ":8229", MeshPort: 7340,
 		StoreAddr: f.store.Addr(), FirstStart: true, Heartbeat: 400 * time.Millisecond, GracePeriod: f.grace,
 		ConfigBound: 2 * time.Second, StrictRevoke: true, RevokeBound: 3 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100,
@@ -108,10 +110,32 @@
 		must.NoError(f.t, <-done)
 	}
 	f.stops = append(f.stops, stop)
-	f.daemons = append(f.daemons, s.FrontAddr)
+	f.daemons, f.metrics = append(f.daemons, s.FrontAddr), append(f.metrics, s.MetricsAddr)
 	return stop
 }
 
+// metricLines returns the lines of the n-th daemon's metrics.
+func (f *fixture) metricLines(n int) []string {
+	resp, err := http.Get("http://" + f.metrics[n] + "/metrics")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return strings.Split(string(text), "\n")
+}
+
+// waitUntilDaemonsHearEachOther waits until each daemon has heard of all others.
+func (f *fixture) waitUntilDaemonsHearEachOther() {
+	f.t.Helper()
+	for n := range f.daemons {
+		eventually(f.t, "the daemon hears all others", func() bool {
+			return slices.Contains(f.metricLines(n), fmt.Sprintf("ragwortquay_daemons %d", len(f.daemons)))
+		})
+	}
+}
+
 var lastRequestID atomic.Int64
 
 // call sends a request to the n-th daemon.
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -25,6 +25,7 @@
 	metricLeaveNotices  = "leave_notices"
 	metricEngineWaits   = "engine_waits"
 	metricEnginesEnded  = "engines_ended"
+	metricVerdicts      = "verdict_changes"
 	metricStoreCalls    = "store_calls"
 	metricFirstEvent    = "first_event_seconds"
 	metricRequestTime   = "request_seconds"
@@ -78,6 +79,11 @@
 	}
 }
 
+// recordVerdict counts a change of the verdict on a request.
+func (s *stats) recordVerdict(to string) {
+	s.registry.Scope().Tagged(map[string]string{"to": to}).Counter(metricVerdicts).Inc(1)
+}
+
 // recordStoreCall counts a call of the store.
 func (s *stats) recordStoreCall(call, topic string) {
 	s.registry.Scope().Tagged(map[string]string{"call": call, "topic": topic}).Counter(metricStoreCalls).Inc(1)
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -60,15 +60,17 @@
 func (wr *writer) Abort() { wr.aborted = true }
 
 // statusByCause maps causes of refusals to statuses. 503 states that the request
-// has not run; 502 and 504 leave that open.
+// has not run; 502 and 504 leave that open. 422 tells the client not to send the
+// request again.
 var statusByCause = map[relay.Cause]int{
-	relay.NotReady:   http.StatusServiceUnavailable,
-	relay.NoRoute:    http.StatusNotFound,
-	relay.UnknownKey: http.StatusUnauthorized,
-	relay.NoEngine:   http.StatusServiceUnavailable,
-	relay.Expired:    http.StatusServiceUnavailable,
-	relay.Failed:     http.StatusBadGateway,
-	relay.TimedOut:   http.StatusGatewayTimeout,
+	relay.NotReady:    http.StatusServiceUnavailable,
+	relay.NoRoute:     http.StatusNotFound,
+	relay.UnknownKey:  http.StatusUnauthorized,
+	relay.NoEngine:    http.StatusServiceUnavailable,
+	relay.Expired:     http.StatusServiceUnavailable,
+	relay.Failed:      http.StatusBadGateway,
+	relay.TimedOut:    http.StatusGatewayTimeout,
+	relay.Quarantined: http.StatusUnprocessableEntity,
 }
 
 // Refuse writes a refusal as a text response.
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -31,6 +31,10 @@
 func (d *testDaemon) HandleRecordRequest(*wire.RecordRequest) []wire.KeyedValue {
 	return nil
 }
+func (*testDaemon) HandleCrashNews(*wire.CrashNews) {}
+
+func (*testDaemon) CrashNews() []wire.CrashNews { return nil }
+
 func (d *testDaemon) HandleDemand(report *wire.DemandReport) { d.demand <- report }
 
 func TestDemandIsReportedToThePlannerOnly(t *testing.T) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -67,6 +67,9 @@
 	// LeavingEngines returns the engines whose notice that they leave is to be passed
 	// on.
 	LeavingEngines() []wire.LeavingEngine
+	// CrashNews returns the news of engines that ended under requests, in parts that
+	// each fit in one datagram.
+	CrashNews() []wire.CrashNews
 	// ModelWork returns the work that clients have requested of this daemon.
 	ModelWork() []wire.ModelWork
 }
@@ -79,6 +82,8 @@
 	HandleSums(s *wire.LoadSums)
 	// HandleLeaving handles the notices that a peer has received.
 	HandleLeaving(n *wire.LeaveNotices)
+	// HandleCrashNews handles what a peer says of engines that ended under requests.
+	HandleCrashNews(n *wire.CrashNews)
 	// HandleDemand handles a demand report of a peer.
 	HandleDemand(r *wire.DemandReport)
 	// HandleRecordRequest returns the records that a peer has missed, or none if this
@@ -271,6 +276,7 @@
 	}
 	m.sendEach(addrs, round.full, r)
 	m.sendLeaving(addrs, round.full, round.sums)
+	m.sendCrashNews(addrs, round.full, round.sums)
 	if len(round.sums) > 0 {
 		r.IntervalMS = collectorInterval.Milliseconds()
 		for _, part := range splitSums(&r, m.opts.Source.TotalLoads()) {
@@ -326,10 +332,29 @@
 			klog.ErrorS(err, "notices of leaving engines not sent")
 			return
 		}
-		for _, names := range recipients {
-			for _, name := range names {
-				m.write(b, addrs[name])
-			}
+		m.writeAll(b, addrs, recipients)
+	}
+}
+
+// sendCrashNews sends the news of engines that ended under requests to the named
+// daemons.
+func (m *Mesh) sendCrashNews(addrs map[string]string, recipients ...[]string) {
+	for _, part := range m.opts.Source.CrashNews() {
+		part.Sender = m.opts.Node
+		b, err := wire.EncodeCrashNews(&part)
+		if err != nil || len(b) > maxDatagram {
+			klog.ErrorS(err, "news of crashes not sent: encoding failed or larger than one datagram", "bytes", len(b))
+			continue
+		}
+		m.writeAll(b, addrs, recipients)
+	}
+}
+
+// writeAll sends a datagram to the named daemons.
+func (m *Mesh) writeAll(b []byte, addrs map[string]string, recipients [][]string) {
+	for _, names := range recipients {
+		for _, name := range names {
+			m.write(b, addrs[name])
 		}
 	}
 }
@@ -386,6 +411,8 @@
 			}
 		case *wire.LeaveNotices:
 			m.opts.Handler.HandleLeaving(r)
+		case *wire.CrashNews:
+			m.opts.Handler.HandleCrashNews(r)
 		case *wire.RecordRequest:
 			m.answerRequest(r)
 		case *wire.DemandReport:
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,13 +6,13 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/limit"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -33,9 +33,6 @@
 	reportTimeout = 2 * time.Second
 	// maxRecentCrashes is the number of crashes kept to recognise outages.
 	maxRecentCrashes = 256
-	// crashesPerSweep is the number of crash reports between two removals of
-	// expired histories.
-	crashesPerSweep = 64
 )
 
 // Manager tracks the attempts in flight on this daemon and the crash histories of
@@ -43,14 +40,13 @@
 type Manager struct {
 	members Members
 	caller  Caller
-	// histories is keyed by historyKey; attempts holds the attempts that this
-	// daemon has in flight, by the id of their grant.
-	histories *shard.Map[retry.CrashHistory]
-	attempts  *shard.Map[attempt]
+	ledger  *suspect.Ledger
+	// attempts holds the attempts that this daemon has in flight, by the id of their
+	// grant.
+	attempts *shard.Map[attempt]
 
 	mu            sync.Mutex
 	recentCrashes []retry.Crash
-	reportCount   int
 }
 
 // attempt is an attempt in flight.
@@ -61,7 +57,7 @@
 
 // New returns a manager without histories.
 func New(m Members, c Caller) *Manager {
-	return &Manager{members: m, caller: c, histories: shard.NewMap[retry.CrashHistory](), attempts: shard.NewMap[attempt]()}
+	return &Manager{members: m, caller: c, ledger: suspect.NewLedger(), attempts: shard.NewMap[attempt]()}
 }
 
 // Fingerprints returns the fingerprints of a request: that of its content, and
@@ -77,13 +73,7 @@
 
 // Verdict returns the strictest verdict on any of the request's fingerprints.
 func (m *Manager) Verdict(fingerprints []retry.Fingerprint) retry.Verdict {
-	now, worst := time.Now(), retry.Clear
-	for _, fingerprint := range fingerprints {
-		if history, ok := m.histories.Get(historyKey(fingerprint)); ok {
-			worst = max(worst, history.Verdict(now))
-		}
-	}
-	return worst
+	return m.ledger.Verdict(time.Now(), fingerprints)
 }
 
 // BeginAttempt registers an attempt that is about to be sent.
@@ -92,7 +82,7 @@
 }
 
 // EndAttempt removes an attempt. complete means that its response was complete,
-// which deletes the histories of its fingerprints unless they are quarantined.
+// which clears its fingerprints.
 func (m *Manager) EndAttempt(g limit.Grant, complete bool) {
 	a, ok := m.attempts.Get(g.ID)
 	if !ok {
@@ -103,9 +93,7 @@
 		return
 	}
 	for _, fingerprint := range a.fingerprints {
-		if history, known := m.histories.Get(historyKey(fingerprint)); known && !history.Quarantined {
-			m.histories.Delete(historyKey(fingerprint))
-		}
+		m.ledger.Answer(fingerprint)
 	}
 }
 
@@ -160,9 +148,7 @@
 			Outage:        retry.IsOutage(&c, recent, fingerprints),
 		}
 		for _, fingerprint := range fingerprints {
-			m.histories.Update(historyKey(fingerprint), func(history retry.CrashHistory, _ bool) (retry.CrashHistory, bool) {
-				return history.WithCrash(now, &c, crashContext), true
-			})
+			m.ledger.AddCrash(now, fingerprint, &c, crashContext)
 		}
 	}
 }
@@ -173,7 +159,6 @@
 func (m *Manager) mergeReport(c retry.Crash) (retry.Crash, []retry.Crash) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sweepExpired()
 	recent := append([]retry.Crash(nil), m.recentCrashes...)
 	for i := range m.recentCrashes {
 		if recorded := &m.recentCrashes[i]; recorded.SameIncarnation(&c) {
@@ -188,25 +173,6 @@
 	return c, recent
 }
 
-// sweepExpired deletes expired histories at every crashesPerSweep-th call. The
-// caller holds m.mu.
-func (m *Manager) sweepExpired() {
-	if m.reportCount++; m.reportCount%crashesPerSweep != 0 {
-		return
-	}
-	now := time.Now()
-	var expired []string
-	m.histories.Range(func(key string, history retry.CrashHistory) bool {
-		if history.Verdict(now) == retry.Clear {
-			expired = append(expired, key)
-		}
-		return true
-	})
-	for _, key := range expired {
-		m.histories.Delete(key)
-	}
-}
-
 // countOtherSuspects returns the number of other requests in flight at crash c that
 // were already suspects because of an earlier crash.
 func (m *Manager) countOtherSuspects(now time.Time, c *retry.Crash, fingerprints []retry.Fingerprint) int {
@@ -221,13 +187,9 @@
 
 func (m *Manager) suspectedBefore(now time.Time, c *retry.Crash, fingerprints []retry.Fingerprint) bool {
 	for _, fingerprint := range fingerprints {
-		if history, ok := m.histories.Get(historyKey(fingerprint)); ok && history.WithoutCrash(c).Verdict(now) != retry.Clear {
+		if history, ok := m.ledger.History(fingerprint); ok && history.WithoutCrash(c).Verdict(now) != retry.Clear {
 			return true
 		}
 	}
 	return false
 }
-
-func historyKey(fingerprint retry.Fingerprint) string {
-	return strconv.FormatUint(uint64(fingerprint), 16)
-}
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
+// maxOwnEnds is the number of engines that may end under a request before this daemon
+// no longer sends it again by itself. Its client may, until it is quarantined.
+const maxOwnEnds = 2
+
 // EngineEnd is how an attempt was broken off.
 type EngineEnd struct {
 	// Ended is set if the incarnation of the engine that the attempt was sent to has
@@ -19,17 +25,57 @@
 }
 
 // examineBreak finds out whether an attempt that failed with err was broken off by
-// the end of its engine before it had an answer, and logs it. ctx is the context of
+// the end of its engine before it had an answer, and records it. ctx is the context of
 // the attempt: an attempt that this daemon gave up itself was not broken off.
-func (j *job) examineBreak(ctx context.Context, e *catalog.Engine, sentAt time.Time, answered bool, err error) bool {
-	if answered || ctx.Err() != nil || fault.As(err).Outcome == fault.NotRun {
-		return false
+func (j *job) examineBreak(ctx context.Context, e *catalog.Engine, sentAt time.Time, err error) {
+	if j.attempt.HasAnswer() || ctx.Err() != nil || fault.As(err).Outcome == fault.NotRun {
+		return
 	}
+	endedAt := time.Now()
 	end := j.opts.EngineEnd(j.ctx, e)
 	j.logDecision("attempt broken off", "engine", e.ID, "start_ms", e.StartUnixMS, "engine_ended", end.Ended, "evidence", end.Evidence,
-		"fingerprint", suspect.Text(j.identity.Request), "after_ms", time.Since(sentAt).Milliseconds())
-	if end.Ended {
-		j.summary.EnginesEnded++
+		"fingerprint", suspect.Text(j.identity.Request), "after_ms", endedAt.Sub(sentAt).Milliseconds())
+	if !end.Ended {
+		return
+	}
+	j.engineEnded = true
+	j.summary.EnginesEnded++
+	j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt})
+}
+
+// begin registers an attempt that is about to be sent; cancel gives it up.
+func (j *job) begin(cancel func()) {
+	j.engineEnded = false
+	j.attempt = j.opts.Watch.Begin(j.identity, cancel)
+}
+
+// quarantined returns the refusal of a request in quarantine, or nil. ran is set if an
+// engine may have run it.
+func (j *job) quarantined(ran bool) *Refusal {
+	v := j.opts.Watch.Verdict(j.identity)
+	if v.Verdict != retry.Refused {
+		return nil
+	}
+	last := time.Since(v.History.LastCrashAt)
+	j.logDecision("quarantined", "fingerprint", suspect.Text(v.Fingerprint), "engines", v.Crashes(), "last_end_ms_ago", last.Milliseconds(), "expires", v.History.ExpiresAt)
+	state := "it was not run"
+	if ran {
+		state = "it is not run again"
+	}
+	return &Refusal{Cause: Quarantined, Reason: fmt.Sprintf(
+		"%d engines ended while they ran this request, the last one %s ago; %s; change it before sending it again", len(v.History.Crashes), last.Round(time.Second), state)}
+}
+
+// stopAfterBreak returns the refusal of a request whose last attempt failed and that
+// this daemon must not send again, or nil.
+func (j *job) stopAfterBreak(mayHaveRun bool) *Refusal {
+	refusal := j.quarantined(mayHaveRun || j.possibleRuns > 0)
+	if v := j.opts.Watch.Verdict(j.identity); refusal == nil && j.engineEnded && len(v.History.Crashes) >= maxOwnEnds {
+		j.logDecision("not sent again", "fingerprint", suspect.Text(v.Fingerprint), "engines", v.Crashes())
+		refusal = &Refusal{Cause: Failed, Reason: fmt.Sprintf("%d engines ended while they ran this request", len(v.History.Crashes))}
+	}
+	if refusal != nil && mayHaveRun {
+		j.possibleRuns++
 	}
-	return end.Ended
+	return refusal
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -56,6 +56,10 @@
 			return
 		}
 		mayHaveRun := fault.As(err).Outcome != fault.NotRun
+		if refusal := j.stopAfterBreak(mayHaveRun); refusal != nil {
+			j.deliverOrRefuse(serverError, *refusal)
+			return
+		}
 		if !j.reserveRetry(mayHaveRun, err.Error()) {
 			j.deliverOrRefuse(serverError, j.refusalFor(err, mayHaveRun))
 			return
@@ -102,11 +106,13 @@
 	e := c.Candidate.Head
 	ctx, cancel := context.WithDeadline(j.ctx, j.attemptDeadline(c))
 	defer cancel()
+	j.begin(cancel)
+	defer j.attempt.End()
 	start := time.Now()
 	resp, err := j.send(ctx, c, "")
 	defer j.opts.Tracker.End(e)
 	if err != nil {
-		j.examineBreak(ctx, e, start, false, err)
+		j.examineBreak(ctx, e, start, err)
 		err = j.asTimeout(ctx, err)
 		j.opts.Tracker.RecordOutcome(e, false, time.Since(start), nil, time.Now())
 		return nil, err
@@ -121,10 +127,13 @@
 		return nil, err
 	}
 	body, err := j.readBody(resp)
+	if err == nil {
+		j.attempt.Answered()
+	}
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
 	if err != nil {
-		j.examineBreak(ctx, e, start, false, err)
+		j.examineBreak(ctx, e, start, err)
 		return nil, j.asTimeout(ctx, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of engine %s", e.ID))
 	}
 	return &bufferedResponse{resp.Status(), resp.Header(), body}, nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,8 @@
 	// EngineEnd finds out whether the incarnation of an engine that has broken off an
 	// attempt has ended.
 	EngineEnd func(ctx context.Context, e *catalog.Engine) EngineEnd
+	// Watch remembers under which requests engines have ended.
+	Watch *suspect.Watch
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -100,6 +102,10 @@
 	// retryReserved is set if the last attempt was given up after a retry had been
 	// taken from the budget.
 	retryReserved bool
+	// attempt is the current attempt. engineEnded is set if its engine ended before it
+	// had an answer.
+	attempt     *suspect.Attempt
+	engineEnded bool
 	// bufferedBytes is what the job has taken from the bufferQuota.
 	bufferedBytes int
 	summary       RequestSummary
@@ -235,6 +241,9 @@
 	if remaining < time.Duration(minRemainingFraction*float64(j.route.TargetLatency)) || remaining <= 0 {
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
+	if refusal := j.quarantined(j.possibleRuns > 0); refusal != nil {
+		return balance.Choice{}, refusal
+	}
 	candidates := j.candidates(j.triedEngines)
 	target := j.route.TargetLatency
 	if j.sends > 0 {
@@ -366,10 +375,12 @@
 func (j *job) refuseAfterAttempts(r Refusal) {
 	if j.possibleRuns > 0 {
 		r.RetryAfter = 0
-		if r.Cause != TimedOut && r.Cause != Expired {
-			r.Cause = Failed
-		} else {
+		switch r.Cause {
+		case Quarantined: // makes no promise
+		case TimedOut, Expired:
 			r.Cause = TimedOut
+		default:
+			r.Cause = Failed
 		}
 	}
 	j.refuse(r)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,6 +63,10 @@
 			return
 		}
 		mayHaveRun := fault.As(err).Outcome != fault.NotRun
+		if refusal := j.stopAfterBreak(mayHaveRun); refusal != nil {
+			j.abortStream(headerSent, *refusal)
+			return
+		}
 		retry := j.reserveRetry(mayHaveRun, err.Error())
 		if !retry && headerSent && !mayHaveRun {
 			retry = j.awaitRetry(err.Error())
@@ -147,12 +151,14 @@
 		watch.stop()
 		j.retryReserved = watch.stalled.Load()
 	}()
+	j.begin(cancel)
+	defer j.attempt.End()
 	sent := time.Now()
 	lastEventID := filter.lastID()
 	resp, err := j.send(ctx, c, lastEventID)
 	defer j.opts.Tracker.End(e)
 	if err != nil {
-		j.examineBreak(ctx, e, sent, false, err)
+		j.examineBreak(ctx, e, sent, err)
 		j.opts.Tracker.RecordOutcome(e, false, 0, nil, time.Now())
 		return watch.wrapStall(j.asTimeout(ctx, err))
 	}
@@ -167,7 +173,7 @@
 	err = j.copyEvents(ctx, e, resp, filter, headerSent, watch)
 	j.opts.Tracker.RecordOutcome(e, err == nil, time.Since(sent), resp.Load(), time.Now())
 	if err != nil && !errors.Is(err, errClientGone) {
-		j.examineBreak(ctx, e, sent, watch.receivedAny.Load(), err)
+		j.examineBreak(ctx, e, sent, err)
 		return watch.wrapStall(j.asTimeout(ctx, fault.Wrap(fault.Interrupted, err, "check the engine", "read the stream of engine %s", e.ID)))
 	}
 	return err
@@ -178,6 +184,7 @@
 // already written.
 func (j *job) handleErrorStatus(e *catalog.Engine, resp Response, headerSent bool) error {
 	j.opts.Tracker.RecordOutcome(e, false, 0, resp.Load(), time.Now())
+	j.attempt.Answered()
 	if err := unprovenPromise(e, resp); err != nil {
 		return err
 	}
@@ -202,6 +209,7 @@
 			out, ok := filter.feed(buf[:n])
 			if filter.progressed {
 				watch.recordProgress(now)
+				j.attempt.Answered()
 				j.opts.Tracker.Progress(e, now)
 			}
 			if first && len(out) > 0 {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -125,9 +125,12 @@
 	Failed
 	// TimedOut means that the response did not arrive before the deadline.
 	TimedOut
+	// Quarantined means that engines have ended while they ran the request, so that it
+	// is not sent to others.
+	Quarantined
 )
 
-var causeNames = [...]string{"not_ready", "no_route", "unknown_key", "no_engine", "expired", "failed", "timed_out"}
+var causeNames = [...]string{"not_ready", "no_route", "unknown_key", "no_engine", "expired", "failed", "timed_out", "quarantined"}
 
 // String returns the name of the cause in logs and metrics.
 func (c Cause) String() string { return causeNames[c] }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -147,3 +147,48 @@
 		})
 	}
 }
+
+// Where suspects run beside other requests, the third crash quarantines, unless the
+// crashes have one cause or the request has been answered.
+func TestCrashesBesideOtherRequests(t *testing.T) {
+	const sentBefore, sentAfter = -2 * time.Second, -time.Millisecond
+	type step struct {
+		engine string
+		sent   time.Duration // before the crash, one second after the step before
+		answer bool
+		wait   time.Duration
+	}
+	crash := func(engine string, sent time.Duration) step { return step{engine: engine, sent: sent} }
+	cases := []struct {
+		name  string
+		steps []step
+		want  Verdict
+	}{
+		{"one", []step{crash("a", sentAfter)}, Suspected},
+		{"two", []step{crash("a", sentAfter), crash("b", sentAfter)}, Suspected},
+		{"three", []step{crash("a", sentAfter), crash("b", sentAfter), crash("c", sentAfter)}, Refused},
+		{"one crash reported three times", []step{crash("a", sentAfter), crash("a", sentAfter), crash("a", sentAfter)}, Suspected},
+		{"sent before the first was seen", []step{crash("a", sentAfter), crash("b", sentBefore), crash("c", sentBefore)}, Suspected},
+		{"answered in between", []step{crash("a", sentAfter), crash("b", sentAfter), {answer: true}, crash("c", sentAfter)}, Suspected},
+		{"reported late, after an answer", []step{crash("a", sentAfter), crash("b", sentAfter), {answer: true}, crash("b", sentAfter)}, Clear},
+		{"answered in quarantine", []step{crash("a", sentAfter), crash("b", sentAfter), crash("c", sentAfter), {answer: true}}, Clear},
+		{"expired", []step{crash("a", sentAfter), crash("b", sentAfter), crash("c", sentAfter), {wait: QuarantineTTL}}, Clear},
+		{"expired, then one more", []step{crash("a", sentAfter), crash("b", sentAfter), crash("c", sentAfter), {wait: QuarantineTTL}, crash("d", sentAfter)}, Refused},
+		{"expired, answered, then one more", []step{crash("a", sentAfter), crash("b", sentAfter), crash("c", sentAfter), {wait: QuarantineTTL}, crash("d", sentAfter), {answer: true}, crash("e", sentAfter)}, Suspected},
+		{"suspicion expired", []step{crash("a", sentAfter), crash("b", sentAfter), {wait: SuspectTTL}, crash("c", sentAfter)}, Suspected},
+	}
+	for _, c := range cases {
+		now := time.Unix(0, 0)
+		history := CrashHistory{}
+		for _, s := range c.steps {
+			now = now.Add(time.Second + s.wait)
+			switch {
+			case s.answer:
+				history = history.WithAnswer()
+			case s.engine != "":
+				history = history.WithCrash(now, &Crash{Replica: s.engine, At: now}, CrashContext{Shared: true, SentAt: now.Add(s.sent)})
+			}
+		}
+		must.Eq(t, c.want, history.Verdict(now), must.Sprint(c.name))
+	}
+}
--- a/internal/retry/suspect.go
+++ b/internal/retry/suspect.go
@@ -70,6 +70,13 @@
 	ExpiresAt time.Time
 	// Quarantined means that the request is refused until ExpiresAt.
 	Quarantined bool
+	// LastCrashAt is the time of the last of Crashes.
+	LastCrashAt time.Time
+	// Answered lists the latest incarnations that crashed before the request was last
+	// answered. Late reports of their crashes are ignored.
+	Answered []ReplicaIncarnation
+	// OnProbation means that a quarantine has expired: the next crash renews it.
+	OnProbation bool
 }
 
 // ReplicaIncarnation identifies one incarnation of a replica.
@@ -100,32 +107,88 @@
 	// Outage means that other replicas of the failure domain, which did not run
 	// the request, went down at about the same time.
 	Outage bool
+	// Shared means that suspects run beside other requests, so that more crashes are
+	// needed to tell them apart.
+	Shared bool
+	// SentAt is when the request was sent to the replica; zero if that is not known.
+	SentAt time.Time
 }
 
-// WithCrash returns the history with crash c added. The request is quarantined at
-// its second crash, unless another suspect was in flight or the failure domain had
-// an outage, either of which may have caused the crash. Requests that merely shared
-// a batch with the one that causes the crashes become suspects and are cleared when
-// they complete while running exclusively.
+const (
+	// exclusiveCrashes and sharedCrashes are the numbers of crashes under which a
+	// request is quarantined, where suspects run exclusively and where they do not.
+	exclusiveCrashes = 2
+	sharedCrashes    = 3
+	// maxAnswered bounds CrashHistory.Answered.
+	maxAnswered = 16
+)
+
+// WithCrash returns the history with crash c added. The request is quarantined after
+// exclusiveCrashes or sharedCrashes, unless another suspect was in flight or the
+// failure domain had an outage, either of which may have caused the crash. Requests
+// that merely shared a batch with the one that causes the crashes become suspects and
+// are cleared when they are answered.
+//
+// A crash does not count if the request was sent before the last counted one:
+// replicas that go down together have one cause.
 func (r CrashHistory) WithCrash(now time.Time, c *Crash, ctx CrashContext) CrashHistory {
 	if !now.Before(r.ExpiresAt) {
-		r = CrashHistory{}
+		r = r.afterExpiry(now)
 	}
 	s := ReplicaIncarnation{Replica: c.Replica, Incarnation: c.Incarnation}
-	if slices.Contains(r.Crashes, s) {
+	if slices.Contains(r.Crashes, s) || slices.Contains(r.Answered, s) {
+		return r
+	}
+	if len(r.Crashes) > 0 && !ctx.SentAt.IsZero() && ctx.SentAt.Before(r.LastCrashAt) {
 		return r
 	}
 	r.Crashes = append(slices.Clone(r.Crashes), s)
+	r.LastCrashAt = c.At
 	if r.Quarantined {
 		return r
 	}
 	r.ExpiresAt = now.Add(SuspectTTL)
-	if len(r.Crashes) >= 2 && ctx.OtherSuspects == 0 && !ctx.Outage {
+	if len(r.Crashes) >= r.neededCrashes(ctx) && ctx.OtherSuspects == 0 && !ctx.Outage {
 		r.Quarantined, r.ExpiresAt = true, now.Add(QuarantineTTL)
 	}
 	return r
 }
 
+func (r *CrashHistory) neededCrashes(ctx CrashContext) int {
+	switch {
+	case r.OnProbation:
+		return 1
+	case ctx.Shared:
+		return sharedCrashes
+	default:
+		return exclusiveCrashes
+	}
+}
+
+// afterExpiry returns what an expired history leaves: a quarantine is followed by a
+// probation of the same length.
+func (r *CrashHistory) afterExpiry(now time.Time) CrashHistory {
+	return CrashHistory{
+		Answered:    r.Answered,
+		OnProbation: r.Quarantined && now.Before(r.ExpiresAt.Add(QuarantineTTL)),
+	}
+}
+
+// WithAnswer returns the history of a request that has been answered: none of the
+// crashes so far is its doing.
+func (r CrashHistory) WithAnswer() CrashHistory {
+	answered := append(slices.Clone(r.Answered), r.Crashes...)
+	r.Answered = answered[max(0, len(answered)-maxAnswered):]
+	r.Crashes, r.Quarantined, r.OnProbation = nil, false, false
+	return r
+}
+
+// AnsweredSince reports whether the request has been answered after the last of the
+// crashes.
+func (r *CrashHistory) AnsweredSince(crashes []ReplicaIncarnation) bool {
+	return len(crashes) > 0 && slices.Contains(r.Answered, crashes[len(crashes)-1])
+}
+
 // IsOutage reports whether, according to the recent crashes, another replica of
 // c's failure domain went down within outageWindow of c without running a request
 // with one of the fingerprints.
--- a/internal/suspect/identity.go
+++ b/internal/suspect/identity.go
@@ -24,5 +24,7 @@
 	return Identity{Request: retry.Fingerprint(shard.Hash(scope + strconv.FormatUint(shard.HashBytes(body), 16)))}
 }
 
+func (i *Identity) fingerprints() []retry.Fingerprint { return []retry.Fingerprint{i.Request} }
+
 // Text returns a fingerprint as it appears in logs.
 func Text(f retry.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
--- /dev/null
+++ b/internal/suspect/news.go
@@ -0,0 +1,165 @@
+package suspect
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/shard"
+)
+
+const (
+	// newsTTL is how long an item of news is sent. It covers the loss of a datagram
+	// and a whole round to all daemons of a large fleet.
+	newsTTL = 600 * time.Millisecond
+	// newsRetention is how long an item is recognised when it arrives again.
+	newsRetention = 10 * time.Second
+	// quarantineNewsInterval is the interval at which all daemons are told of the
+	// requests in quarantine, for those that have just started or were cut off.
+	quarantineNewsInterval = time.Second
+	// quarantineNewsTTL is how long they are sent each time: a round to all daemons.
+	quarantineNewsTTL = 300 * time.Millisecond
+	// maxQuarantineNews bounds the requests in quarantine that are sent.
+	maxQuarantineNews = 64
+)
+
+// News is what daemons tell each other: exposures and answers that were seen lately,
+// and requests in quarantine.
+type News struct {
+	Exposures   []Exposure
+	Answers     []retry.Fingerprint
+	Quarantines []Quarantine
+}
+
+// Quarantine is a request in quarantine, with the crashes that led to it.
+type Quarantine struct {
+	Fingerprint retry.Fingerprint
+	Crashes     []retry.ReplicaIncarnation
+	LastCrashAt time.Time
+	ExpiresAt   time.Time
+}
+
+// outbox holds the news that this daemon sends. It keeps them for newsRetention, so
+// that each is passed on once.
+type outbox struct {
+	exposures *shard.Map[queued[Exposure]]
+	answers   *shard.Map[queued[retry.Fingerprint]]
+
+	mu sync.Mutex
+	// quarantinesAt is when the requests in quarantine were last begun to be sent.
+	quarantinesAt time.Time
+}
+
+// queued is an item of news with the time at which it was queued.
+type queued[T any] struct {
+	item T
+	at   time.Time
+}
+
+func newOutbox() *outbox {
+	return &outbox{exposures: shard.NewMap[queued[Exposure]](), answers: shard.NewMap[queued[retry.Fingerprint]]()}
+}
+
+// addExposure queues an exposure and reports whether it was not known.
+func (o *outbox) addExposure(e Exposure, now time.Time) bool {
+	key := e.Engine + "/" + strconv.FormatInt(e.StartMS, 10) + "/" + Text(e.Identity.Request)
+	return addNew(o.exposures, key, e, now)
+}
+
+// addAnswer queues an answer.
+func (o *outbox) addAnswer(f retry.Fingerprint, now time.Time) {
+	o.answers.Set(Text(f), queued[retry.Fingerprint]{f, now})
+}
+
+func addNew[T any](m *shard.Map[queued[T]], key string, item T, now time.Time) bool {
+	isNew := false
+	m.Update(key, func(old queued[T], known bool) (queued[T], bool) {
+		isNew = !known
+		if known {
+			return old, true
+		}
+		return queued[T]{item, now}, true
+	})
+	return isNew
+}
+
+// due returns the items that are to be sent and deletes those that are older than
+// newsRetention.
+func due[T any](m *shard.Map[queued[T]], now time.Time) []T {
+	m.DeleteFunc(func(_ string, q queued[T]) bool { return now.Sub(q.at) > newsRetention })
+	var out []T
+	m.Range(func(_ string, q queued[T]) bool {
+		if now.Sub(q.at) <= newsTTL {
+			out = append(out, q.item)
+		}
+		return true
+	})
+	return out
+}
+
+// quarantinesDue reports whether the requests in quarantine are to be sent.
+func (o *outbox) quarantinesDue(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.quarantinesAt) >= quarantineNewsInterval {
+		o.quarantinesAt = now
+	}
+	return now.Sub(o.quarantinesAt) <= quarantineNewsTTL
+}
+
+// News returns what is to be sent to other daemons.
+func (w *Watch) News() News {
+	now := w.opts.Now()
+	n := News{Exposures: due(w.outbox.exposures, now), Answers: due(w.outbox.answers, now)}
+	if w.opts.PassesOn() && w.outbox.quarantinesDue(now) {
+		n.Quarantines = w.ledger.quarantines(now)
+	}
+	return n
+}
+
+// Apply applies the news of another daemon.
+func (w *Watch) Apply(n *News) {
+	now := w.opts.Now()
+	for i := range n.Exposures {
+		w.expose(&n.Exposures[i])
+		if w.opts.PassesOn() && w.outbox.addExposure(n.Exposures[i], now) {
+			w.opts.Publish()
+		}
+	}
+	for _, f := range n.Answers {
+		w.answer(f, false)
+	}
+	for i := range n.Quarantines {
+		before, after := w.ledger.adopt(now, &n.Quarantines[i])
+		w.changed(now, n.Quarantines[i].Fingerprint, before, after)
+	}
+}
+
+// quarantines returns at most maxQuarantineNews requests in quarantine.
+func (l *Ledger) quarantines(now time.Time) []Quarantine {
+	var out []Quarantine
+	l.histories.Range(func(key string, h retry.CrashHistory) bool {
+		f, err := strconv.ParseUint(key, 16, 64)
+		if err == nil && h.Verdict(now) == retry.Refused {
+			out = append(out, Quarantine{retry.Fingerprint(f), h.Crashes, h.LastCrashAt, h.ExpiresAt})
+		}
+		return len(out) < maxQuarantineNews
+	})
+	return out
+}
+
+// adopt quarantines a request that another daemon has in quarantine, unless it has
+// been answered since. It returns the history before and after it.
+func (l *Ledger) adopt(now time.Time, q *Quarantine) (before, after retry.CrashHistory) {
+	full := l.histories.Len() >= maxHistories
+	l.histories.Update(Text(q.Fingerprint), func(history retry.CrashHistory, known bool) (retry.CrashHistory, bool) {
+		before, after = history, history
+		if history.Verdict(now) == retry.Refused || !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) {
+			return history, known
+		}
+		after.Crashes, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.LastCrashAt, q.ExpiresAt, true
+		return after, true
+	})
+	return before, after
+}
--- /dev/null
+++ b/internal/suspect/watch_test.go
@@ -0,0 +1,160 @@
+package suspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+)
+
+// fleet is the watches of several daemons, of which the first two pass news on.
+type fleet struct {
+	watches []*Watch
+	changes int
+	now     time.Time
+}
+
+// roundInterval is the interval between two exchanges of news in a large fleet.
+const roundInterval = 250 * time.Millisecond
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0)}
+	for i := range n {
+		f.watches = append(f.watches, NewWatch(Options{OnChange: func(Change) { f.changes++ }, Publish: func() {}, PassesOn: func() bool { return i < 2 }, Now: func() time.Time { return f.now }}))
+	}
+	return f
+}
+
+// exchange sends the news of each daemon to the two that pass them on, and from those
+// to all. Each datagram is lost with the given probability, doubled, and out of order.
+func (f *fleet) exchange(rng *rand.Rand, loss float64) {
+	f.now = f.now.Add(roundInterval)
+	type datagram struct {
+		to   int
+		news News
+	}
+	var sent []datagram
+	for from, w := range f.watches {
+		for to := range f.watches {
+			if to != from && (to < 2 || from < 2) && rng.Float64() >= loss {
+				sent = append(sent, datagram{to, w.News()}, datagram{to, w.News()})
+			}
+		}
+	}
+	rng.Shuffle(len(sent), func(i, k int) { sent[i], sent[k] = sent[k], sent[i] })
+	for i := range sent {
+		f.watches[sent[i].to].Apply(&sent[i].news)
+	}
+}
+
+// end reports the end of an engine under a request that was sent after the last end.
+func (f *fleet) end(daemon int, engine string, id Identity) {
+	f.now = f.now.Add(time.Millisecond)
+	f.watches[daemon].EngineEnded(Exposure{Engine: engine, StartMS: 1, Identity: id, SentAt: f.now, EndedAt: f.now})
+}
+
+func request(body string) Identity { return Identify("s", "POST", "/p", "caller", []byte(body)) }
+
+// TestAllDaemonsRefuseAfterTheThirdEnd lets three daemons see one end each, with lost,
+// doubled and reordered news.
+func TestAllDaemonsRefuseAfterTheThirdEnd(t *testing.T) {
+	for _, n := range []int{3, 15, 295} {
+		for seed := range uint64(5) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			f := newFleet(n)
+			for k := range 3 {
+				f.end(n-1-k, fmt.Sprint("i-", k), request("deadly"))
+				for range 8 { // rounds of 250 ms between two ends, or after the last, up to 2 s
+					f.exchange(rng, 0.3)
+				}
+			}
+			for i, w := range f.watches {
+				must.Eq(t, retry.Refused, w.Verdict(request("deadly")).Verdict, must.Sprintf("daemon %d of %d, seed %d", i, n, seed))
+				must.Eq(t, retry.Clear, w.Verdict(request("sound")).Verdict)
+			}
+			if n == 295 {
+				break // once is enough for the size
+			}
+		}
+	}
+}
+
+// TestStartedDaemonLearnsOfTheQuarantine adds a daemon when the news of the ends are
+// no longer sent.
+func TestStartedDaemonLearnsOfTheQuarantine(t *testing.T) {
+	f := newFleet(3)
+	for k := range 3 {
+		f.end(0, fmt.Sprint("i-", k), request("deadly"))
+	}
+	started := newFleet(1).watches[0]
+	f.now = f.now.Add(newsTTL + time.Second)
+	n := f.watches[0].News()
+	must.Len(t, 0, n.Exposures)
+	started.Apply(&n)
+	v := started.Verdict(request("deadly"))
+	must.Eq(t, retry.Refused, v.Verdict)
+	must.Eq(t, []string{"i-0@1", "i-1@1", "i-2@1"}, v.Crashes())
+}
+
+// TestAnswerClearsAtAllDaemons answers a suspect at one daemon. Later reports of the
+// ends before, and the quarantine as another daemon still knows it, change nothing.
+func TestAnswerClearsAtAllDaemons(t *testing.T) {
+	f := newFleet(3)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for k := range 3 {
+		f.end(0, fmt.Sprint("i-", k), request("slow"))
+	}
+	late := f.watches[0].News()
+	attempt := f.watches[0].Begin(request("slow"), func() {})
+	attempt.Answered()
+	f.exchange(rng, 0)
+	f.exchange(rng, 0)
+	for _, w := range f.watches {
+		w.Apply(&late)
+		must.Eq(t, retry.Clear, w.Verdict(request("slow")).Verdict)
+	}
+}
+
+// TestEnginesThatGoDownTogetherCondemnNothing ends 50 engines under one request that
+// was sent to each before any of them was seen to end.
+func TestEnginesThatGoDownTogetherCondemnNothing(t *testing.T) {
+	f := newFleet(1)
+	w, now := f.watches[0], f.now
+	for k := range 50 {
+		w.EngineEnded(Exposure{Engine: fmt.Sprint("i-", k), StartMS: 1, Identity: request("popular"), SentAt: now.Add(-time.Second), EndedAt: now.Add(time.Duration(k) * time.Millisecond)})
+	}
+	must.Eq(t, retry.Suspected, w.Verdict(request("popular")).Verdict)
+}
+
+// TestAttemptsUnderWayAreGivenUpByTheVerdict checks that a request that waits at an
+// engine when it is quarantined does not end that engine too, unless it has an answer.
+func TestAttemptsUnderWayAreGivenUpByTheVerdict(t *testing.T) {
+	f := newFleet(1)
+	given := map[string]bool{}
+	begin := func(name, body string) *Attempt {
+		return f.watches[0].Begin(request(body), func() { given[name] = true })
+	}
+	begin("waiting", "deadly")
+	begin("sound", "sound")
+	begin("ended", "deadly").End()
+	for k := range 3 {
+		f.end(0, fmt.Sprint("i-", k), request("deadly"))
+	}
+	must.Eq(t, map[string]bool{"waiting": true}, given)
+	begin("late", "deadly")
+	must.True(t, given["late"])
+}
+
+// TestFloodOfRequestsIsBounded exposes more requests than a ledger holds.
+func TestFloodOfRequestsIsBounded(t *testing.T) {
+	f := newFleet(1)
+	for k := range maxHistories + 100 {
+		f.end(0, "i-1", request(fmt.Sprint(k)))
+	}
+	must.LessEq(t, maxHistories, f.watches[0].ledger.histories.Len())
+	must.LessEq(t, maxHistories, f.changes)
+}
--- /dev/null
+++ b/internal/wire/crash.go
@@ -0,0 +1,41 @@
+package wire
+
+// CrashNews is what a daemon tells others of engines that ended under requests. It is
+// a datagram: it may be lost, doubled, delayed or reordered. Times are ages in
+// microseconds at the time of sending. The order of the fields is the encoding.
+type CrashNews struct {
+	Sender      string
+	Exposures   []CrashExposure
+	Answers     []uint64
+	Quarantines []Quarantine
+}
+
+// CrashExposure is an attempt that ended with an incarnation of its engine before it
+// had an answer.
+type CrashExposure struct {
+	Engine  string
+	StartMS int64
+	// Request is the fingerprint of the request.
+	Request   uint64
+	SentAgeUS int64
+	EndAgeUS  int64
+}
+
+// Quarantine is the fingerprint of a request that is not sent any more, for
+// RemainingUS from the time of sending on.
+type Quarantine struct {
+	Fingerprint    uint64
+	Crashes        []CrashedEngine
+	LastCrashAgeUS int64
+	RemainingUS    int64
+}
+
+// CrashedEngine is an incarnation of an engine that has ended, by its start time in
+// Unix milliseconds.
+type CrashedEngine struct {
+	Engine  string
+	StartMS int64
+}
+
+// EncodeCrashNews encodes news as a datagram.
+func EncodeCrashNews(n *CrashNews) ([]byte, error) { return encodeDatagram(crashDatagram, n) }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -79,6 +79,7 @@
 	demandDatagram = 'D' // DemandReport
 	sumsDatagram   = 'S' // LoadSums
 	leaveDatagram  = 'V' // LeaveNotices
+	crashDatagram  = 'C' // CrashNews
 	// requestDatagram is a RecordRequest.
 	requestDatagram = 'Q'
 )
@@ -95,7 +96,7 @@
 }
 
 // DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart, a
-// *DemandReport, a *LoadSums, *LeaveNotices or a *RecordRequest.
+// *DemandReport, a *LoadSums, *LeaveNotices, *CrashNews or a *RecordRequest.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -116,6 +117,9 @@
 	case leaveDatagram:
 		n := &LeaveNotices{}
 		return n, Unmarshal(b[1:], n)
+	case crashDatagram:
+		n := &CrashNews{}
+		return n, Unmarshal(b[1:], n)
 	case requestDatagram:
 		r := &RecordRequest{}
 		return r, Unmarshal(b[1:], r)
--- a/internal/wire/load_test.go
+++ b/internal/wire/load_test.go
@@ -70,6 +70,18 @@
 	must.Eq(t, any(notices), got)
 }
 
+func TestCrashNewsRoundTrip(t *testing.T) {
+	news := &CrashNews{
+		Sender: "front-1", Exposures: []CrashExposure{{Engine: "i-1", StartMS: 1 << 41, Request: 1 << 63, SentAgeUS: 2, EndAgeUS: 1}}, Answers: []uint64{7},
+		Quarantines: []Quarantine{{Fingerprint: 8, Crashes: []CrashedEngine{{"i-1", 1 << 41}}, LastCrashAgeUS: 3, RemainingUS: 4}},
+	}
+	b, err := EncodeCrashNews(news)
+	must.NoError(t, err)
+	got, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, news, got.(*CrashNews))
+}
+
 func FuzzDecodeDatagram(f *testing.F) {
 	b, err := EncodeLoadReport(&LoadReport{Sender: "x"})
 	must.NoError(f, err)
