Reproduce a part of prompts that ends one engine after the other

What callers see: requests that are no two alike but share one part of their prompts end each engine that begins to write on it; sound requests of the same caller and beginning find no engine (BUDGET, LOST).

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,7 +18,10 @@
 // deadlyBody is the body of a request that ends the engines that run it.
 const deadlyBody = "deadly"
 
-// endingEngines starts engines that a request with deadlyBody ends.
+// deadlyPart is a part of prompts that ends the engines that begin to write on it.
+const deadlyPart = "dead01"
+
+// endingEngines starts engines that a request with deadlyBody or deadlyPart ends.
 func (f *fixture) endingEngines(service, domain string, n, events int) []*site.Engine {
 	var out []*site.Engine
 	for range n {
@@ -25,7 +29,7 @@
 			ID: fmt.Sprintf("i-%d", len(f.engines)), Service: service, Zone: "a", FabricDomain: domain, Slots: 8, EventsPerStream: events, EventInterval: 5 * time.Millisecond,
 			Deadly: func(r *http.Request) bool {
 				body, err := io.ReadAll(r.Body)
-				return err == nil && string(body) == deadlyBody
+				return err == nil && (string(body) == deadlyBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":"))
 			},
 		}))
 		f.engines = append(f.engines, out[len(out)-1])
@@ -33,11 +37,11 @@
 	return out
 }
 
-// post sends a request with a body and returns the status and the text of the answer;
-// the status is 0 if it broke off.
-func (f *fixture) post(n int, path, model, body string) (int, string) {
+// post sends a request with a body and the parts of a prompt. It returns the status and
+// the text of the answer; the status is 0 if it broke off.
+func (f *fixture) post(n int, path, model, body string, parts ...string) (int, string) {
 	r, err := site.NewHTTPRequest(context.Background(), f.daemons[n], site.Request{
-		ID: fmt.Sprintf("request-%d", lastRequestID.Add(1)), Method: http.MethodPost, Path: path, APIKey: goodKey, Model: model, Body: body,
+		ID: fmt.Sprintf("request-%d", lastRequestID.Add(1)), Method: http.MethodPost, Path: path, APIKey: goodKey, Model: model, Body: body, Parts: parts,
 	})
 	must.NoError(f.t, err)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
@@ -62,6 +66,20 @@
 	return n
 }
 
+// waitUntilOpen waits until n groups of the engines are open.
+func (f *fixture) waitUntilOpen(engines []*site.Engine, n int) {
+	f.t.Helper()
+	eventually(f.t, "all groups are open", func() bool {
+		open := 0
+		for _, e := range engines {
+			if _, state := e.GroupState(); state == "open" {
+				open++
+			}
+		}
+		return open == n
+	})
+}
+
 // TestRequestThatEndsEnginesIsNotSentOnAndOn sends one deadly request again and again,
 // at any daemon, beside sound ones of the same caller and path.
 func TestRequestThatEndsEnginesIsNotSentOnAndOn(t *testing.T) {
@@ -92,15 +110,7 @@
 				eventually(t, "the daemon serves", func() bool { status, _ := f.post(n, c.path, c.model, "sound"); return status == http.StatusOK })
 			}
 			if c.model != "" {
-				eventually(t, "all groups are open", func() bool {
-					open := 0
-					for _, e := range engines {
-						if _, state := e.GroupState(); state == "open" {
-							open++
-						}
-					}
-					return open == 8
-				})
+				f.waitUntilOpen(engines, 8)
 			}
 			var sound, failed atomic.Int64
 			stop, stopped := make(chan struct{}), make(chan struct{})
@@ -138,3 +148,52 @@
 		})
 	}
 }
+
+// TestPartThatEndsEnginesIsNotSentOnAndOn sends requests, no two alike, with one deadly
+// part, at any daemon. Sound requests share their caller, their first part and a further
+// part with them.
+func TestPartThatEndsEnginesIsNotSentOnAndOn(t *testing.T) {
+	// The rule allows five ends, and three more sends.
+	const maxEnds, maxLate, groups = 5, 3, 12
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	var engines []*site.Engine
+	for d := range groups {
+		engines = append(engines, f.endingEngines(site.ModelService, fmt.Sprintf("d%d", d), site.SmallGroupSize, 3)...)
+	}
+	for range 3 {
+		f.addDaemon()
+	}
+	f.waitUntilDaemonsHearEachOther()
+	f.waitUntilServes(0, smallName)
+	f.waitUntilOpen(engines, groups)
+	const first, further = "f1:40", "f2:100"
+	deadly := func(n int) (int, string) {
+		return f.post(n%3, site.StreamPath, smallName, fmt.Sprint("deadly-", n), first, deadlyPart+":165", further, fmt.Sprintf("%x:300", n))
+	}
+	sound := func(n int) (int, string) {
+		return f.post(n%3, site.StreamPath, smallName, fmt.Sprint("sound-", n), first, further, fmt.Sprintf("%x:300", 1000+n))
+	}
+	answered, refused := 0, 0
+	for n := range 40 {
+		deadly(n)
+		switch status, _ := sound(n); status {
+		case http.StatusOK:
+			answered++
+		case http.StatusUnprocessableEntity:
+			refused++
+		}
+	}
+	must.LessEq(t, maxEnds+maxLate, ended(engines), must.Sprint("engines ended"))
+	before := ended(engines)
+	for n := range 20 {
+		status, text := deadly(100 + n)
+		must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
+	}
+	must.Eq(t, before, ended(engines))
+	must.Eq(t, 0, refused, must.Sprint("sound requests refused for the deadly part"))
+	must.GreaterEq(t, 20, answered, must.Sprint("sound requests answered"))
+	for n := range f.daemons {
+		eventually(t, "the daemon serves sound requests", func() bool { status, _ := sound(1000 + n); return status == http.StatusOK })
+	}
+}
--- a/internal/standin/site/client.go
+++ b/internal/standin/site/client.go
@@ -18,6 +18,8 @@
 	Model string
 	// Body is the request's body; "body" if it is empty.
 	Body string
+	// Parts are the parts of the prompt, each as ID:TOKENS.
+	Parts []string
 }
 
 // Response is a daemon's response as the client received it.
@@ -49,6 +51,9 @@
 		r.Header.Set("Model", request.Model)
 		r.Header.Set("Token-Counts", "100,10")
 	}
+	if len(request.Parts) > 0 {
+		r.Header.Set("Prompt-Prefix", strings.Join(request.Parts, ","))
+	}
 	return r, nil
 }
 
