Refuse requests with a part of a prompt under which engines end

What callers saw: requests that are no two alike, with one part of their prompts in common, ended one engine after the other; sound requests of the same caller and beginning found none (BUDGET, LOST). Cause: a request was recognised as a whole only, so each new one was innocent. Change: the parts of a prompt but the last are recognised like the request, by service. A part is refused after three ends that count, under two different requests. Parts that were in flight at the same ends (the first part is in nearly all of them) are refused only together, until an answer or an end of a request with a single one of them tells them apart; an answer clears a part. Ruled out: that sound requests are refused by such a verdict; they were refused because groups were lost.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -30,12 +30,26 @@
 	})
 }
 
-// recordVerdict logs and counts a change of the verdict on a request.
+// recordVerdict counts a change of the verdict on a request or a part of prompts, and
+// logs it if requests are refused for it or no longer are. Suspicions alone come and go
+// with each end of an engine, for all requests that it had.
 func (d *Daemon) recordVerdict(c suspect.Change) {
+	d.stats.recordVerdict(c.To.String())
+	if c.From != retry.Refused && c.To != retry.Refused {
+		return
+	}
 	v := suspect.Verdict{Verdict: c.To, Fingerprint: c.Fingerprint, History: c.History}
 	klog.InfoS("verdict changed", "fingerprint", suspect.Text(c.Fingerprint), "from", c.From.String(), "to", c.To.String(),
-		"engines", v.Crashes(), "last_end_ms_ago", time.Since(c.History.LastCrashAt).Milliseconds(), "expires", c.History.ExpiresAt)
-	d.stats.recordVerdict(c.To.String())
+		"engines", v.Crashes(), "last_end_ms_ago", time.Since(c.History.LastCrashAt).Milliseconds(), "expires", c.History.ExpiresAt,
+		"rivals", texts(c.Rivals))
+}
+
+func texts(list []retry.Fingerprint) []string {
+	out := make([]string, len(list))
+	for i, f := range list {
+		out[i] = suspect.Text(f)
+	}
+	return out
 }
 
 // CrashNews returns the news of engines that ended under requests.
@@ -50,16 +64,13 @@
 			n.Exposures = append(n.Exposures, wire.CrashExposure{
 				Engine: e.Engine, StartMS: e.StartMS, Request: uint64(e.Identity.Request),
 				SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(),
+				Parts: numbers(e.Identity.Parts),
 			})
 		}
 		out = append(out, n)
 	}
 	for part := range slices.Chunk(news.Answers, answersPerNews) {
-		n := wire.CrashNews{}
-		for _, f := range part {
-			n.Answers = append(n.Answers, uint64(f))
-		}
-		out = append(out, n)
+		out = append(out, wire.CrashNews{Answers: numbers(part)})
 	}
 	for part := range slices.Chunk(news.Quarantines, quarantinesPerNews) {
 		n := wire.CrashNews{}
@@ -74,17 +85,14 @@
 // HandleCrashNews applies the news of another daemon.
 func (g *meshAdapter) HandleCrashNews(n *wire.CrashNews) {
 	now := time.Now()
-	news := suspect.News{}
+	news := suspect.News{Answers: fingerprints(n.Answers)}
 	for i := range n.Exposures {
 		e := &n.Exposures[i]
 		news.Exposures = append(news.Exposures, suspect.Exposure{
-			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: retry.Fingerprint(e.Request)},
+			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: retry.Fingerprint(e.Request), Parts: fingerprints(e.Parts)},
 			SentAt: ago(now, e.SentAgeUS), EndedAt: ago(now, e.EndAgeUS),
 		})
 	}
-	for _, f := range n.Answers {
-		news.Answers = append(news.Answers, retry.Fingerprint(f))
-	}
 	for i := range n.Quarantines {
 		news.Quarantines = append(news.Quarantines, decodeQuarantine(&n.Quarantines[i], now))
 	}
@@ -98,6 +106,7 @@
 func encodeQuarantine(q *suspect.Quarantine, now time.Time) wire.Quarantine {
 	out := wire.Quarantine{
 		Fingerprint: uint64(q.Fingerprint), LastCrashAgeUS: now.Sub(q.LastCrashAt).Microseconds(), RemainingUS: q.ExpiresAt.Sub(now).Microseconds(),
+		Rivals: numbers(q.Rivals),
 	}
 	for _, c := range q.Crashes {
 		startMS, err := strconv.ParseInt(c.Incarnation, 10, 64)
@@ -110,9 +119,25 @@
 
 func decodeQuarantine(q *wire.Quarantine, now time.Time) suspect.Quarantine {
 	remaining := min(time.Duration(q.RemainingUS)*time.Microsecond, retry.QuarantineTTL)
-	out := suspect.Quarantine{Fingerprint: retry.Fingerprint(q.Fingerprint), LastCrashAt: ago(now, q.LastCrashAgeUS), ExpiresAt: now.Add(remaining)}
+	out := suspect.Quarantine{Fingerprint: retry.Fingerprint(q.Fingerprint), LastCrashAt: ago(now, q.LastCrashAgeUS), ExpiresAt: now.Add(remaining), Rivals: fingerprints(q.Rivals)}
 	for _, c := range q.Crashes {
 		out.Crashes = append(out.Crashes, retry.ReplicaIncarnation{Replica: c.Engine, Incarnation: strconv.FormatInt(c.StartMS, 10)})
 	}
 	return out
 }
+
+func numbers(list []retry.Fingerprint) []uint64 {
+	var out []uint64
+	for _, f := range list {
+		out = append(out, uint64(f))
+	}
+	return out
+}
+
+func fingerprints(list []uint64) []retry.Fingerprint {
+	var out []retry.Fingerprint
+	for _, n := range list {
+		out = append(out, retry.Fingerprint(n))
+	}
+	return out
+}
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -49,30 +49,36 @@
 	j.attempt = j.opts.Watch.Begin(j.identity, cancel)
 }
 
-// quarantined returns the refusal of a request in quarantine, or nil. ran is set if an
-// engine may have run it.
+// quarantined returns the refusal of a request that is in quarantine, or has a part of
+// its prompt there, or nil. ran is set if an engine may have run it.
 func (j *job) quarantined(ran bool) *Refusal {
 	v := j.opts.Watch.Verdict(j.identity)
 	if v.Verdict != retry.Refused {
 		return nil
 	}
+	what, part := "this request", ""
+	if v.Part >= 0 {
+		part = j.req.SharedParts[v.Part]
+		what = "requests with part " + part + " in their prompts"
+	}
 	last := time.Since(v.History.LastCrashAt)
-	j.logDecision("quarantined", "fingerprint", suspect.Text(v.Fingerprint), "engines", v.Crashes(), "last_end_ms_ago", last.Milliseconds(), "expires", v.History.ExpiresAt)
+	j.logDecision("quarantined", "fingerprint", suspect.Text(v.Fingerprint), "part", part, "engines", v.Crashes(),
+		"last_end_ms_ago", last.Milliseconds(), "expires", v.History.ExpiresAt)
 	state := "it was not run"
 	if ran {
 		state = "it is not run again"
 	}
 	return &Refusal{Cause: Quarantined, Reason: fmt.Sprintf(
-		"%d engines ended while they ran this request, the last one %s ago; %s; change it before sending it again", len(v.History.Crashes), last.Round(time.Second), state)}
+		"%d engines ended while they ran %s, the last one %s ago; %s; change it before sending it again", len(v.History.Crashes), what, last.Round(time.Second), state)}
 }
 
 // stopAfterBreak returns the refusal of a request whose last attempt failed and that
 // this daemon must not send again, or nil.
 func (j *job) stopAfterBreak(mayHaveRun bool) *Refusal {
 	refusal := j.quarantined(mayHaveRun || j.possibleRuns > 0)
-	if v := j.opts.Watch.Verdict(j.identity); refusal == nil && j.engineEnded && len(v.History.Crashes) >= maxOwnEnds {
-		j.logDecision("not sent again", "fingerprint", suspect.Text(v.Fingerprint), "engines", v.Crashes())
-		refusal = &Refusal{Cause: Failed, Reason: fmt.Sprintf("%d engines ended while they ran this request", len(v.History.Crashes))}
+	if ends := j.opts.Watch.Ends(j.identity); refusal == nil && j.engineEnded && len(ends) >= maxOwnEnds {
+		j.logDecision("not sent again", "fingerprint", suspect.Text(j.identity.Request), "engines", ends)
+		refusal = &Refusal{Cause: Failed, Reason: fmt.Sprintf("%d engines ended while they ran this request", len(ends))}
 	}
 	if refusal != nil && mayHaveRun {
 		j.possibleRuns++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,9 @@
 		return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "configuration too old to trust the key"}
 	}
 	j.service = route.SelectService(j.req.ID)
-	j.identity = suspect.Identify(j.service, j.req.Method, j.req.Target, j.tenant, j.req.Body)
+	j.identity = suspect.Identify(&suspect.Request{
+		Service: j.service, Method: j.req.Method, Target: j.req.Target, Caller: j.tenant, Body: j.req.Body, SharedParts: j.req.SharedParts,
+	})
 	if s, ok := cfg.Services[j.service]; ok {
 		if s.Engine != nil {
 			if m, ok := s.Engine.Model(j.req.Model); ok {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -29,6 +29,9 @@
 	ClientTimeout time.Duration
 	Model         string
 	Work          balance.Work
+	// SharedParts are the ids of the parts of the prompt that other requests may have
+	// in common with this one, in order.
+	SharedParts []string
 	// LastEventID is the id of the last event of the stream that the client has;
 	// empty if none.
 	LastEventID string
--- a/internal/retry/suspect.go
+++ b/internal/retry/suspect.go
@@ -75,6 +75,12 @@
 	// Answered lists the latest incarnations that crashed before the request was last
 	// answered. Late reports of their crashes are ignored.
 	Answered []ReplicaIncarnation
+	// Requests lists up to partRequests requests that ran during Crashes, if the
+	// history is that of a part of requests.
+	Requests []Fingerprint
+	// Rivals are other parts that may have caused Crashes, as told by the daemon that
+	// this history comes from.
+	Rivals []Fingerprint
 	// OnProbation means that a quarantine has expired: the next crash renews it.
 	OnProbation bool
 }
@@ -112,6 +118,9 @@
 	Shared bool
 	// SentAt is when the request was sent to the replica; zero if that is not known.
 	SentAt time.Time
+	// Request is set if the fingerprint is that of a part of requests: the fingerprint
+	// of the request that ran.
+	Request Fingerprint
 }
 
 const (
@@ -119,6 +128,9 @@
 	// request is quarantined, where suspects run exclusively and where they do not.
 	exclusiveCrashes = 2
 	sharedCrashes    = 3
+	// partRequests is the number of different requests under which a part of them is
+	// quarantined. With fewer the request itself is.
+	partRequests = 2
 	// maxAnswered bounds CrashHistory.Answered.
 	maxAnswered = 16
 )
@@ -144,11 +156,15 @@
 	}
 	r.Crashes = append(slices.Clone(r.Crashes), s)
 	r.LastCrashAt = c.At
+	if len(r.Requests) < partRequests && !slices.Contains(r.Requests, ctx.Request) {
+		r.Requests = append(slices.Clone(r.Requests), ctx.Request)
+	}
 	if r.Quarantined {
 		return r
 	}
 	r.ExpiresAt = now.Add(SuspectTTL)
-	if len(r.Crashes) >= r.neededCrashes(ctx) && ctx.OtherSuspects == 0 && !ctx.Outage {
+	unlike := ctx.Request == 0 || r.OnProbation || len(r.Requests) >= partRequests
+	if len(r.Crashes) >= r.neededCrashes(ctx) && unlike && ctx.OtherSuspects == 0 && !ctx.Outage {
 		r.Quarantined, r.ExpiresAt = true, now.Add(QuarantineTTL)
 	}
 	return r
@@ -179,7 +195,7 @@
 func (r CrashHistory) WithAnswer() CrashHistory {
 	answered := append(slices.Clone(r.Answered), r.Crashes...)
 	r.Answered = answered[max(0, len(answered)-maxAnswered):]
-	r.Crashes, r.Quarantined, r.OnProbation = nil, false, false
+	r.Crashes, r.Requests, r.Rivals, r.Quarantined, r.OnProbation = nil, nil, nil, false, false
 	return r
 }
 
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/retry"
@@ -14,17 +15,29 @@
 	// crashesPerSweep is the number of added crashes between two removals of expired
 	// histories.
 	crashesPerSweep = 64
+	// maxExposedParts bounds the parts that are recorded for one crash.
+	maxExposedParts = 256
 )
 
 // Ledger holds the crash histories of requests, in shards. It is safe for concurrent
 // use.
 type Ledger struct {
 	histories *shard.Map[retry.CrashHistory]
+	// exposed holds the parts of the prompts that were in flight at each crash.
+	exposed   *shard.Map[exposedParts]
 	additions counter
 }
 
+// exposedParts are the parts of the prompts that were in flight at a crash.
+type exposedParts struct {
+	parts []retry.Fingerprint
+	at    time.Time
+}
+
 // NewLedger returns a ledger without histories.
-func NewLedger() *Ledger { return &Ledger{histories: shard.NewMap[retry.CrashHistory]()} }
+func NewLedger() *Ledger {
+	return &Ledger{histories: shard.NewMap[retry.CrashHistory](), exposed: shard.NewMap[exposedParts]()}
+}
 
 // Verdict returns the strictest verdict on any of the fingerprints.
 func (l *Ledger) Verdict(now time.Time, fingerprints []retry.Fingerprint) retry.Verdict {
@@ -59,6 +72,53 @@
 	return before, after
 }
 
+// addExposed records that parts of a prompt were in flight at a crash.
+func (l *Ledger) addExposed(now time.Time, c retry.ReplicaIncarnation, parts []retry.Fingerprint) {
+	full := l.exposed.Len() >= maxHistories
+	l.exposed.Update(incarnationText(c), func(e exposedParts, known bool) (exposedParts, bool) {
+		if !known {
+			e.at = now
+		}
+		e.parts = slices.Clone(e.parts)
+		for _, f := range parts {
+			if len(e.parts) < maxExposedParts && !slices.Contains(e.parts, f) {
+				e.parts = append(e.parts, f)
+			}
+		}
+		return e, known || !full
+	})
+}
+
+// rivals returns the suspected parts that were in flight at all crashes of a part's
+// history, each of which may have caused them instead.
+func (l *Ledger) rivals(now time.Time, f retry.Fingerprint, h *retry.CrashHistory) []retry.Fingerprint {
+	rivals, known := h.Rivals, false
+	for _, c := range h.Crashes {
+		e, ok := l.exposed.Get(incarnationText(c))
+		switch {
+		case !ok:
+		case !known:
+			rivals, known = e.parts, true
+		default:
+			rivals = slices.DeleteFunc(slices.Clone(rivals), func(g retry.Fingerprint) bool { return !slices.Contains(e.parts, g) })
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(rivals), func(g retry.Fingerprint) bool {
+		rival, ok := l.History(g)
+		return g == f || !ok || rival.Verdict(now) == retry.Clear
+	})
+}
+
+// refuses reports whether a request is refused for one of its parts, which is in
+// quarantine. If another part may have caused the crashes as well, only a request that
+// has both is refused: one that has a single one of them shows which it is.
+func (l *Ledger) refuses(now time.Time, f retry.Fingerprint, h *retry.CrashHistory, id *Identity) bool {
+	rivals := l.rivals(now, f, h)
+	return len(rivals) == 0 || slices.ContainsFunc(rivals, func(g retry.Fingerprint) bool { return slices.Contains(id.Parts, g) })
+}
+
+func incarnationText(c retry.ReplicaIncarnation) string { return c.Replica + "@" + c.Incarnation }
+
 // Answer records that a request with the fingerprint has been answered, and returns
 // the history before and after it.
 func (l *Ledger) Answer(f retry.Fingerprint) (before, after retry.CrashHistory) {
@@ -78,4 +138,5 @@
 	l.histories.DeleteFunc(func(_ string, h retry.CrashHistory) bool {
 		return !now.Before(h.ExpiresAt) && (!h.Quarantined || !now.Before(h.ExpiresAt.Add(retry.QuarantineTTL)))
 	})
+	l.exposed.DeleteFunc(func(_ string, e exposedParts) bool { return now.Sub(e.at) > retry.QuarantineTTL })
 }
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -38,6 +38,8 @@
 	Crashes     []retry.ReplicaIncarnation
 	LastCrashAt time.Time
 	ExpiresAt   time.Time
+	// Rivals are the parts that may have caused the crashes instead.
+	Rivals []retry.Fingerprint
 }
 
 // outbox holds the news that this daemon sends. It keeps them for newsRetention, so
@@ -139,13 +141,17 @@
 // quarantines returns at most maxQuarantineNews requests in quarantine.
 func (l *Ledger) quarantines(now time.Time) []Quarantine {
 	var out []Quarantine
+	refused := map[retry.Fingerprint]retry.CrashHistory{}
 	l.histories.Range(func(key string, h retry.CrashHistory) bool {
 		f, err := strconv.ParseUint(key, 16, 64)
 		if err == nil && h.Verdict(now) == retry.Refused {
-			out = append(out, Quarantine{retry.Fingerprint(f), h.Crashes, h.LastCrashAt, h.ExpiresAt})
+			refused[retry.Fingerprint(f)] = h
 		}
-		return len(out) < maxQuarantineNews
+		return len(refused) < maxQuarantineNews
 	})
+	for f, h := range refused {
+		out = append(out, Quarantine{f, h.Crashes, h.LastCrashAt, h.ExpiresAt, l.rivals(now, f, &h)})
+	}
 	return out
 }
 
@@ -158,7 +164,7 @@
 		if history.Verdict(now) == retry.Refused || !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) {
 			return history, known
 		}
-		after.Crashes, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.LastCrashAt, q.ExpiresAt, true
+		after.Crashes, after.Rivals, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.Rivals, q.LastCrashAt, q.ExpiresAt, true
 		return after, true
 	})
 	return before, after
--- /dev/null
+++ b/internal/suspect/parts_test.go
@@ -0,0 +1,185 @@
+package suspect
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/retry"
+)
+
+// endAll ends an engine under several requests at once, sent after the last end.
+func (f *fleet) endAll(daemon int, engine string, ids ...Identity) {
+	f.now = f.now.Add(time.Millisecond)
+	sent := f.now
+	for _, id := range ids {
+		f.watches[daemon].EngineEnded(Exposure{Engine: engine, StartMS: 1, Identity: id, SentAt: sent, EndedAt: f.now})
+	}
+}
+
+// deadlyRequests ends n engines under requests, no two alike, with the given parts.
+func (f *fleet) deadlyRequests(n int, parts ...string) {
+	for range n {
+		f.changes++
+		f.endAll(0, fmt.Sprint("i-", f.changes, parts), request(fmt.Sprint(f.changes, parts), parts...))
+	}
+}
+
+// answer answers a request.
+func (f *fleet) answer(daemon int, id Identity) {
+	f.watches[daemon].Begin(id, func() {}).Answered()
+}
+
+func (f *fleet) verdict(parts ...string) retry.Verdict {
+	return f.watches[0].Verdict(request("new", parts...)).Verdict
+}
+
+func TestVerdictOnParts(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(f *fleet)
+		// want holds verdicts on a new request by its parts.
+		want map[string]retry.Verdict
+	}{
+		{
+			"two requests with the part", func(f *fleet) { f.deadlyRequests(2, "p") },
+			map[string]retry.Verdict{"p": retry.Suspected, "q": retry.Clear},
+		},
+		{
+			"three requests with the part", func(f *fleet) { f.deadlyRequests(3, "p") },
+			map[string]retry.Verdict{"p": retry.Refused, "q": retry.Clear},
+		},
+		{
+			"one request again and again: it is refused, not its parts", func(f *fleet) {
+				for k := range 4 {
+					f.endAll(0, fmt.Sprint("i-", k), request("same", "p"))
+				}
+			},
+			map[string]retry.Verdict{"p": retry.Suspected},
+		},
+		{
+			"the first part is in flight at each end, but answered", func(f *fleet) {
+				for range 3 {
+					f.deadlyRequests(1, "f", "p")
+					f.answer(0, request("sound", "f"))
+				}
+			},
+			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "f p": retry.Refused},
+		},
+		{
+			"two parts can't be told apart: only requests with both are refused", func(f *fleet) { f.deadlyRequests(3, "f", "p") },
+			map[string]retry.Verdict{"f": retry.Suspected, "p": retry.Suspected, "f p": retry.Refused},
+		},
+		{
+			"told apart by an answer", func(f *fleet) {
+				f.deadlyRequests(3, "f", "p")
+				f.answer(0, request("sound", "f"))
+			},
+			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "p g": retry.Refused},
+		},
+		{
+			"told apart by an end", func(f *fleet) {
+				f.deadlyRequests(3, "f", "p")
+				f.deadlyRequests(1, "g", "p")
+			},
+			map[string]retry.Verdict{"f": retry.Suspected, "p": retry.Refused},
+		},
+		{
+			"the first part has more ends that count than the deadly one", func(f *fleet) {
+				early := f.now
+				f.deadlyRequests(1, "f", "p")
+				for k := range 2 {
+					f.endAll(0, fmt.Sprint("e-", k), request(fmt.Sprint("sound-", k), "f"))
+					f.watches[0].EngineEnded(Exposure{Engine: fmt.Sprint("e-", k), StartMS: 1, Identity: request(fmt.Sprint(k), "f", "p"), SentAt: early, EndedAt: f.now})
+				}
+			},
+			map[string]retry.Verdict{"f": retry.Suspected, "f p": retry.Refused},
+		},
+		{
+			"two deadly parts at once", func(f *fleet) {
+				for range 3 {
+					f.deadlyRequests(1, "f", "p")
+					f.deadlyRequests(1, "f", "q")
+					f.answer(0, request("sound", "f"))
+				}
+			},
+			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "q": retry.Refused},
+		},
+		{
+			"a pause between the ends", func(f *fleet) {
+				f.deadlyRequests(2, "p")
+				f.now = f.now.Add(retry.SuspectTTL - time.Minute)
+				f.deadlyRequests(1, "p")
+			},
+			map[string]retry.Verdict{"p": retry.Refused},
+		},
+		{
+			"a pause after the verdict", func(f *fleet) {
+				f.deadlyRequests(3, "p")
+				f.now = f.now.Add(retry.QuarantineTTL + time.Minute)
+				f.deadlyRequests(1, "p")
+			},
+			map[string]retry.Verdict{"p": retry.Refused},
+		},
+		{
+			"a domain goes dark under a popular part", func(f *fleet) {
+				for k := range 50 {
+					f.watches[0].EngineEnded(Exposure{Engine: fmt.Sprint("i-", k), StartMS: 1, Identity: request(fmt.Sprint(k), "f"), SentAt: f.now.Add(-time.Second), EndedAt: f.now})
+				}
+			},
+			map[string]retry.Verdict{"f": retry.Suspected},
+		},
+		{
+			"a flood of parts that nobody else has", func(f *fleet) {
+				for k := range 2000 {
+					f.endAll(0, "i-1", request(fmt.Sprint(k), fmt.Sprint("made-up-", k), "f"))
+				}
+			},
+			map[string]retry.Verdict{"f": retry.Suspected, "made-up-1": retry.Suspected},
+		},
+	}
+	for _, c := range cases {
+		f := newFleet(1)
+		c.play(f)
+		for parts, want := range c.want {
+			must.Eq(t, want, f.verdict(strings.Fields(parts)...), must.Sprintf("%s: %q", c.name, parts))
+		}
+	}
+}
+
+// A part that is deadly in one service is not refused in another.
+func TestPartsCountApartInEachService(t *testing.T) {
+	f := newFleet(1)
+	f.deadlyRequests(3, "p")
+	other := Identify(&Request{Service: "other", Method: "POST", Target: "/p", Caller: "caller", Body: []byte("b"), SharedParts: []string{"p"}})
+	must.Eq(t, retry.Clear, f.watches[0].Verdict(other).Verdict)
+	must.Eq(t, retry.Refused, f.verdict("p"))
+}
+
+// A daemon that starts later knows which parts can't be told apart.
+func TestStartedDaemonLearnsOfRivals(t *testing.T) {
+	f := newFleet(1)
+	f.deadlyRequests(3, "f", "p")
+	f.now = f.now.Add(newsTTL + time.Second)
+	n := f.watches[0].News()
+	must.Len(t, 0, n.Exposures)
+	started := newFleet(1)
+	started.watches[0].Apply(&n)
+	must.Eq(t, retry.Suspected, started.verdict("f"))
+	must.Eq(t, retry.Refused, started.verdict("f", "p"))
+}
+
+// A waiting request with the part is given up by the verdict, a sound one with the same
+// first part is not.
+func TestVerdictOnAPartSparesSoundAttempts(t *testing.T) {
+	f := newFleet(1)
+	given := map[string]bool{}
+	for name, parts := range map[string][]string{"deadly": {"f", "p"}, "sound": {"f"}} {
+		f.watches[0].Begin(request(name, parts...), func() { given[name] = true })
+	}
+	f.deadlyRequests(3, "f", "p")
+	must.Eq(t, map[string]bool{"deadly": true}, given)
+}
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -34,6 +34,8 @@
 	Fingerprint retry.Fingerprint
 	From, To    retry.Verdict
 	History     retry.CrashHistory
+	// Rivals are the parts that may have caused the crashes instead.
+	Rivals []retry.Fingerprint
 }
 
 // Options configure a Watch. All fields are required.
@@ -69,14 +71,19 @@
 type Verdict struct {
 	retry.Verdict
 	Fingerprint retry.Fingerprint
-	History     retry.CrashHistory
+	// Part is the index in Identity.Parts of the part that decides it, or -1 if the
+	// request itself does.
+	Part    int
+	History retry.CrashHistory
 }
 
 // Crashes returns the incarnations that ended under the request, each as engine@start.
-func (v *Verdict) Crashes() []string {
-	out := make([]string, len(v.History.Crashes))
-	for i, c := range v.History.Crashes {
-		out[i] = c.Replica + "@" + c.Incarnation
+func (v *Verdict) Crashes() []string { return incarnationTexts(v.History.Crashes) }
+
+func incarnationTexts(crashes []retry.ReplicaIncarnation) []string {
+	out := make([]string, len(crashes))
+	for i, c := range crashes {
+		out[i] = incarnationText(c)
 	}
 	return out
 }
@@ -84,19 +91,30 @@
 // Verdict returns the strictest verdict on a request.
 func (w *Watch) Verdict(id Identity) Verdict {
 	now := w.opts.Now()
-	worst := Verdict{}
-	for _, f := range id.fingerprints() {
+	worst := Verdict{Part: -1}
+	for i, f := range id.fingerprints() {
 		history, ok := w.ledger.History(f)
 		if !ok {
 			continue
 		}
-		if v := history.Verdict(now); v > worst.Verdict || (v == worst.Verdict && len(history.Crashes) > len(worst.History.Crashes)) {
-			worst = Verdict{v, f, history}
+		part := i - 1 // the first fingerprint is that of the request
+		v := history.Verdict(now)
+		if v == retry.Refused && part >= 0 && !w.ledger.refuses(now, f, &history, &id) {
+			v = retry.Suspected
+		}
+		if v > worst.Verdict {
+			worst = Verdict{v, f, part, history}
 		}
 	}
 	return worst
 }
 
+// Ends returns the engines that have ended under the request itself.
+func (w *Watch) Ends(id Identity) []string {
+	history, _ := w.ledger.History(id.Request)
+	return incarnationTexts(history.Crashes)
+}
+
 // Attempt is an attempt under way.
 type Attempt struct {
 	watch    *Watch
@@ -149,11 +167,17 @@
 	w.opts.Publish()
 }
 
-// expose adds an exposure to the history of its request.
+// expose adds an exposure to the histories of its request and the parts of its prompt.
 func (w *Watch) expose(e *Exposure) {
 	now := w.opts.Now()
-	for _, f := range e.Identity.fingerprints() {
-		before, after := w.ledger.AddCrash(now, f, e.crash(), retry.CrashContext{Shared: true, SentAt: e.SentAt})
+	crash := e.crash()
+	w.ledger.addExposed(now, retry.ReplicaIncarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts)
+	for i, f := range e.Identity.fingerprints() {
+		ctx := retry.CrashContext{Shared: true, SentAt: e.SentAt}
+		if i > 0 {
+			ctx.Request = e.Identity.Request
+		}
+		before, after := w.ledger.AddCrash(now, f, crash, ctx)
 		w.changed(now, f, before, after)
 	}
 }
@@ -167,19 +191,23 @@
 	}
 	now := w.opts.Now()
 	w.changed(now, f, before, after)
-	if own || w.opts.PassesOn() {
-		w.outbox.addAnswer(f, now)
+	if !own && !w.opts.PassesOn() {
+		return
+	}
+	w.outbox.addAnswer(f, now)
+	if len(before.Crashes) > 1 {
+		w.opts.Publish() // others may be about to refuse it
 	}
 }
 
 // changed reports a change of the verdict on a fingerprint, and gives up the attempts
-// of a request that is now refused.
+// of requests that are now refused.
 func (w *Watch) changed(now time.Time, f retry.Fingerprint, before, after retry.CrashHistory) {
 	from, to := before.Verdict(now), after.Verdict(now)
 	if from == to {
 		return
 	}
-	w.opts.OnChange(Change{f, from, to, after})
+	w.opts.OnChange(Change{f, from, to, after, w.ledger.rivals(now, f, &after)})
 	if to != retry.Refused {
 		return
 	}
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -57,7 +57,9 @@
 	f.watches[daemon].EngineEnded(Exposure{Engine: engine, StartMS: 1, Identity: id, SentAt: f.now, EndedAt: f.now})
 }
 
-func request(body string) Identity { return Identify("s", "POST", "/p", "caller", []byte(body)) }
+func request(body string, parts ...string) Identity {
+	return Identify(&Request{Service: "s", Method: "POST", Target: "/p", Caller: "caller", Body: []byte(body), SharedParts: parts})
+}
 
 // TestAllDaemonsRefuseAfterTheThirdEnd lets three daemons see one end each, with lost,
 // doubled and reordered news.
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -19,6 +19,8 @@
 	Request   uint64
 	SentAgeUS int64
 	EndAgeUS  int64
+	// Parts are the fingerprints of the shared parts of its prompt.
+	Parts []uint64
 }
 
 // Quarantine is the fingerprint of a request that is not sent any more, for
@@ -28,6 +30,8 @@
 	Crashes        []CrashedEngine
 	LastCrashAgeUS int64
 	RemainingUS    int64
+	// Rivals are the fingerprints of parts that may have caused the crashes instead.
+	Rivals []uint64
 }
 
 // CrashedEngine is an incarnation of an engine that has ended, by its start time in
