Reject an error in place of the continuation of a stream

Cause here: an answer with status 200 and another media type was read as events; a text like 'error: out of it' is a well-formed event without an id, which was passed on, and the proper end of that body ended the stream. Other statuses, broken heads and lost answers were not passed on. Change: what continues a stream has its media type and begins with an event that has an id (comments before it are dropped). Result: TestBrokenStreamIsNotContinuedByAnError failed before in one of six cases ('error: out of it' in the stream) and passes. Streams without a length or chunks: TestUnframedStreamIsWhole passed before.

--- a/internal/edge/reports_test.go
+++ b/internal/edge/reports_test.go
@@ -23,6 +23,7 @@
 	cases := map[string]site.Spoil{
 		"answer lost": site.LoseAnswer, "body with a length cut": site.CutLength, "chunks cut": site.CutChunks,
 		"body without a length reset": site.ResetUnframed, "refusal without its statement": site.UnprovenRefusal,
+		"head cut": site.CutHead,
 	}
 	for name, how := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -184,3 +185,57 @@
 	must.Len(t, events, ids)
 	must.Eq(t, fmt.Sprintf("id: %d", events), ids[events-1])
 }
+
+// TestBrokenStreamIsNotContinuedByAnError lets a stream break off after its first
+// events, and the next engine answer with something that does not continue it. The
+// client must find nothing of that in its stream, and no end of it.
+func TestBrokenStreamIsNotContinuedByAnError(t *testing.T) {
+	for name, how := range map[string]site.Spoil{
+		"error status": site.ErrorText, "error text with status 200": site.ErrorPage, "refusal without its statement": site.UnprovenRefusal,
+		"head cut": site.CutHead, "ends within an event": site.CutUnframedEvent, "no answer": site.LoseAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			lines, serving := f.streamFromOneOfTwoGroups(200)
+			for _, e := range f.engines {
+				if e != serving {
+					e.SpoilAnswers(1, how)
+				}
+			}
+			serving.Crash()
+			got := 1
+			for lines.Scan() {
+				switch text := lines.Text(); {
+				case strings.HasPrefix(text, "id: "):
+					got++
+					must.Eq(t, fmt.Sprintf("id: %d", got), text)
+				default:
+					must.True(t, text == "" || strings.HasPrefix(text, "data: token "), must.Sprintf("%q in the stream", text))
+				}
+			}
+			must.Error(t, lines.Err(), must.Sprint("the stream ended as if it were complete"))
+		})
+	}
+}
+
+// TestUnframedStreamIsWhole lets an engine answer with a stream that has neither a
+// length nor chunks and ends with its connection, between two events or within one.
+func TestUnframedStreamIsWhole(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.addEngines("d0", 3, 3, time.Millisecond)
+	f.addDaemon()
+	f.waitUntilServes(0, smallName)
+	spoil := func(how site.Spoil) {
+		for _, e := range engines {
+			e.SpoilAnswers(1, how)
+		}
+	}
+	spoil(site.UnframedStream)
+	status, text := f.post(0, streamPath, smallName, "whole")
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "id: 1\ndata: token\n\n", text)
+	spoil(site.CutUnframedEvent)
+	status, text = f.post(0, streamPath, smallName, "cut")
+	must.NotEq(t, http.StatusOK, status, must.Sprint(text))
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -25,6 +25,8 @@
 	attemptID    int64
 	hasAttemptID bool
 	progressed   bool
+	// resumed is set if the attempt continues a stream of which the client has a part.
+	resumed bool
 	// lastSentID is the id of the last forwarded event; valid if hasSentID is set.
 	lastSentID int64
 	hasSentID  bool
@@ -50,7 +52,7 @@
 // discardPartial discards the bytes of an incomplete event, and the progress of the
 // attempt, before the stream is resumed.
 func (ev *eventFilter) discardPartial() {
-	ev.buf, ev.searched, ev.hasAttemptID = ev.buf[:0], 0, false
+	ev.buf, ev.searched, ev.hasAttemptID, ev.resumed = ev.buf[:0], 0, false, ev.hasSentID
 }
 
 // hasPartial reports whether the bytes so far end within an event.
@@ -101,6 +103,11 @@
 		return false, false
 	}
 	id, found := eventID(event)
+	if !found && ev.resumed && !ev.hasAttemptID {
+		// Nothing shows that the event continues the stream: it may be an error in
+		// place of it.
+		return false, isComment(event)
+	}
 	if !found {
 		// An event without an id is no progress of a stream that has ids: it can be
 		// repeated without end.
@@ -135,6 +142,16 @@
 	return true
 }
 
+// isComment reports whether the event has comments only.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // firstEventLen returns the length of the first complete event in b, or 0.
 func firstEventLen(b []byte) int {
 	lf := bytes.Index(b, []byte("\n\n"))
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// What a continued stream begins with must show that it continues it.
+func TestEventFilterRejectsErrorsInPlaceOfAContinuation(t *testing.T) {
+	cases := []struct {
+		in, out string
+		ok      bool
+	}{
+		{sseEvents(3, 4), sseEvents(3, 4), true},
+		{": waiting\n\n" + sseEvents(3, 4), sseEvents(3, 4), true},
+		{"error: out of it\n\n", "", false},
+		{"event: error\ndata: out of it\n\n", "", false},
+		{": a comment\ndata: x\n\n" + sseEvents(3, 4), "", false},
+		{sseEvents(3, 3) + "data: x\n\n", sseEvents(3, 3) + "data: x\n\n", true},
+	}
+	for _, c := range cases {
+		filter := &eventFilter{}
+		_, ok := filter.feed([]byte(sseEvents(1, 2)))
+		must.True(t, ok)
+		filter.discardPartial()
+		out, ok := filter.feed([]byte(c.in))
+		must.Eq(t, c.ok, ok, must.Sprint(c.in))
+		must.Eq(t, c.out, string(out), must.Sprint(c.in))
+	}
+}
+
 func TestEndlessStreamIsRejected(t *testing.T) {
 	cases := []struct{ name, start, repeated string }{
 		{"one event", sseEvents(1, 2), "data: 0123456789\n"},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,8 @@
 	// had an answer.
 	attempt     *suspect.Attempt
 	engineEnded bool
+	// mediaType is that of the stream that the client has a part of.
+	mediaType string
 	// bufferedBytes is what the job has taken from the bufferQuota.
 	bufferedBytes int
 	summary       RequestSummary
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -170,6 +171,11 @@
 	if resp.Status() != http.StatusOK {
 		return j.handleErrorStatus(e, resp, *headerSent)
 	}
+	if got := mediaType(resp); *headerSent && got != j.mediaType {
+		j.opts.Tracker.RecordOutcome(e, false, 0, resp.Load(), time.Now())
+		j.attempt.Answered()
+		return fault.New(fault.Interrupted, "check the engine", "engine %s continued a stream of type %q with one of type %q", e.ID, j.mediaType, got)
+	}
 	err = j.copyEvents(ctx, e, resp, filter, headerSent, watch)
 	j.opts.Tracker.RecordOutcome(e, err == nil, time.Since(sent), resp.Load(), time.Now())
 	if err != nil && !errors.Is(err, errClientGone) {
@@ -197,6 +203,13 @@
 	return nil
 }
 
+// mediaType returns the media type of a response, without parameters.
+func mediaType(resp Response) string {
+	value := http.Header(resp.Header()).Get("Content-Type")
+	value, _, _ = strings.Cut(value, ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // copyEvents copies complete events from the engine to the client until the stream
 // ends.
 func (j *job) copyEvents(ctx context.Context, e *catalog.Engine, resp Response, filter *eventFilter, headerSent *bool, watch *watchdog) error {
@@ -242,7 +255,7 @@
 // writes the response header.
 func (j *job) completeStream(resp Response, headerSent *bool) error {
 	if !*headerSent {
-		*headerSent = true
+		*headerSent, j.mediaType = true, mediaType(resp)
 		if err := j.w.WriteHeader(resp.Status(), resp.Header(), 0); err != nil {
 			return errClientGone
 		}
@@ -258,7 +271,7 @@
 		return nil
 	}
 	if !*headerSent {
-		*headerSent = true
+		*headerSent, j.mediaType = true, mediaType(resp)
 		j.summary.TimeToFirst = now.Sub(j.req.Arrived)
 		if err := j.w.WriteHeader(resp.Status(), resp.Header(), -1); err != nil {
 			return errClientGone
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -65,6 +65,8 @@
 	// spoilt is the number of answers still to spoil, in the given way.
 	spoilt int
 	spoil  Spoil
+	// delay is the time before each answer of a plain service, beyond EventInterval.
+	delay time.Duration
 }
 
 // Spoil is a way in which an engine spoils the answer to a request that it has run.
@@ -82,6 +84,16 @@
 	ResetUnframed
 	// UnprovenRefusal answers with 503, but not that the request has not run.
 	UnprovenRefusal
+	// ErrorText answers with status 500 and a text, ErrorPage with a text and status
+	// 200.
+	ErrorText
+	ErrorPage
+	// CutHead closes the connection within the head of the answer.
+	CutHead
+	// UnframedStream answers with a stream of one event, without a length or chunks.
+	// CutUnframedEvent ends one within the event.
+	UnframedStream
+	CutUnframedEvent
 )
 
 // groupMembership is the engine's membership in a group, as announced.
@@ -209,6 +221,13 @@
 	e.spoilt, e.spoil = n, how
 }
 
+// DelayAnswers makes a plain service wait before each further answer.
+func (e *Engine) DelayAnswers(delay time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = delay
+}
+
 // Arrivals returns the number of requests that have arrived, refused ones included.
 func (e *Engine) Arrivals() int {
 	e.mu.Lock()
@@ -401,6 +420,7 @@
 	if !refused {
 		e.store.recordExecution(Execution{RequestID: id, EngineID: e.config.ID, At: time.Now()})
 	}
+	delay := e.delay
 	spoilt, spoil := e.spoilt > 0 && !refused, e.spoil
 	if spoilt {
 		e.spoilt--
@@ -424,7 +444,7 @@
 	}
 	w.Header().Set("Response-Seal", "seal-"+e.config.ID)
 	if plainService {
-		pause.For(r.Context(), e.config.EventInterval)
+		pause.For(r.Context(), e.config.EventInterval+delay)
 		fmt.Fprintf(w, "tenant=%s", r.Header.Get("Tenant"))
 		return
 	}
@@ -440,10 +460,15 @@
 	defer func() { _ = conn.Close() }()
 	ok := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\n"
 	answers := map[Spoil]string{
-		CutLength:       ok + "Content-Length: 100\r\n\r\nhalf of it",
-		CutChunks:       ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-		ResetUnframed:   ok + "Connection: close\r\n\r\nhalf of it",
-		UnprovenRefusal: "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
+		CutLength:        ok + "Content-Length: 100\r\n\r\nhalf of it",
+		CutChunks:        ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		ResetUnframed:    ok + "Connection: close\r\n\r\nhalf of it",
+		ErrorText:        "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id + "\r\nContent-Length: 16\r\n\r\nerror: out of it",
+		ErrorPage:        ok + "Content-Type: text/plain\r\nContent-Length: 18\r\n\r\nerror: out of it\n\n",
+		CutHead:          "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Ty",
+		UnframedStream:   ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: token\n\n",
+		CutUnframedEvent: ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: tok",
+		UnprovenRefusal:  "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
 	}
 	// A write fails only if the caller has closed the connection.
 	_, _ = conn.Write([]byte(answers[how]))
