Test that no part of a head is taken for an answer

Report of other operators: an engine stopped within the head of its answer and clients got an empty 200.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -299,3 +299,41 @@
 		must.Eq(t, want, keepAliveTimeout(header), must.Sprint(header))
 	}
 }
+
+// An engine may stop within the head of its answer and close in order. No part of a
+// head is an answer.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nResponse-Seal: s\r\n"
+	for name, head := range map[string]string{
+		"no length": start + "\r\n", "length": start + "Content-Length: 10\r\n\r\n", "chunks": start + "Transfer-Encoding: chunked\r\n\r\n",
+		"closes": start + "Connection: close\r\n\r\n", "no text": "HTTP/1.1 204 No Content\r\nRequest-Id: r\r\n\r\n",
+	} {
+		for n := range len(head) {
+			addr := serveOnce(t, head[:n])
+			resp, err := NewClient().Do(t.Context(), &Request{Addr: addr, Method: http.MethodGet, Target: "/", ID: "r", IDHeader: "Request-Id"})
+			if err == nil {
+				resp.Close()
+			}
+			must.Error(t, err, must.Sprintf("%s: %q", name, head[:n]))
+		}
+	}
+}
+
+// serveOnce returns an address where one connection gets the given bytes in answer to
+// a request, and is then closed in order.
+func serveOnce(t *testing.T, answer string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		// The request is read, or closing would reset the connection.
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, answer)
+		_ = c.Close()
+	}()
+	return l.Addr().String()
+}
