Answer requests that the end of a planned stop would cut

Report of other operators: requests taken late in the grace of a planned stop were cut at its end with no answer, among them ones that may not be repeated (LOST). Cause here: late requests are refused, but the process closed the connections of those whose engine had not answered when the grace ended; their clients did not learn that they may have run. Change: 0.65 s before the end of the grace the relay gives up its attempts. What may have run is answered 502, what was not sent 503 with a Retry-After; streams of which the client has a part are cut as before.

--- a/internal/edge/reports_test.go
+++ b/internal/edge/reports_test.go
@@ -239,3 +239,25 @@
 	status, text = f.post(0, streamPath, smallName, "cut")
 	must.NotEq(t, http.StatusOK, status, must.Sprint(text))
 }
+// TestRequestsLateInAStopAreAnswered stops a daemon while requests are under way that
+// their engine does not answer within the grace period. Each must get an answer.
+func TestRequestsLateInAStopAreAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.grace = 3 * time.Second
+	f.publish(1, goodKey)
+	e := site.StartEngine(f.store, site.EngineConfig{ID: "ledger-0", Service: site.PlainService, Zone: "a", Slots: 64})
+	f.engines = append(f.engines, e)
+	stop := f.addDaemon()
+	f.callUntil(0, "the daemon serves", func() bool { return len(e.ExecutedRequests()) > 0 })
+	e.DelayAnswers(20 * time.Second)
+	ran := len(e.ExecutedRequests())
+	statuses := make(chan int, 8)
+	for range cap(statuses) {
+		go func() { statuses <- f.status(0, http.MethodPost, nonIdempotentPath, goodKey, "") }()
+	}
+	eventually(t, "all run", func() bool { return len(e.ExecutedRequests()) == ran+cap(statuses) })
+	stop()
+	for range cap(statuses) {
+		must.Eq(t, http.StatusBadGateway, <-statuses)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,6 +45,9 @@
 	// exitMargin is the part of the grace period reserved for the exit of the
 	// process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time before the end of the grace period, beyond exitMargin,
+	// at which requests still under way are given up, so that they get an answer.
+	answerMargin = 250 * time.Millisecond
 )
 
 // Codec translates clients' requests from the platform's HTTP conventions.
@@ -123,6 +126,8 @@
 	klog.InfoS("stopping", "in_flight", s.inFlight.Load(), "grace_ms", s.opts.GracePeriod.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(s.opts.GracePeriod-exitMargin))
 	defer cancel()
+	giveUp := time.AfterFunc(max(s.opts.GracePeriod-exitMargin-answerMargin, s.opts.GracePeriod/2), s.opts.Relay.GiveUp)
+	defer giveUp.Stop()
 	accepting := min(acceptPeriod, s.opts.GracePeriod/3)
 	pause.For(ctx, accepting)
 	s.rejecting.Store(true)
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -75,7 +76,7 @@
 // stopAfterBreak returns the refusal of a request whose last attempt failed and that
 // this daemon must not send again, or nil.
 func (j *job) stopAfterBreak(mayHaveRun bool) *Refusal {
-	refusal := j.quarantined(mayHaveRun || j.possibleRuns > 0)
+	refusal := cmp.Or(j.stopping(), j.quarantined(mayHaveRun || j.possibleRuns > 0))
 	if ends := j.opts.Watch.Ends(j.identity); refusal == nil && j.engineEnded && len(ends) >= maxOwnEnds {
 		j.logDecision("not sent again", "fingerprint", suspect.Text(j.identity.Request), "engines", ends)
 		refusal = &Refusal{Cause: Failed, Reason: fmt.Sprintf("%d engines ended while they ran this request", len(ends))}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -104,7 +104,7 @@
 // attemptBuffered sends the request once and reads the complete response.
 func (j *job) attemptBuffered(c balance.Choice) (*bufferedResponse, error) {
 	e := c.Candidate.Head
-	ctx, cancel := context.WithDeadline(j.ctx, j.attemptDeadline(c))
+	ctx, cancel := j.attemptContext(j.attemptDeadline(c))
 	defer cancel()
 	j.begin(cancel)
 	defer j.attempt.End()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -37,6 +38,9 @@
 	// addition to the route's MaxAttempts. Each rejection that is followed by
 	// another attempt takes a retry from the shared budget.
 	maxRejections = 2
+	// stoppingRetryAfter is the RetryAfter of requests that this daemon cannot send
+	// before it exits. It is short because any other daemon can serve them.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultClientTimeout applies to a client that sends no deadline.
 	defaultClientTimeout = 30 * time.Second
 )
@@ -77,10 +81,32 @@
 type Relay struct {
 	opts    Options
 	buffers *bufferQuota
+	// stopped ends when the process is about to exit; stop ends it.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New returns a Relay with the given options.
-func New(o Options) *Relay { return &Relay{o, newBufferQuota(o.BufferBytes)} }
+func New(o Options) *Relay {
+	r := &Relay{opts: o, buffers: newBufferQuota(o.BufferBytes)}
+	r.stopped, r.stop = context.WithCancel(context.Background())
+	return r
+}
+
+// GiveUp ends all attempts under way because the process is about to exit, so that
+// their clients still get an answer. No attempt is sent any more.
+func (r *Relay) GiveUp() { r.stop() }
+
+// attemptContext returns the context of an attempt. It ends at the deadline, with the
+// client, and by GiveUp.
+func (j *job) attemptContext(deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(j.ctx, deadline)
+	release := context.AfterFunc(j.stopped, cancel)
+	return ctx, func() {
+		release()
+		cancel()
+	}
+}
 
 // job is the state of one request while it is being served.
 type job struct {
@@ -245,7 +271,7 @@
 	if remaining < time.Duration(minRemainingFraction*float64(j.route.TargetLatency)) || remaining <= 0 {
 		return balance.Choice{}, &Refusal{Cause: Expired, Reason: "too little time left before the deadline"}
 	}
-	if refusal := j.quarantined(j.possibleRuns > 0); refusal != nil {
+	if refusal := cmp.Or(j.stopping(), j.quarantined(j.possibleRuns > 0)); refusal != nil {
 		return balance.Choice{}, refusal
 	}
 	candidates := j.candidates(j.triedEngines)
@@ -268,6 +294,15 @@
 	return choice, nil
 }
 
+// stopping returns the refusal of a request for which there is no time before the
+// process exits, or nil.
+func (j *job) stopping() *Refusal {
+	if j.stopped.Err() == nil {
+		return nil
+	}
+	return &Refusal{Cause: NotReady, RetryAfter: stoppingRetryAfter, Reason: "this daemon exits before an engine has answered"}
+}
+
 // refuseWithoutEngine returns the refusal of a request that none of the candidates
 // can be sent. If they have asked for a wait, the client is told when the first of
 // them takes requests again.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -145,7 +145,7 @@
 // client has the complete response.
 func (j *job) runStream(c balance.Choice, filter *eventFilter, headerSent *bool) error {
 	e := c.Candidate.Head
-	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
+	ctx, cancel := j.attemptContext(j.deadline)
 	defer cancel()
 	watch := j.startWatchdog(c, cancel)
 	defer func() {
