--- a/internal/edge/reports_test.go
+++ b/internal/edge/reports_test.go
@@ -239,6 +239,7 @@
 	status, text = f.post(0, streamPath, smallName, "cut")
 	must.NotEq(t, http.StatusOK, status, must.Sprint(text))
 }
+
 // TestRequestsLateInAStopAreAnswered stops a daemon while requests are under way that
 // their engine does not answer within the grace period. Each must get an answer.
 func TestRequestsLateInAStopAreAnswered(t *testing.T) {
