Tell all daemons of a large fleet of strong suspects only

Cause: two daemons passed each request that was in flight at an end on to all others. When a domain of 73 engines is lost with 20 requests each, that is 1,460 items to each of 295 daemons, on links that carry 20 to 200 Mbit/s; and a part with sixteen parts a request did not fit into one datagram and was dropped. Change: news are passed on from the second end under a request or part; a quarantine is told at once and each second; the mesh divides news by size.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,14 +11,6 @@
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
-// exposuresPerNews, answersPerNews and quarantinesPerNews bound the items in one
-// datagram of crash news.
-const (
-	exposuresPerNews   = 8
-	answersPerNews     = 64
-	quarantinesPerNews = 8
-)
-
 // newWatch returns the daemon's watch of requests under which engines end.
 func (d *Daemon) newWatch() *suspect.Watch {
 	return suspect.NewWatch(suspect.Options{
@@ -53,31 +44,19 @@
 }
 
 // CrashNews returns the news of engines that ended under requests.
-func (g *meshAdapter) CrashNews() []wire.CrashNews {
+func (g *meshAdapter) CrashNews() wire.CrashNews {
 	news := g.d.watch.News()
 	now := time.Now()
-	var out []wire.CrashNews
-	for part := range slices.Chunk(news.Exposures, exposuresPerNews) {
-		n := wire.CrashNews{}
-		for i := range part {
-			e := &part[i]
-			n.Exposures = append(n.Exposures, wire.CrashExposure{
-				Engine: e.Engine, StartMS: e.StartMS, Request: uint64(e.Identity.Request),
-				SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(),
-				Parts: numbers(e.Identity.Parts),
-			})
-		}
-		out = append(out, n)
-	}
-	for part := range slices.Chunk(news.Answers, answersPerNews) {
-		out = append(out, wire.CrashNews{Answers: numbers(part)})
+	out := wire.CrashNews{Answers: numbers(news.Answers)}
+	for i := range news.Exposures {
+		e := &news.Exposures[i]
+		out.Exposures = append(out.Exposures, wire.CrashExposure{
+			Engine: e.Engine, StartMS: e.StartMS, Request: uint64(e.Identity.Request), Parts: numbers(e.Identity.Parts),
+			SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(),
+		})
 	}
-	for part := range slices.Chunk(news.Quarantines, quarantinesPerNews) {
-		n := wire.CrashNews{}
-		for i := range part {
-			n.Quarantines = append(n.Quarantines, encodeQuarantine(&part[i], now))
-		}
-		out = append(out, n)
+	for i := range news.Quarantines {
+		out.Quarantines = append(out.Quarantines, encodeQuarantine(&news.Quarantines[i], now))
 	}
 	return out
 }
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -17,6 +17,9 @@
 	planning bool
 	work     []wire.ModelWork
 	demand   chan *wire.DemandReport
+	// crashNews is sent in each round, crashes collects what is received.
+	crashNews wire.CrashNews
+	crashes   chan *wire.CrashNews
 }
 
 func (d *testDaemon) DaemonAddrs() map[string]string       { return d.addrs }
@@ -31,9 +34,9 @@
 func (d *testDaemon) HandleRecordRequest(*wire.RecordRequest) []wire.KeyedValue {
 	return nil
 }
-func (*testDaemon) HandleCrashNews(*wire.CrashNews) {}
+func (d *testDaemon) HandleCrashNews(n *wire.CrashNews) { d.crashes <- n }
 
-func (*testDaemon) CrashNews() []wire.CrashNews { return nil }
+func (d *testDaemon) CrashNews() wire.CrashNews { return d.crashNews }
 
 func (d *testDaemon) HandleDemand(report *wire.DemandReport) { d.demand <- report }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -67,9 +67,8 @@
 	// LeavingEngines returns the engines whose notice that they leave is to be passed
 	// on.
 	LeavingEngines() []wire.LeavingEngine
-	// CrashNews returns the news of engines that ended under requests, in parts that
-	// each fit in one datagram.
-	CrashNews() []wire.CrashNews
+	// CrashNews returns the news of engines that ended under requests.
+	CrashNews() wire.CrashNews
 	// ModelWork returns the work that clients have requested of this daemon.
 	ModelWork() []wire.ModelWork
 }
@@ -337,16 +336,26 @@
 }
 
 // sendCrashNews sends the news of engines that ended under requests to the named
-// daemons.
+// daemons, in as many datagrams as they need.
 func (m *Mesh) sendCrashNews(addrs map[string]string, recipients ...[]string) {
-	for _, part := range m.opts.Source.CrashNews() {
-		part.Sender = m.opts.Node
+	news := m.opts.Source.CrashNews()
+	if news.Items() == 0 {
+		return
+	}
+	news.Sender = m.opts.Node
+	for rest := []wire.CrashNews{news}; len(rest) > 0; {
+		part := rest[len(rest)-1]
+		rest = rest[:len(rest)-1]
 		b, err := wire.EncodeCrashNews(&part)
-		if err != nil || len(b) > maxDatagram {
-			klog.ErrorS(err, "news of crashes not sent: encoding failed or larger than one datagram", "bytes", len(b))
-			continue
+		switch {
+		case err == nil && len(b) <= maxDatagram:
+			m.writeAll(b, addrs, recipients)
+		case err == nil && part.Items() > 1:
+			first, second := part.Split()
+			rest = append(rest, first, second)
+		default:
+			klog.ErrorS(err, "news of a crash not sent: encoding failed or larger than one datagram", "bytes", len(b))
 		}
-		m.writeAll(b, addrs, recipients)
 	}
 }
 
--- a/internal/retry/suspect.go
+++ b/internal/retry/suspect.go
@@ -131,7 +131,8 @@
 	// partRequests is the number of different requests under which a part of them is
 	// quarantined. With fewer the request itself is.
 	partRequests = 2
-	// maxAnswered bounds CrashHistory.Answered.
+	// maxCrashes and maxAnswered bound CrashHistory.Crashes and Answered.
+	maxCrashes  = 16
 	maxAnswered = 16
 )
 
@@ -155,6 +156,7 @@
 		return r
 	}
 	r.Crashes = append(slices.Clone(r.Crashes), s)
+	r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxCrashes):]
 	r.LastCrashAt = c.At
 	if len(r.Requests) < partRequests && !slices.Contains(r.Requests, ctx.Request) {
 		r.Requests = append(slices.Clone(r.Requests), ctx.Request)
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -110,6 +110,13 @@
 	return now.Sub(o.quarantinesAt) <= quarantineNewsTTL
 }
 
+// startQuarantines makes the requests in quarantine be sent from now on.
+func (o *outbox) startQuarantines(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.quarantinesAt = now
+}
+
 // News returns what is to be sent to other daemons.
 func (w *Watch) News() News {
 	now := w.opts.Now()
@@ -125,7 +132,7 @@
 	now := w.opts.Now()
 	for i := range n.Exposures {
 		w.expose(&n.Exposures[i])
-		if w.opts.PassesOn() && w.outbox.addExposure(n.Exposures[i], now) {
+		if w.opts.PassesOn() && w.isStrong(&n.Exposures[i].Identity) && w.outbox.addExposure(n.Exposures[i], now) {
 			w.opts.Publish()
 		}
 	}
@@ -150,7 +157,8 @@
 		return len(refused) < maxQuarantineNews
 	})
 	for f, h := range refused {
-		out = append(out, Quarantine{f, h.Crashes, h.LastCrashAt, h.ExpiresAt, l.rivals(now, f, &h)})
+		rivals := l.rivals(now, f, &h)
+		out = append(out, Quarantine{f, h.Crashes, h.LastCrashAt, h.ExpiresAt, rivals[:min(len(rivals), maxParts)]})
 	}
 	return out
 }
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,11 @@
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
+// strongSuspect is the number of ends from which a daemon that passes news on tells all
+// others of a suspect. Most requests that were in flight at one end are sound, and their
+// news would be more than a large fleet's links bear when a failure domain is lost.
+const strongSuspect = 2
+
 // counter numbers things from 1.
 type counter struct{ n atomic.Int64 }
 
@@ -191,15 +197,24 @@
 	}
 	now := w.opts.Now()
 	w.changed(now, f, before, after)
-	if !own && !w.opts.PassesOn() {
+	strong := len(before.Crashes) >= strongSuspect
+	if !own && !(strong && w.opts.PassesOn()) {
 		return
 	}
 	w.outbox.addAnswer(f, now)
-	if len(before.Crashes) > 1 {
+	if strong {
 		w.opts.Publish() // others may be about to refuse it
 	}
 }
 
+// isStrong reports whether a request, or a part of its prompt, is a strong suspect.
+func (w *Watch) isStrong(id *Identity) bool {
+	return slices.ContainsFunc(id.fingerprints(), func(f retry.Fingerprint) bool {
+		history, _ := w.ledger.History(f)
+		return len(history.Crashes) >= strongSuspect
+	})
+}
+
 // changed reports a change of the verdict on a fingerprint, and gives up the attempts
 // of requests that are now refused.
 func (w *Watch) changed(now time.Time, f retry.Fingerprint, before, after retry.CrashHistory) {
@@ -211,6 +226,10 @@
 	if to != retry.Refused {
 		return
 	}
+	if w.opts.PassesOn() {
+		w.outbox.startQuarantines(now)
+		w.opts.Publish()
+	}
 	w.attempts.Range(func(_ string, a *Attempt) bool {
 		a.cancelIfRefused()
 		return true
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -151,6 +151,37 @@
 	must.True(t, given["late"])
 }
 
+// TestLostDomainIsNotTheNewsOfAllDaemons ends the 73 engines of a domain under 20 sound
+// requests each, at 300 daemons. The daemons that pass news on must not tell them all.
+func TestLostDomainIsNotTheNewsOfAllDaemons(t *testing.T) {
+	const daemons, domain, perEngine = 300, 73, 20
+	f := newFleet(daemons)
+	now := f.now
+	for e := range domain {
+		for r := range perEngine {
+			f.watches[(e*perEngine+r)%daemons].EngineEnded(Exposure{
+				Engine: fmt.Sprint("i-", e), StartMS: 1, Identity: request(fmt.Sprint(e, r), fmt.Sprint("subject-", (e+r)%200), "popular"),
+				SentAt: now.Add(-time.Second), EndedAt: now,
+			})
+		}
+	}
+	passedOn := func() (n int) {
+		for _, w := range f.watches[:2] {
+			news := w.News()
+			n += len(news.Exposures) + len(news.Answers) + len(news.Quarantines)
+		}
+		return n
+	}
+	own := passedOn()
+	for from := 2; from < daemons; from++ {
+		news := f.watches[from].News()
+		f.watches[0].Apply(&news)
+		f.watches[1].Apply(&news)
+	}
+	must.Eq(t, own, passedOn(), must.Sprint("items of news that are passed on to all daemons"))
+	must.Eq(t, retry.Suspected, f.watches[0].Verdict(request("new", "popular")).Verdict)
+}
+
 // TestFloodOfRequestsIsBounded exposes more requests than a ledger holds.
 func TestFloodOfRequestsIsBounded(t *testing.T) {
 	f := newFleet(1)
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -41,5 +41,18 @@
 	StartMS int64
 }
 
+// Items returns the number of items in the news.
+func (n *CrashNews) Items() int { return len(n.Exposures) + len(n.Answers) + len(n.Quarantines) }
+
+// Split divides the items in two halves.
+func (n *CrashNews) Split() (first, second CrashNews) {
+	e, a, q := len(n.Exposures)/2, len(n.Answers)/2, len(n.Quarantines)/2
+	if n.Items() > 1 && e+a+q == 0 {
+		// At most one of each kind.
+		return CrashNews{Sender: n.Sender, Exposures: n.Exposures}, CrashNews{Sender: n.Sender, Answers: n.Answers, Quarantines: n.Quarantines}
+	}
+	return CrashNews{n.Sender, n.Exposures[:e], n.Answers[:a], n.Quarantines[:q]}, CrashNews{n.Sender, n.Exposures[e:], n.Answers[a:], n.Quarantines[q:]}
+}
+
 // EncodeCrashNews encodes news as a datagram.
 func EncodeCrashNews(n *CrashNews) ([]byte, error) { return encodeDatagram(crashDatagram, n) }
