Let only answers clear a suspect, not errors

What callers could see: beside engines that fail part of their requests with an error, a deadly request was never refused, since each error counted as an answer and took the ends before it back. Cause: the attempt counted as answered for any status. An engine may answer with an error before it has begun to run a request. Change: the first event of a stream, or a whole body with a status below 500, clears; nothing else does. Result: TestErrorAnswersClearNoSuspect failed before (the third end was followed by 502 and a further send, not by 422) and passes.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -197,3 +197,28 @@
 		eventually(t, "the daemon serves sound requests", func() bool { status, _ := sound(1000 + n); return status == http.StatusOK })
 	}
 }
+
+// TestErrorAnswersClearNoSuspect lets engines answer a deadly request with an error
+// between the ends: a faulty engine may do so without having begun to run it.
+func TestErrorAnswersClearNoSuspect(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.endingEngines(site.PlainService, "", 8, 0)
+	f.addDaemon()
+	eventually(t, "the daemon serves", func() bool { status, _ := f.post(0, site.NonIdempotentPath, "", "sound"); return status == http.StatusOK })
+	for range 3 {
+		before := ended(engines)
+		for _, e := range engines {
+			e.SpoilAnswers(1, site.ErrorText)
+		}
+		status, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
+		must.Eq(t, http.StatusInternalServerError, status, must.Sprint(text))
+		for _, e := range engines {
+			e.SpoilAnswers(0, site.ErrorText)
+		}
+		f.post(0, site.NonIdempotentPath, "", deadlyBody)
+		must.Eq(t, before+1, ended(engines))
+	}
+	status, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
+	must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -127,10 +127,10 @@
 		return nil, err
 	}
 	body, err := j.readBody(resp)
-	if err == nil {
+	ok := err == nil && resp.Status() < http.StatusInternalServerError
+	if ok {
 		j.attempt.Answered()
 	}
-	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
 	if err != nil {
 		j.examineBreak(ctx, e, start, err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -173,7 +173,6 @@
 	}
 	if got := mediaType(resp); *headerSent && got != j.mediaType {
 		j.opts.Tracker.RecordOutcome(e, false, 0, resp.Load(), time.Now())
-		j.attempt.Answered()
 		return fault.New(fault.Interrupted, "check the engine", "engine %s continued a stream of type %q with one of type %q", e.ID, j.mediaType, got)
 	}
 	err = j.copyEvents(ctx, e, resp, filter, headerSent, watch)
@@ -190,7 +189,6 @@
 // already written.
 func (j *job) handleErrorStatus(e *catalog.Engine, resp Response, headerSent bool) error {
 	j.opts.Tracker.RecordOutcome(e, false, 0, resp.Load(), time.Now())
-	j.attempt.Answered()
 	if err := unprovenPromise(e, resp); err != nil {
 		return err
 	}
