Take the rivals of a part from the daemons that know all ends

What callers could see: in a large fleet, a daemon that had seen only some of the ends refused sound requests with the first part of the deadly ones. Cause: which parts can't be told apart was worked out from the ends that the daemon knew; one at which it had had another request in flight seemed to acquit all other parts. Result: TestDaemonThatSawPartOfTheEndsFollowsTheOthers failed before (a request with the first part alone was refused) and passes.

--- a/internal/retry/suspect.go
+++ b/internal/retry/suspect.go
@@ -78,9 +78,10 @@
 	// Requests lists up to partRequests requests that ran during Crashes, if the
 	// history is that of a part of requests.
 	Requests []Fingerprint
-	// Rivals are other parts that may have caused Crashes, as told by the daemon that
-	// this history comes from.
-	Rivals []Fingerprint
+	// Rivals are other parts that may have caused the first RivalCrashes of Crashes, as
+	// told by a daemon that knows more of them.
+	Rivals       []Fingerprint
+	RivalCrashes int
 	// OnProbation means that a quarantine has expired: the next crash renews it.
 	OnProbation bool
 }
@@ -197,7 +198,8 @@
 func (r CrashHistory) WithAnswer() CrashHistory {
 	answered := append(slices.Clone(r.Answered), r.Crashes...)
 	r.Answered = answered[max(0, len(answered)-maxAnswered):]
-	r.Crashes, r.Requests, r.Rivals, r.Quarantined, r.OnProbation = nil, nil, nil, false, false
+	r.Crashes, r.Requests, r.Quarantined, r.OnProbation = nil, nil, false, false
+	r.Rivals, r.RivalCrashes = nil, 0
 	return r
 }
 
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -92,8 +92,9 @@
 // rivals returns the suspected parts that were in flight at all crashes of a part's
 // history, each of which may have caused them instead.
 func (l *Ledger) rivals(now time.Time, f retry.Fingerprint, h *retry.CrashHistory) []retry.Fingerprint {
-	rivals, known := h.Rivals, false
-	for _, c := range h.Crashes {
+	told := min(h.RivalCrashes, len(h.Crashes))
+	rivals, known := h.Rivals, told > 0
+	for _, c := range h.Crashes[told:] {
 		e, ok := l.exposed.Get(incarnationText(c))
 		switch {
 		case !ok:
@@ -105,7 +106,10 @@
 	}
 	return slices.DeleteFunc(slices.Clone(rivals), func(g retry.Fingerprint) bool {
 		rival, ok := l.History(g)
-		return g == f || !ok || rival.Verdict(now) == retry.Clear
+		if !ok { // this daemon has not heard of it
+			return !slices.Contains(h.Rivals, g)
+		}
+		return g == f || rival.Verdict(now) == retry.Clear
 	})
 }
 
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -140,7 +140,7 @@
 		w.answer(f, false)
 	}
 	for i := range n.Quarantines {
-		before, after := w.ledger.adopt(now, &n.Quarantines[i])
+		before, after := w.ledger.adopt(now, &n.Quarantines[i], !w.opts.PassesOn())
 		w.changed(now, n.Quarantines[i].Fingerprint, before, after)
 	}
 }
@@ -164,15 +164,19 @@
 }
 
 // adopt quarantines a request that another daemon has in quarantine, unless it has
-// been answered since. It returns the history before and after it.
-func (l *Ledger) adopt(now time.Time, q *Quarantine) (before, after retry.CrashHistory) {
+// been answered since. informed is set if the other daemon knows more of the crashes
+// than this one, so that its rivals replace those found here. It returns the history
+// before and after it.
+func (l *Ledger) adopt(now time.Time, q *Quarantine, informed bool) (before, after retry.CrashHistory) {
 	full := l.histories.Len() >= maxHistories
 	l.histories.Update(Text(q.Fingerprint), func(history retry.CrashHistory, known bool) (retry.CrashHistory, bool) {
 		before, after = history, history
-		if history.Verdict(now) == retry.Refused || !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) {
+		refused := history.Verdict(now) == retry.Refused
+		if !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) || (refused && !informed) {
 			return history, known
 		}
-		after.Crashes, after.Rivals, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.Rivals, q.LastCrashAt, q.ExpiresAt, true
+		after.Crashes, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.LastCrashAt, q.ExpiresAt, true
+		after.Rivals, after.RivalCrashes = q.Rivals, len(q.Crashes)
 		return after, true
 	})
 	return before, after
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -183,3 +184,38 @@
 	f.deadlyRequests(3, "f", "p")
 	must.Eq(t, map[string]bool{"deadly": true}, given)
 }
+
+// TestDaemonThatSawPartOfTheEndsFollowsTheOthers has a daemon of a large fleet that saw
+// one of three ends, under a request with neither of the parts that can't be told apart.
+func TestDaemonThatSawPartOfTheEndsFollowsTheOthers(t *testing.T) {
+	f := newFleet(50)
+	rng := rand.New(rand.NewPCG(1, 1))
+	const witness, other = 49, 48
+	f.endAll(witness, "i-0", request("neighbour", "n"))
+	for k := range 4 {
+		f.endAll(other, fmt.Sprint("i-", k), request(fmt.Sprint("deadly-", k), "f", "p"))
+		for range 6 {
+			f.exchange(rng, 0)
+		}
+	}
+	verdict := func(parts ...string) retry.Verdict {
+		return f.watches[witness].Verdict(request("new", parts...)).Verdict
+	}
+	must.Eq(t, retry.Refused, verdict("f", "p"))
+	must.Eq(t, retry.Suspected, verdict("f"))
+	must.Eq(t, retry.Suspected, verdict("p"))
+
+	// A request with one of them tells them apart, for the witness too.
+	f.endAll(other, "i-9", request("deadly-9", "p", "g"))
+	for range 8 {
+		f.exchange(rng, 0)
+	}
+	must.Eq(t, retry.Refused, verdict("p"))
+	must.Eq(t, retry.Suspected, verdict("f"))
+	f.answer(witness, request("sound", "f"))
+	for range 4 {
+		f.exchange(rng, 0)
+	}
+	must.Eq(t, retry.Clear, f.verdict("f"))
+	must.Eq(t, retry.Refused, verdict("p"))
+}
