--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -205,7 +205,10 @@
 	f.publish(1, goodKey)
 	engines := f.endingEngines(site.PlainService, "", 8, 0)
 	f.addDaemon()
-	eventually(t, "the daemon serves", func() bool { status, _ := f.post(0, site.NonIdempotentPath, "", "sound"); return status == http.StatusOK })
+	eventually(t, "the daemon serves", func() bool {
+		status, _ := f.post(0, site.NonIdempotentPath, "", "sound")
+		return status == http.StatusOK
+	})
 	for range 3 {
 		before := ended(engines)
 		for _, e := range engines {
