--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -225,3 +226,44 @@
 	status, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
 	must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
 }
+
+// TestVerdictHoldsForStartedDaemonsAndWithoutTheStore has a request in quarantine. A
+// daemon that starts then, and all of them while the store is down, refuse it.
+func TestVerdictHoldsForStartedDaemonsAndWithoutTheStore(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.endingEngines(site.PlainService, "", 10, 0)
+	stop := f.addDaemon()
+	f.addDaemon()
+	f.waitUntilDaemonsHearEachOther()
+	deadly := func(n int, body string) int {
+		status, _ := f.post(n, site.NonIdempotentPath, "", body)
+		return status
+	}
+	for n := range f.daemons {
+		eventually(t, "the daemon serves", func() bool { return deadly(n, "sound") == http.StatusOK })
+	}
+	for range 3 {
+		deadly(0, deadlyBody)
+	}
+	must.Eq(t, 3, ended(engines))
+	eventually(t, "the other daemon has heard", func() bool {
+		return slices.Contains(f.metricLines(1), `ragwortquay_verdict_changes{to="refused"} 1`)
+	})
+
+	stop() // the daemon that saw the ends
+	f.addDaemon()
+	eventually(t, "the started daemon has heard", func() bool {
+		return slices.Contains(f.metricLines(2), `ragwortquay_verdict_changes{to="refused"} 1`)
+	})
+	must.Eq(t, http.StatusUnprocessableEntity, deadly(2, deadlyBody))
+	must.Eq(t, http.StatusUnprocessableEntity, deadly(1, deadlyBody))
+
+	f.store.SetDown(true)
+	for n := range 6 {
+		must.Eq(t, http.StatusUnprocessableEntity, deadly(1+n%2, deadlyBody))
+	}
+	must.Eq(t, 3, ended(engines))
+	f.store.SetDown(false)
+	eventually(t, "sound requests are served", func() bool { return deadly(2, "sound") == http.StatusOK })
+}
