Play requests that end engines in the soak

Change: one request in fifty is deadly, by itself or by a part of its prompt; sound ones share the first part. The oracle counts runs later than 3 s after the third or fifth end by daemons that were undisturbed for 3 s, and sound requests that were refused. A proxy goes with its engine.

--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -27,6 +27,11 @@
 	// previousKeyRatio is the ratio of requests that use the API key revoked last
 	// instead of the current one.
 	previousKeyRatio = 0.25
+	// deadlyRatio is the ratio of requests that end the engines that run them, half of
+	// them by a part of their prompt. sharedPartRatio is that of sound requests that
+	// have the first part of those in their prompts.
+	deadlyRatio     = 0.02
+	sharedPartRatio = 0.25
 	// requestTimeout ends a request that hangs; it is longer than the deadline of any
 	// request.
 	requestTimeout = 25 * time.Second
@@ -116,6 +121,9 @@
 	if rng.Float64() < previousKeyRatio {
 		request.APIKey = c.keys.previous()
 	}
+	if rng.Float64() < deadlyRatio {
+		return makeDeadly(request, rng)
+	}
 	switch rng.IntN(4) {
 	case 0:
 		request.Path = site.NonIdempotentPath
@@ -126,6 +134,9 @@
 	default:
 		request.Path, request.Model = site.StreamPath, site.SmallModel
 	}
+	if request.Model != "" && rng.Float64() < sharedPartRatio {
+		request.Parts = []string{firstPart, ownPart(rng)}
+	}
 	return request
 }
 
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -1,16 +1,19 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
+	"github.com/ragwortquay/ragwortquay/internal/pause"
 	"github.com/ragwortquay/ragwortquay/internal/procs"
 	"github.com/ragwortquay/ragwortquay/internal/standin/site"
 	"github.com/ragwortquay/ragwortquay/platform"
@@ -58,6 +61,8 @@
 	cmd            *exec.Cmd
 	done           chan struct{} // closed when the process has ended
 	injectedFaults int           // signals sent to the process, over all its starts
+	startedAt      []time.Time   // of each process
+	signalledAt    []time.Time   // of each signal
 	ending         bool          // set while a fault ends the process, until its next start
 }
 
@@ -77,6 +82,8 @@
 	mu        sync.Mutex
 	engines   []*engine
 	engineSeq int
+	// replacements counts the engines that are being replaced.
+	replacements sync.WaitGroup
 }
 
 func newCluster(binary, dir string) (*cluster, error) {
@@ -137,6 +144,7 @@
 	}
 	done := make(chan struct{})
 	d.cmd, d.done, d.ending = cmd, done, false
+	d.startedAt = append(d.startedAt, time.Now())
 	go func() {
 		_ = cmd.Wait() // the exit status is of no use: faults kill the process on purpose
 		close(done)
@@ -149,6 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.injectedFaults++
+	d.signalledAt = append(d.signalledAt, time.Now())
 	_ = d.cmd.Process.Signal(s) // fails if the process has ended
 }
 
@@ -164,6 +173,13 @@
 	return d.done
 }
 
+// history returns the times of the process's starts and of the signals to it.
+func (d *daemon) history() ProcessHistory {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return ProcessHistory{Starts: slices.Clone(d.startedAt), Signals: slices.Clone(d.signalledAt)}
+}
+
 // tryBeginEnding marks the process as being ended. It returns false if another fault is
 // ending it already.
 func (d *daemon) tryBeginEnding() bool {
@@ -192,12 +208,30 @@
 		e.link = link
 		return link.Addr(), nil
 	}
+	config.Deadly = isDeadly
+	config.OnDeadly = func() { c.endEngine(e) }
 	e.Engine = site.StartEngine(c.store, config)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engines = append(c.engines, e)
 }
 
+// endEngine ends an engine without an announcement, so that its address refuses
+// connections, and starts another one when the store no longer lists it. It does nothing
+// if the engine was ended before.
+func (c *cluster) endEngine(e *engine) {
+	if !c.removeEngine(e) {
+		return
+	}
+	c.replacements.Add(1)
+	defer c.replacements.Done()
+	e.link.Close()
+	e.Crash()
+	pause.For(context.Background(), entryTTL)
+	e.ExpireEntry()
+	c.addEngine(e.config)
+}
+
 // pickEngine returns a live engine for the target number of a fault. A third of the
 // targets select engines without a model.
 func (c *cluster) pickEngine(target int) *engine {
@@ -232,6 +266,7 @@
 // close ends all processes and stand-ins of the cluster. It continues paused daemons
 // before it kills them.
 func (c *cluster) close() {
+	c.replacements.Wait()
 	for _, d := range c.daemons {
 		d.mu.Lock()
 		if d.cmd != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -102,13 +102,7 @@
 	e := inj.cluster.pickEngine(f.Target)
 	switch f.Kind {
 	case EngineCrash:
-		if inj.cluster.removeEngine(e) {
-			e.Crash()
-			e.link.ResetConnections()
-			pause.For(ctx, entryTTL)
-			e.ExpireEntry()
-			inj.cluster.addEngine(e.config)
-		}
+		inj.cluster.endEngine(e)
 	case EngineDrain:
 		if inj.cluster.removeEngine(e) {
 			e.Drain()
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -51,6 +51,8 @@
 	// longest time for which a daemon may accept a revoked key.
 	EventsPerStream int
 	RevokeBound     time.Duration
+	// Processes holds the history of each daemon's process, by its number.
+	Processes []ProcessHistory
 }
 
 // Check returns the violated guarantees, one line each.
@@ -65,6 +67,7 @@
 			violations = append(violations, fmt.Sprintf("request %s (%s): %s", e.Observations[i].Request.ID, e.Observations[i].Request.Path, violation))
 		}
 	}
+	violations = append(violations, e.checkDeadly()...)
 	for _, join := range e.DisruptiveJoins {
 		violations = append(violations, "disruptive join of a member of a serving group: "+join)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,6 +3,8 @@
 // clients and engines observed. It relies on no internals of the daemons: their logs
 // are kept for people and are not evaluated.
 //
+// Some requests end the engines that run them.
+//
 // Not covered: packet loss between daemons (their datagrams are disturbed only when a
 // process is paused or ends) and clock changes.
 package soak
@@ -72,6 +74,9 @@
 		Observations: clients.observations, Executions: c.store.Executions(), DisruptiveJoins: c.store.DisruptiveJoins(), RevokedAt: keys.revocations(), Stops: inj.stops,
 		EventsPerStream: eventsPerStream, RevokeBound: revokeMS * time.Millisecond,
 	}
+	for _, d := range c.daemons {
+		e.Processes = append(e.Processes, d.history())
+	}
 	r := Result{Seed: o.Seed, Requests: len(e.Observations), Executions: len(e.Executions), Faults: len(faults), Violations: Check(e)}
 	if recoveryErr != nil {
 		r.Violations = append(r.Violations, "daemons do not serve all kinds of requests after the last fault: "+recoveryErr.Error())
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -97,6 +98,42 @@
 			"",
 		},
 	}
+	deadly := func(gaps ...time.Duration) Evidence {
+		e := Evidence{Processes: []ProcessHistory{{Starts: []time.Time{now.Add(-time.Minute)}}, {Starts: []time.Time{now.Add(-time.Minute)}}}}
+		at := now
+		for i, gap := range gaps {
+			at = at.Add(gap)
+			id := fmt.Sprint("deadly-", i)
+			e.Observations = append(e.Observations, Observation{Request: site.Request{ID: id, Path: site.IdempotentPath, Body: deadlyBody}, Response: site.Response{Status: 502}})
+			e.Executions = append(e.Executions, site.Execution{RequestID: id, EngineID: "i", At: at})
+		}
+		return e
+	}
+	const s = time.Second
+	disturbed := deadly(s, s, s, 4*s, s, s, s)
+	disturbed.Processes[0].Signals = []time.Time{now.Add(6 * s)}
+	forgotten := deadly(s, s, s, 4*s, s, s, s)
+	for i := range forgotten.Processes {
+		forgotten.Processes[i].Starts = append(forgotten.Processes[i].Starts, now.Add(6*s))
+	}
+	sound := Observation{Request: read, Response: site.Response{Status: 422}}
+	for name, c := range map[string]struct {
+		e    Evidence
+		want string
+	}{
+		"deadly request, three late runs":           {deadly(s, s, s, 4*s, s, s), ""},
+		"deadly request, four late runs":            {deadly(s, s, s, 4*s, s, s, s), "deadly request ran 4 times"},
+		"deadly request, runs within the bound":     {deadly(s, s, s, s/4, s/4, s/4, s/4), ""},
+		"deadly request, daemon disturbed":          {disturbed, ""},
+		"deadly request, all daemons started since": {forgotten, ""},
+		"sound request refused":                     {Evidence{Observations: []Observation{sound}}, "sound request r"},
+	} {
+		cases = append(cases, struct {
+			name string
+			e    Evidence
+			want string
+		}{name, c.e, c.want})
+	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			c.e.EventsPerStream, c.e.RevokeBound = 2, 3*time.Second
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -29,8 +29,9 @@
 	// which the engine announces instead.
 	ProxyAddr func(addr string) (string, error)
 	// Deadly, if not nil, reports whether a request ends the engine when it would
-	// begin to be answered.
-	Deadly func(*http.Request) bool
+	// begin to be answered. OnDeadly, if not nil, then ends it in place of Crash.
+	Deadly   func(*http.Request) bool
+	OnDeadly func()
 }
 
 // Engine is a model engine or a plain service. It announces itself in the store
@@ -438,7 +439,11 @@
 	}
 	if e.config.Deadly != nil && e.config.Deadly(r) {
 		pause.For(r.Context(), e.config.EventInterval)
-		go e.Crash() // closes this connection too
+		end := e.config.OnDeadly
+		if end == nil {
+			end = e.Crash
+		}
+		go end() // closes this connection too
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
