Avoid an engine that has ended before the list shows it

Cause: an ended head stays in the list for 2.5 s there, seems idle, and so is sent most requests; the retries spend the budget; the planner waits as well. Change: the news of an end make every daemon send that incarnation nothing for a minute, and the planner ask its group at once. Ruled out: that the verdict hit sound requests (none was refused by it). TestEndedEngineGetsNothing... fails with the mechanism out.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -6,14 +6,20 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
+// endedAvoidance is how long an incarnation that has ended is avoided. It does not come
+// back, but the store may list it while it is down itself.
+const endedAvoidance = time.Minute
+
 // newWatch returns the daemon's watch of requests under which engines end.
 func (d *Daemon) newWatch() *suspect.Watch {
 	return suspect.NewWatch(suspect.Options{
+		OnEnd:    d.noteEnd,
 		OnChange: d.recordVerdict,
 		Publish:  func() { d.mesh.SendNow() },
 		PassesOn: func() bool { return d.meshAdapter.isStoreReader() },
@@ -21,6 +27,14 @@
 	})
 }
 
+// noteEnd makes requests avoid an engine that has ended, and the planner replace its
+// group, before the store's list shows it: until then it seems idle and would be sent
+// most requests.
+func (d *Daemon) noteEnd(engine string, startMS int64) {
+	d.meshAdapter.tracker.SetUnavailable(&catalog.Engine{ID: engine, StartUnixMS: startMS}, time.Now().Add(endedAvoidance))
+	d.planner.Suspect(engine)
+}
+
 // recordVerdict counts a change of the verdict on a request or a part of prompts, and
 // logs it if requests are refused for it or no longer are. Suspicions alone come and go
 // with each end of an engine, for all requests that it had.
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -267,3 +267,30 @@
 	f.store.SetDown(false)
 	eventually(t, "sound requests are served", func() bool { return deadly(2, "sound") == http.StatusOK })
 }
+
+// TestEndedEngineGetsNothingBeforeTheListShowsIt ends one of two plain engines under a
+// request. Its entry stays in the store; further requests must not be sent there by the
+// daemon that saw the end, nor by the other.
+func TestEndedEngineGetsNothingBeforeTheListShowsIt(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.endingEngines(site.PlainService, "", 2, 0)
+	f.addDaemon()
+	f.addDaemon()
+	f.waitUntilDaemonsHearEachOther()
+	for n := range f.daemons {
+		f.callUntil(n, "both engines are used", func() bool { return engines[0].Arrivals() > n && engines[1].Arrivals() > n })
+	}
+	f.post(0, site.NonIdempotentPath, "", deadlyBody)
+	must.Eq(t, 1, ended(engines))
+	for n := range f.daemons {
+		eventually(t, "the daemon has heard of the end", func() bool {
+			return slices.Contains(f.metricLines(n), `ragwortquay_verdict_changes{to="suspected"} 1`)
+		})
+	}
+	for n := range f.daemons {
+		before := f.metricSum(n, "ragwortquay_requests{")
+		f.callUntil(n, "ten requests are counted", func() bool { return f.metricSum(n, "ragwortquay_requests{") >= before+10 })
+		must.Eq(t, 0, f.metricSum(n, "ragwortquay_repeats{"), must.Sprint("sends that the ended engine refused"))
+	}
+}
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,6 +127,18 @@
 	return strings.Split(string(text), "\n")
 }
 
+// metricSum returns the sum of the n-th daemon's metrics whose lines begin with prefix.
+func (f *fixture) metricSum(n int, prefix string) (sum float64) {
+	for _, line := range f.metricLines(n) {
+		if strings.HasPrefix(line, prefix) {
+			value, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+			must.NoError(f.t, err)
+			sum += value
+		}
+	}
+	return sum
+}
+
 // waitUntilDaemonsHearEachOther waits until each daemon has heard of all others.
 func (f *fixture) waitUntilDaemonsHearEachOther() {
 	f.t.Helper()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -304,14 +304,14 @@
 }
 
 // refuseWithoutEngine returns the refusal of a request that none of the candidates
-// can be sent. If they have asked for a wait, the client is told when the first of
-// them takes requests again.
+// can be sent. If they have asked for a wait or ended, the client is told when the first
+// of them may take requests again.
 func (j *job) refuseWithoutEngine(candidates []balance.Candidate, now time.Time) *Refusal {
 	at, waiting := balance.EarliestAvailable(candidates, j.opts.Tracker, now)
 	if !waiting {
 		return j.refuseForCapacity("no engine available", now)
 	}
-	refusal := j.refuseForCapacity("all engines have asked to wait", now)
+	refusal := j.refuseForCapacity("all engines have asked to wait or ended", now)
 	refusal.RetryAfter = min(refusal.RetryAfter, at.Sub(now))
 	return refusal
 }
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -72,11 +72,12 @@
 	return before, after
 }
 
-// addExposed records that parts of a prompt were in flight at a crash.
-func (l *Ledger) addExposed(now time.Time, c retry.ReplicaIncarnation, parts []retry.Fingerprint) {
+// addExposed records that parts of a prompt were in flight at a crash, and reports
+// whether the crash was not known.
+func (l *Ledger) addExposed(now time.Time, c retry.ReplicaIncarnation, parts []retry.Fingerprint) (isNew bool) {
 	full := l.exposed.Len() >= maxHistories
 	l.exposed.Update(incarnationText(c), func(e exposedParts, known bool) (exposedParts, bool) {
-		if !known {
+		if isNew = !known; isNew {
 			e.at = now
 		}
 		e.parts = slices.Clone(e.parts)
@@ -87,6 +88,7 @@
 		}
 		return e, known || !full
 	})
+	return isNew
 }
 
 // rivals returns the suspected parts that were in flight at all crashes of a part's
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -46,6 +46,9 @@
 
 // Options configure a Watch. All fields are required.
 type Options struct {
+	// OnEnd is called once for each incarnation of an engine that has ended, by its
+	// start in Unix milliseconds.
+	OnEnd func(engine string, startMS int64)
 	// OnChange is called after a verdict has changed.
 	OnChange func(Change)
 	// Publish is called when News has something that other daemons need now.
@@ -178,7 +181,9 @@
 func (w *Watch) expose(e *Exposure) {
 	now := w.opts.Now()
 	crash := e.crash()
-	w.ledger.addExposed(now, retry.ReplicaIncarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts)
+	if w.ledger.addExposed(now, retry.ReplicaIncarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts) {
+		w.opts.OnEnd(e.Engine, e.StartMS)
+	}
 	for i, f := range e.Identity.fingerprints() {
 		ctx := retry.CrashContext{Shared: true, SentAt: e.SentAt}
 		if i > 0 {
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -15,6 +15,7 @@
 type fleet struct {
 	watches []*Watch
 	changes int
+	ends    int
 	now     time.Time
 }
 
@@ -24,7 +25,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{now: time.Unix(1000, 0)}
 	for i := range n {
-		f.watches = append(f.watches, NewWatch(Options{OnChange: func(Change) { f.changes++ }, Publish: func() {}, PassesOn: func() bool { return i < 2 }, Now: func() time.Time { return f.now }}))
+		f.watches = append(f.watches, NewWatch(Options{OnEnd: func(string, int64) { f.ends++ }, OnChange: func(Change) { f.changes++ }, Publish: func() {}, PassesOn: func() bool { return i < 2 }, Now: func() time.Time { return f.now }}))
 	}
 	return f
 }
@@ -130,6 +131,7 @@
 		w.EngineEnded(Exposure{Engine: fmt.Sprint("i-", k), StartMS: 1, Identity: request("popular"), SentAt: now.Add(-time.Second), EndedAt: now.Add(time.Duration(k) * time.Millisecond)})
 	}
 	must.Eq(t, retry.Suspected, w.Verdict(request("popular")).Verdict)
+	must.Eq(t, 50, f.ends)
 }
 
 // TestAttemptsUnderWayAreGivenUpByTheVerdict checks that a request that waits at an
