--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,8 +18,8 @@
 // deadlyBody is the body of a request that ends the engines that run it.
 const deadlyBody = "deadly"
 
-// deadlyPart is a part of prompts that ends the engines that begin to write on it.
-const deadlyPart = "dead01"
+// deadlyPart is the part of prompts that ends the engines that begin to write on it.
+const deadlyPart = "dead01:165"
 
 // endingEngines starts engines that a request with deadlyBody or deadlyPart ends.
 func (f *fixture) endingEngines(service, domain string, n, events int) []*site.Engine {
@@ -28,9 +27,8 @@
 	for range n {
 		out = append(out, site.StartEngine(f.store, site.EngineConfig{
 			ID: fmt.Sprintf("i-%d", len(f.engines)), Service: service, Zone: "a", FabricDomain: domain, Slots: 8, EventsPerStream: events, EventInterval: 5 * time.Millisecond,
-			Deadly: func(r *http.Request) bool {
-				body, err := io.ReadAll(r.Body)
-				return err == nil && (string(body) == deadlyBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":"))
+			Deadly: func(body string, parts []string) bool {
+				return body == deadlyBody || slices.Contains(parts, deadlyPart)
 			},
 		}))
 		f.engines = append(f.engines, out[len(out)-1])
@@ -170,7 +168,7 @@
 	f.waitUntilOpen(engines, groups)
 	const first, further = "f1:40", "f2:100"
 	deadly := func(n int) (int, string) {
-		return f.post(n%3, site.StreamPath, smallName, fmt.Sprint("deadly-", n), first, deadlyPart+":165", further, fmt.Sprintf("%x:300", n))
+		return f.post(n%3, site.StreamPath, smallName, fmt.Sprint("deadly-", n), first, deadlyPart, further, fmt.Sprintf("%x:300", n))
 	}
 	sound := func(n int) (int, string) {
 		return f.post(n%3, site.StreamPath, smallName, fmt.Sprint("sound-", n), first, further, fmt.Sprintf("%x:300", 1000+n))
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -39,10 +38,10 @@
 	return !slices.ContainsFunc(p.Starts, recent) && !slices.ContainsFunc(p.Signals, recent)
 }
 
-// isDeadly reports whether a request ends the engine that runs it.
-func isDeadly(r *http.Request) bool {
-	body, err := io.ReadAll(r.Body)
-	return err == nil && string(body) == deadlyBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart)
+// isDeadly reports whether a request with the given body and parts of a prompt ends the
+// engine that runs it.
+func isDeadly(body string, parts []string) bool {
+	return body == deadlyBody || slices.Contains(parts, deadlyPart)
 }
 
 // makeDeadly returns a request that ends engines: the same one each time, or one of
@@ -64,12 +63,12 @@
 // deadlyKind returns what makes a request deadly, or "".
 func deadlyKind(r *site.Request) string {
 	switch {
+	case !isDeadly(r.Body, r.Parts):
+		return ""
 	case r.Body == deadlyBody:
 		return "request"
-	case slices.Contains(r.Parts, deadlyPart):
-		return "part"
 	default:
-		return ""
+		return "part"
 	}
 }
 
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -28,9 +29,10 @@
 	// ProxyAddr, if not nil, maps the engine's own address to that of a proxy,
 	// which the engine announces instead.
 	ProxyAddr func(addr string) (string, error)
-	// Deadly, if not nil, reports whether a request ends the engine when it would
-	// begin to be answered. OnDeadly, if not nil, then ends it in place of Crash.
-	Deadly   func(*http.Request) bool
+	// Deadly, if not nil, reports whether a request with the given body and parts of a
+	// prompt, each as ID:TOKENS, ends the engine when it would begin to be answered.
+	// OnDeadly, if not nil, then ends it in place of Crash.
+	Deadly   func(body string, parts []string) bool
 	OnDeadly func()
 }
 
@@ -437,7 +439,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if e.config.Deadly != nil && e.config.Deadly(r) {
+	if e.isDeadly(r) {
 		pause.For(r.Context(), e.config.EventInterval)
 		end := e.config.OnDeadly
 		if end == nil {
@@ -456,6 +458,15 @@
 	e.writeStream(w, r)
 }
 
+// isDeadly reports whether a request ends the engine.
+func (e *Engine) isDeadly(r *http.Request) bool {
+	if e.config.Deadly == nil {
+		return false
+	}
+	body, err := io.ReadAll(r.Body)
+	return err == nil && e.config.Deadly(string(body), strings.Split(r.Header.Get("Prompt-Prefix"), ","))
+}
+
 // spoilAnswer takes over the connection of a request and spoils the answer.
 func spoilAnswer(w http.ResponseWriter, id string, how Spoil) {
 	conn, _, err := http.NewResponseController(w).Hijack()
