--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -219,3 +219,14 @@
 	must.Eq(t, retry.Clear, f.verdict("f"))
 	must.Eq(t, retry.Refused, verdict("p"))
 }
+
+// A part that sound requests share with deadly ones must not be refused by itself when
+// the deadly request of one end is not reported.
+func TestSoundPartIsNotRefusedForAMissingExposure(t *testing.T) {
+	f := newFleet(1)
+	f.deadlyRequests(2, "f", "p")
+	f.endAll(0, "i-9", request("sound", "f"))
+	must.Eq(t, retry.Suspected, f.verdict("f"))
+	must.Eq(t, retry.Suspected, f.verdict("p"))
+	must.Eq(t, retry.Refused, f.verdict("f", "p"))
+}
