--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/ragwortquay ] && [ -x target/review-standin ] || { echo "build the project, then run review/build.sh"; exit 2; }
-exec target/review-standin --record "$here/record.txt" --trouble "${TROUBLE:-1}" cold
+exec target/review-standin --record "$here/record.txt" --trouble "${TROUBLE:-1}" drain
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 // play runs one case on a cluster and reports whether the rule was broken.
 type play func(c *cluster, trouble bool) (isBroken bool, err error)
 
-var plays = map[string]play{"denied": playDenied, "drain": playDrain, "memory": playMemory, "cold": playCold, "two": playTwo, "mixed": playMixed}
+var plays = map[string]play{"denied": playDenied, "drain": playDrain, "memory": playMemory, "cold": playCold, "two": playTwo, "mixed": playMixed, "deadly": playDeadly}
 
 func main() { os.Exit(run()) }
 
@@ -34,7 +34,7 @@
 	flag.Parse()
 	p, ok := plays[flag.Arg(0)]
 	if !ok || *recordPath == "" {
-		fmt.Fprintln(os.Stderr, "usage: standin --record FILE [--trouble 0|1] denied|drain|memory|cold|two|mixed")
+		fmt.Fprintln(os.Stderr, "usage: standin --record FILE [--trouble 0|1] denied|drain|memory|cold|two|mixed|deadly")
 		return cannot
 	}
 	rec, err := newRecord(*recordPath)
