Give a silent head up only when nobody has heard of it

Callers saw streams stand still: two groups held one engine.

Cause: an absent head that does not answer counted as cut off from two heartbeats before its entry was removed. That is so only for an entry that expired, and nobody can tell such a removal from that of an engine that leaves and goes on serving. Nor does silence towards one daemon prove anything. The same verdict also rested on announcements older than the join, on reports of another start than the stored one, on queries before and after the planner was stopped, and on reports older than the close.

Change: placement.JudgeHead decides over listed evidence, each with its time and incarnation. The silence counts from the first failed query after the last sign of life, needs the statement of a peer, and begins anew after a time without queries. The planner asks up to four daemons, others each time, over the mesh; they try a report, then a health check. A group that was formed in this lease and never ordered to open is free at once.

--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -116,7 +116,7 @@
 		Source:         d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isStoreReader, IsRanked: d.meshAdapter.isRanked,
 	})
 	d.planner = planner.New(planner.Options{
-		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Demand: demand,
+		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Peers: d.meshAdapter, Demand: demand,
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/ragwortquay/ragwortquay/internal/edge"
+	"github.com/ragwortquay/ragwortquay/internal/planner"
 	"github.com/ragwortquay/ragwortquay/internal/standin/site"
 	"github.com/ragwortquay/ragwortquay/platform"
 )
@@ -41,6 +42,9 @@
 	stops   []func()
 	// grace is the daemons' grace period.
 	grace time.Duration
+	// wrapEngines, if not nil, wraps the engine client of the daemon with the given
+	// number.
+	wrapEngines func(n int, c planner.EngineClient) planner.EngineClient
 }
 
 // lastDaemonIP numbers the loopback addresses, so that each daemon has its own. Two runs
@@ -97,7 +101,11 @@
 		StallBound: 2 * time.Second, MinLeaseTTL: time.Second,
 	}
 	must.NoError(f.t, s.Check())
-	d := edge.New(s, platform.Connect(s.StoreAddr))
+	connected := platform.Connect(s.StoreAddr)
+	if f.wrapEngines != nil {
+		connected.EngineClient = f.wrapEngines(len(f.daemons), connected.EngineClient)
+	}
+	d := edge.New(s, connected)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -20,6 +20,9 @@
 	// crashNews is sent in each round, crashes collects what is received.
 	crashNews wire.CrashNews
 	crashes   chan *wire.CrashNews
+	// headQueries and headStatements collect what is received.
+	headQueries    chan *wire.HeadQuery
+	headStatements chan *wire.HeadStatement
 }
 
 func (d *testDaemon) DaemonAddrs() map[string]string       { return d.addrs }
@@ -31,6 +34,12 @@
 func (d *testDaemon) HandleLeaving(*wire.LeaveNotices)     {}
 func (d *testDaemon) HandleSums(*wire.LoadSums)            {}
 func (d *testDaemon) HandleRecords(*wire.RecordPush)       {}
+func (d *testDaemon) HandleHeadQuery(q *wire.HeadQuery) {
+	if d.headQueries != nil {
+		d.headQueries <- q
+	}
+}
+func (d *testDaemon) HandleHeadStatement(s *wire.HeadStatement) { d.headStatements <- s }
 func (d *testDaemon) HandleRecordRequest(*wire.RecordRequest) []wire.KeyedValue {
 	return nil
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,8 +1,9 @@
 // Package mesh exchanges load reports, suspected engines and records of the store
 // between daemons, as UDP datagrams several times a second. Received data is a
-// hint that no invariant depends on, with one exception: the confirmation that a
-// configuration is current. It is dated by the echo of the receiver's own clock,
-// so that a delayed datagram does not make it look newer.
+// hint that no invariant depends on, with two exceptions: the confirmation that a
+// configuration is current, and the statement whether a daemon reaches the head of a
+// group. Both are dated by the echo of the receiver's own clock, so that a delayed
+// datagram does not make them look newer.
 package mesh
 
 import (
@@ -85,6 +86,11 @@
 	HandleCrashNews(n *wire.CrashNews)
 	// HandleDemand handles a demand report of a peer.
 	HandleDemand(r *wire.DemandReport)
+	// HandleHeadQuery handles the question whether this daemon reaches an engine. It
+	// must not block.
+	HandleHeadQuery(q *wire.HeadQuery)
+	// HandleHeadStatement handles a peer's answer to such a question.
+	HandleHeadStatement(s *wire.HeadStatement)
 	// HandleRecordRequest returns the records that a peer has missed, or none if this
 	// daemon does not have them.
 	HandleRecordRequest(r *wire.RecordRequest) []wire.KeyedValue
@@ -428,6 +434,10 @@
 			m.opts.Handler.HandleDemand(r)
 		case *wire.PushPart:
 			m.handlePushPart(r)
+		case *wire.HeadQuery:
+			m.opts.Handler.HandleHeadQuery(r)
+		case *wire.HeadStatement:
+			m.opts.Handler.HandleHeadStatement(r)
 		}
 	}
 }
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -159,8 +159,8 @@
 	addUnexpired(p.unansweredUntil, now, s.Reserved, s.Unanswered)
 	addUnexpired(p.reservedUntil, now, s.Reserved)
 	addUnexpired(p.openingUntil, now, s.Opening)
-	p.closedGroups.Range(func(_ string, id catalog.GroupID) bool {
-		s.CloseAcked[id] = true
+	p.closedGroups.Range(func(_ string, c closedGroup) bool {
+		s.CloseAcked[c.id] = true
 		return true
 	})
 	p.addFormations(s, view)
@@ -312,6 +312,7 @@
 // head that has announced Ready accepts the order.
 func (p *Planner) open(g *catalog.Group) {
 	p.openingUntil.Set(g.ID.Name, time.Now().Add(orderInterval))
+	p.unopenedGroups.Delete(g.ID.Name)
 	// sendOrder logs failures; the next planning round decides again.
 	go func() { _ = p.sendOrder(g.Head(), Order{Op: Open, Group: g.ID}) }()
 }
@@ -331,7 +332,7 @@
 func (p *Planner) sendClose(head *catalog.Engine, id catalog.GroupID, abort bool) {
 	err := p.sendOrder(head, Order{Op: Close, Group: id, Abort: abort})
 	if err == nil || fault.Is(err, fault.Conflict) {
-		p.closedGroups.Set(id.Name, id)
+		p.closedGroups.Set(id.Name, closedGroup{id, time.Now()})
 		p.reservedUntil.Delete(head.ID)
 	}
 }
@@ -355,7 +356,8 @@
 	}
 	p.budget.spend(f.Loads, time.Now())
 	until := time.Now().Add(joinTime + joinMargin)
-	p.formations.Set(id.Name, formation{id, service.Name, until, starts})
+	p.formations.Set(id.Name, formation{id: id, service: service.Name, until: until, members: starts})
+	p.unopenedGroups.Set(id.Name, id)
 	klog.InfoS("group formed", "group", id.Name, "epoch", id.Epoch, "service", service.Name, "model", f.Model.Name,
 		"members", members, "loads", f.Loads, "domain", f.Members[0].FabricDomain, "takes_ms", joinTime.Milliseconds())
 	go p.saveHead(id, f.Members[0])
--- a/internal/planner/formation_test.go
+++ b/internal/planner/formation_test.go
@@ -17,6 +17,7 @@
 type acceptingEngines struct{ orders *atomic.Int64 }
 
 func (acceptingEngines) Report(*catalog.Engine) (Report, error)          { return Report{}, nil }
+func (acceptingEngines) Answers(*catalog.Engine, string) bool            { return true }
 func (acceptingEngines) SaveHead(catalog.GroupID, *catalog.Engine) error { return nil }
 func (acceptingEngines) DeleteHead(string) error                         { return nil }
 func (a acceptingEngines) Order(*catalog.Engine, Order) error {
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -9,8 +9,8 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
-	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/pause"
+	"github.com/ragwortquay/ragwortquay/internal/placement"
 )
 
 const (
@@ -27,15 +27,6 @@
 	// maxMisses is the number of consecutive failed queries after which an engine
 	// counts as unresponsive.
 	maxMisses = 2
-	// maxReportAge is the age up to which an engine's report counts as its current
-	// state.
-	maxReportAge = time.Second
-	// unresponsiveHeadMargin is added to StallBound before an unresponsive head
-	// counts as stopped. It covers the lag of reading announcements.
-	unresponsiveHeadMargin = 400 * time.Millisecond
-	// unknownHeadWait is the time after which the head of a group counts as stopped
-	// if it is unknown. By then the group has been broken for a long time.
-	unknownHeadWait = 20 * time.Second
 	// absentRetention is how long the status of a removed engine and the head of a
 	// group without members are kept.
 	absentRetention = time.Minute
@@ -50,28 +41,33 @@
 	// stopped.
 	present     bool
 	absentSince time.Time
-	// suspect is set if the engine is to be queried.
-	suspect   bool
-	queriedAt time.Time
-	// misses is the number of consecutive failed queries.
+	// suspect is set if the engine is to be queried, leads if it is to be queried as
+	// the head of a group that it does not announce.
+	suspect, leads bool
+	queriedAt      time.Time
+	// querying is set while a series of queries is in progress.
+	querying bool
+	// misses is the number of consecutive queries for its report that failed.
 	misses int
-	// firstMiss is the time of the first of the consecutive failed queries.
-	firstMiss time.Time
-	// dead is set if the engine has certainly ended, because another engine answers
-	// at its address. A refused connection is no proof, since a network fault may
-	// reset connections.
-	dead bool
+	// replaced is set if another engine answers at its address.
+	replaced bool
+	// silence and peerSilence are the failed queries of this daemon and of its peers
+	// since the engine last answered.
+	silence, peerSilence placement.Evidence
+	// heardAt is when the engine last answered this daemon or a peer, or sent data to
+	// one.
+	heardAt time.Time
 	// reported is the engine's last report, which was requested at reportedAt.
 	reported   Report
 	reportedAt time.Time
 }
 
-// unresponsive reports whether the engine is dead or did not answer the last
+// unresponsive reports whether the engine has been replaced or did not answer the last
 // maxMisses queries.
 func (es *engineStatus) unresponsive() bool {
 	es.mu.Lock()
 	defer es.mu.Unlock()
-	return es.dead || es.misses >= maxMisses
+	return es.replaced || es.misses >= maxMisses
 }
 
 // observe tracks the engines of all services and queries suspected ones while this
@@ -173,6 +169,7 @@
 	}
 	now := time.Now()
 	p.restoreSavedHeads(view, present, now)
+	p.markAbsentHeads(view, now)
 	var expired []string
 	p.engines.Range(func(id string, es *engineStatus) bool {
 		es.mu.Lock()
@@ -183,7 +180,7 @@
 		if es.present {
 			es.present, es.absentSince = false, now
 		}
-		if now.Sub(es.absentSince) > absentRetention {
+		if now.Sub(es.absentSince) > absentRetention && !es.leads {
 			expired = append(expired, id)
 		}
 		return true
@@ -248,173 +245,11 @@
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	if !es.present || e.StartUnixMS != es.engine.StartUnixMS || e.SeenAt.After(es.engine.SeenAt) {
-		if es.misses >= maxMisses || es.dead {
+		if es.misses >= maxMisses || es.replaced {
 			klog.InfoS("engine answers again", "engine", e.ID)
 		}
-		es.suspect, es.misses, es.dead, es.firstMiss = false, 0, false, time.Time{}
+		es.suspect, es.misses, es.replaced = false, 0, false
+		es.silence, es.peerSilence = placement.Evidence{}, placement.Evidence{}
 	}
 	es.engine, es.present = *e, true
 }
-
-// querySuspects queries the suspected members of groups, and the heads that no
-// longer announce themselves but may still serve.
-func (p *Planner) querySuspects() {
-	if !p.HoldsLease() {
-		return
-	}
-	now := time.Now()
-	var due []*engineStatus
-	p.engines.Range(func(_ string, es *engineStatus) bool {
-		es.mu.Lock()
-		defer es.mu.Unlock()
-		inGroup := es.engine.Membership.State != catalog.NoGroup
-		absentHead := !es.present && es.engine.Membership.Rank == 0 && inGroup
-		needsQuery := es.present && inGroup && es.suspect || absentHead
-		if needsQuery && !es.dead && now.Sub(es.queriedAt) >= queryInterval {
-			es.queriedAt = now
-			due = append(due, es)
-		}
-		return true
-	})
-	for _, es := range due {
-		go p.query(es)
-	}
-}
-
-// query queries an engine up to maxMisses times and records the results.
-func (p *Planner) query(es *engineStatus) {
-	es.mu.Lock()
-	e := es.engine
-	es.mu.Unlock()
-	for range maxMisses {
-		if !p.queryOnce(es, e) {
-			return
-		}
-	}
-}
-
-// queryOnce queries an engine once. It reports whether the query should be repeated
-// immediately because it failed.
-func (p *Planner) queryOnce(es *engineStatus, e catalog.Engine) bool {
-	if !p.querySlots.acquire(time.Now().Add(queryInterval)) {
-		return false
-	}
-	sentAt := time.Now()
-	r, err := p.opts.Engines.Report(&e)
-	p.querySlots.release()
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	if es.engine.StartUnixMS != e.StartUnixMS || es.engine.SeenAt.After(sentAt) {
-		return false
-	}
-	switch {
-	case fault.Is(err, fault.NotFound) || (err == nil && r.StartUnixMS != e.StartUnixMS):
-		es.dead = true
-		klog.InfoS("engine is down", "engine", e.ID, "group", e.Membership.Group.Name, "rank", e.Membership.Rank, "error", errText(err))
-	case err != nil:
-		if es.misses == 0 {
-			es.firstMiss = sentAt
-		}
-		es.misses++
-		if fault.Is(err, fault.Unavailable) {
-			es.misses = max(es.misses, maxMisses)
-		}
-		if es.misses == maxMisses {
-			klog.InfoS("engine is silent", "engine", e.ID, "group", e.Membership.Group.Name, "rank", e.Membership.Rank, "error", errText(err))
-		}
-		return es.misses < maxMisses
-	default:
-		es.misses, es.firstMiss, es.suspect = 0, time.Time{}, false
-		es.reported, es.reportedAt = r, sentAt
-		p.closeAbsentHead(es, e)
-	}
-	return false
-}
-
-// closeAbsentHead closes the group of a head that no longer announces itself but
-// serves, or may have been ordered to serve. The caller holds the lock of es.
-func (p *Planner) closeAbsentHead(es *engineStatus, e catalog.Engine) {
-	group, state := es.reported.Membership.Group, es.reported.Membership.State
-	_, closed := p.closedGroups.Get(group.Name)
-	if es.present || (state != catalog.Open && state != catalog.Ready) || closed {
-		return
-	}
-	go p.sendClose(&e, group, false)
-}
-
-// headStopped reports whether the absent or unresponsive head of a group has
-// certainly stopped serving.
-func (p *Planner) headStopped(g *catalog.Group, now time.Time) bool {
-	id := ""
-	if h := g.Head(); h != nil {
-		id = h.ID
-	} else if h, ok := p.opts.Directory.Head(g.ID.Name); ok {
-		id = h.ID
-	} else {
-		id = p.lastAnnouncedHead(g.ID)
-	}
-	es, ok := p.engines.Get(id)
-	if !ok {
-		return p.headlessFor(g.ID, now) > unknownHeadWait
-	}
-	_, closed := p.closedGroups.Get(g.ID.Name)
-	return es.headStopped(g.ID, closed, p.opts.Heartbeat, p.opts.StallBound+unresponsiveHeadMargin, now)
-}
-
-// headlessFor returns for how long a group has had neither an announced nor a
-// stored head.
-func (p *Planner) headlessFor(group catalog.GroupID, now time.Time) time.Duration {
-	first := now
-	p.headlessSince.Update(group.Name, func(since time.Time, ok bool) (time.Time, bool) {
-		if ok {
-			first = since
-		}
-		return first, true
-	})
-	return now.Sub(first)
-}
-
-// lastAnnouncedHead returns the id of the tracked head of a group, or an empty id.
-func (p *Planner) lastAnnouncedHead(group catalog.GroupID) string {
-	id := ""
-	p.engines.Range(func(_ string, es *engineStatus) bool {
-		es.mu.Lock()
-		defer es.mu.Unlock()
-		if es.engine.Membership.Group == group && es.engine.Membership.Rank == 0 {
-			id = es.engine.ID
-			return false
-		}
-		return true
-	})
-	return id
-}
-
-// headStopped reports whether the engine, as head of a group, has certainly stopped
-// serving: it is dead, has left the group, reports that it no longer serves, or has
-// been unresponsive and absent for longer than bound. The store deletes an entry
-// after three heartbeats without renewal, so an absent head was cut off at least
-// two heartbeats before its entry was deleted.
-func (es *engineStatus) headStopped(group catalog.GroupID, closed bool, heartbeat, bound time.Duration, now time.Time) bool {
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	switch {
-	case es.dead || es.engine.Membership.Group != group:
-		return true
-	case es.misses >= maxMisses && es.present:
-		// The engine still reaches the store, and may serve the daemons that it can
-		// reach.
-		return false
-	case es.misses >= maxMisses:
-		unresponsiveSince := es.firstMiss
-		if cutOff := es.absentSince.Add(-2 * heartbeat); cutOff.Before(unresponsiveSince) {
-			unresponsiveSince = cutOff
-		}
-		return now.Sub(unresponsiveSince) > bound
-	case now.Sub(es.reportedAt) > maxReportAge || es.reportedAt.Before(es.absentSince):
-		return false
-	case es.reported.Membership.Group != group:
-		return true
-	}
-	state := es.reported.Membership.State
-	return (state == catalog.Ready && closed) || state == catalog.Broken || state == catalog.NoGroup
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/pause"
+	"github.com/ragwortquay/ragwortquay/internal/placement"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -107,6 +108,9 @@
 	// engine answers at the address, and with Unavailable if connections are
 	// refused.
 	Report(e *catalog.Engine) (Report, error)
+	// Answers reports whether the engine itself answers a request for the path of its
+	// health checks, with whatever result. It reports false for an empty path.
+	Answers(e *catalog.Engine, healthPath string) bool
 	// Order sends an order. It returns nil if the engine accepted it or is already
 	// in the ordered state.
 	Order(e *catalog.Engine, o Order) error
@@ -121,6 +125,7 @@
 	Lease     Lease
 	Engines   EngineClient
 	Heads     HeadStore
+	Peers     Peers
 	Demand    *balance.Demand
 	Heartbeat time.Duration
 	// IsCandidate reports whether this daemon should become a candidate for the
@@ -167,8 +172,11 @@
 	formations *shard.Map[formation]
 	// openingUntil holds, by group name, until when a group counts as opening.
 	openingUntil *shard.Map[time.Time]
+	// unopenedGroups holds, by name, the groups that were formed in this lease and whose
+	// head has not been ordered to open them.
+	unopenedGroups *shard.Map[catalog.GroupID]
 	// closedGroups holds, by name, the groups whose head has answered a close order.
-	closedGroups *shard.Map[catalog.GroupID]
+	closedGroups *shard.Map[closedGroup]
 	// stagedLoads holds the running loads by engine id.
 	stagedLoads *shard.Map[stagedLoad]
 	// ungrouped holds the engines of each service that has no groups.
@@ -178,13 +186,17 @@
 	memberlessSince *shard.Map[time.Time]
 	// headlessSince holds, by name, since when a group has had no known head.
 	headlessSince *shard.Map[time.Time]
+	// headVerdicts holds the last verdict on the absent head of each group, by name.
+	headVerdicts *shard.Map[placement.HeadVerdict]
 	// loggedState holds the last logged state by service.
 	loggedState *shard.Map[loggedState]
 	// suspects is the queue of engine ids reported to Suspect.
 	suspects chan string
 	// orderSlots and querySlots bound the concurrent exchanges with engines.
-	orderSlots     orderSlots
-	querySlots     slots
+	orderSlots orderSlots
+	querySlots slots
+	// examinations bounds the engines that are examined for peers.
+	examinations   slots
 	requestsServed atomic.Bool
 	budget         loadBudget
 	// leaseHistory holds the recent changes of the lease. Only renewLoop uses it.
@@ -199,6 +211,12 @@
 	at    time.Time
 }
 
+// closedGroup is a group whose head has answered a close order, and when.
+type closedGroup struct {
+	id catalog.GroupID
+	at time.Time
+}
+
 // formation is a group that this planner is forming.
 type formation struct {
 	id      catalog.GroupID
@@ -242,15 +260,18 @@
 		unansweredUntil: shard.NewMap[time.Time](),
 		formations:      shard.NewMap[formation](),
 		openingUntil:    shard.NewMap[time.Time](),
-		closedGroups:    shard.NewMap[catalog.GroupID](),
+		unopenedGroups:  shard.NewMap[catalog.GroupID](),
+		closedGroups:    shard.NewMap[closedGroup](),
 		stagedLoads:     shard.NewMap[stagedLoad](),
 		ungrouped:       shard.NewMap[ungroupedEngines](),
 		headlessSince:   shard.NewMap[time.Time](),
 		memberlessSince: shard.NewMap[time.Time](),
+		headVerdicts:    shard.NewMap[placement.HeadVerdict](),
 		loggedState:     shard.NewMap[loggedState](),
 		suspects:        make(chan string, 256),
 		orderSlots:      newOrderSlots(),
 		querySlots:      make(slots, maxQueriesInFlight),
+		examinations:    make(slots, maxExaminations),
 	}
 }
 
@@ -354,11 +375,12 @@
 	p.leaseEnd.Store(int64(begun + p.ttl - leaseMargin))
 }
 
-// clearLeaseState discards the formations and closed groups of an earlier lease,
+// clearLeaseState discards the formations, unopened and closed groups of an earlier lease,
 // since another planner may have sent orders in between.
 func (p *Planner) clearLeaseState() {
 	p.formations.Clear()
 	p.closedGroups.Clear()
+	p.unopenedGroups.Clear()
 }
 
 // nextFence returns a fence above all fences that this and earlier planners used. It
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -10,55 +10,9 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/placement"
 )
 
-const (
-	heartbeat = 400 * time.Millisecond
-	stopBound = 2 * time.Second
-)
-
-// TestHeadStopped lists which observations prove that an absent or unresponsive
-// head has stopped serving. Only then may the members of its group be reused.
-func TestHeadStopped(t *testing.T) {
-	now := time.Now()
-	group := catalog.GroupID{Name: "g1", Epoch: 5}
-	reports := func(id catalog.GroupID, state catalog.GroupState) Report {
-		return Report{Membership: catalog.Membership{Group: id, State: state}}
-	}
-	gone := now.Add(-500 * time.Millisecond)
-	cases := []struct {
-		name   string
-		status engineStatus
-		closed bool
-		want   bool
-	}{
-		{"no report and no failed query", engineStatus{absentSince: gone}, false, false},
-		{"another engine answers at its address", engineStatus{dead: true}, false, true},
-		{"unresponsive for a short time", engineStatus{misses: maxMisses, firstMiss: now.Add(-time.Second), present: true}, false, false},
-		{"unresponsive for longer than the bound, but still announced", engineStatus{misses: maxMisses, firstMiss: now.Add(-time.Hour), present: true}, false, false},
-		{"absent, and unresponsive for longer than the bound", engineStatus{misses: maxMisses, firstMiss: now.Add(-3 * time.Second), absentSince: now}, false, true},
-		{"absent for longer than the bound before the first query", engineStatus{misses: maxMisses, firstMiss: now, absentSince: now.Add(-3 * time.Second)}, false, true},
-		{"absent and unresponsive for a short time", engineStatus{misses: maxMisses, firstMiss: now, absentSince: now.Add(-time.Second)}, false, false},
-		{"one failed query", engineStatus{misses: 1, firstMiss: now.Add(-time.Hour), absentSince: now.Add(-time.Hour)}, false, false},
-		{"reports open", engineStatus{absentSince: gone, reportedAt: now, reported: reports(group, catalog.Open)}, false, false},
-		{"reports broken", engineStatus{absentSince: gone, reportedAt: now, reported: reports(group, catalog.Broken)}, false, true},
-		{"reports ready, but may have been ordered to open", engineStatus{absentSince: gone, reportedAt: now, reported: reports(group, catalog.Ready)}, false, false},
-		{"reports ready, and has answered the close order", engineStatus{absentSince: gone, reportedAt: now, reported: reports(group, catalog.Ready)}, true, true},
-		{"reports another group", engineStatus{absentSince: gone, reportedAt: now, reported: reports(catalog.GroupID{Name: "g2", Epoch: 6}, catalog.Open)}, false, true},
-		// A head was cut off 9 s after a report that named its previous group. The report
-		// does not describe its current group.
-		{"reported another group before it became absent", engineStatus{absentSince: gone, reportedAt: gone.Add(-time.Second), reported: reports(catalog.GroupID{Name: "g0", Epoch: 4}, catalog.Open)}, false, false},
-		{"report too old", engineStatus{absentSince: now.Add(-time.Minute), reportedAt: now.Add(-5 * time.Second), reported: reports(group, catalog.Broken)}, false, false},
-	}
-	for i := range cases {
-		c := &cases[i]
-		c.status.engine.Membership.Group = group
-		must.Eq(t, c.want, c.status.headStopped(group, c.closed, heartbeat, stopBound, now), must.Sprint(c.name))
-	}
-	moved := engineStatus{engine: catalog.Engine{Membership: catalog.Membership{Group: catalog.GroupID{Name: "g2", Epoch: 6}}}}
-	must.True(t, moved.headStopped(group, false, heartbeat, stopBound, now), must.Sprint("announces another group"))
-}
-
 func TestNewAnnouncementClearsFailedQueries(t *testing.T) {
 	now := time.Now()
 	e := &catalog.Engine{ID: "i-1", StartUnixMS: 1, SeenAt: now}
@@ -120,6 +74,7 @@
 type blockingEngines struct{ answers chan error }
 
 func (s *blockingEngines) Report(*catalog.Engine) (Report, error) { return Report{}, nil }
+func (s *blockingEngines) Answers(*catalog.Engine, string) bool   { return false }
 func (s *blockingEngines) Order(*catalog.Engine, Order) error     { return <-s.answers }
 
 // TestUnansweredOrderReservesEngine guards against an engine that joins a second
@@ -140,7 +95,7 @@
 	must.NoError(t, <-done)
 	must.False(t, p.buildSnapshot(view).Reserved["i-1"], must.Sprint("answered"))
 
-	p.engines.Set("i-1", &engineStatus{dead: true})
+	p.engines.Set("i-1", &engineStatus{replaced: true})
 	go func() { done <- p.sendOrder(e, Order{Op: Join}) }()
 	engines.answers <- fault.New(fault.Timeout, "", "no answer")
 	must.Error(t, <-done)
@@ -151,13 +106,15 @@
 	p := New(Options{Lease: &fixedLease{}})
 	p.applyRenewal(true, 3, 1<<62-1<<40)
 	must.True(t, p.HoldsLease())
-	p.closedGroups.Set("g1", catalog.GroupID{Name: "g1"})
+	p.closedGroups.Set("g1", closedGroup{})
+	p.unopenedGroups.Set("g3", catalog.GroupID{Name: "g3"})
 	p.formations.Set("g2", formation{})
 	p.applyRenewal(false, 4, 0)
 	must.False(t, p.HoldsLease())
 	p.applyRenewal(true, 5, 1<<62-1<<40)
 	must.Zero(t, p.closedGroups.Len())
 	must.Zero(t, p.formations.Len())
+	must.Zero(t, p.unopenedGroups.Len())
 }
 
 // TestPruneDeletesExpiredState guards against state that grows with every group
@@ -172,7 +129,9 @@
 		p.openingUntil.Set(name, until)
 		p.formations.Set(name, formation{until: until})
 		p.stagedLoads.Set(name, stagedLoad{until: until})
-		p.closedGroups.Set(name, catalog.GroupID{Name: name})
+		p.closedGroups.Set(name, closedGroup{})
+		p.unopenedGroups.Set(name, catalog.GroupID{Name: name})
+		p.headVerdicts.Set(name, placement.HeadSilent)
 		p.headlessSince.Set(name, past)
 		p.memberlessSince.Set(name, past)
 	}
@@ -180,8 +139,9 @@
 	sizes := []int{
 		p.reservedUntil.Len(), p.unansweredUntil.Len(), p.openingUntil.Len(), p.formations.Len(),
 		p.stagedLoads.Len(), p.closedGroups.Len(), p.headlessSince.Len(), p.memberlessSince.Len(),
+		p.unopenedGroups.Len(), p.headVerdicts.Len(),
 	}
-	must.Eq(t, []int{1, 1, 1, 1, 1, 1, 1, 1}, sizes)
+	must.Eq(t, []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, sizes)
 	_, ok := p.closedGroups.Get("new")
 	must.True(t, ok)
 }
--- a/internal/planner/prune.go
+++ b/internal/planner/prune.go
@@ -5,6 +5,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
+	"github.com/ragwortquay/ragwortquay/internal/placement"
 )
 
 // pruneInterval is the minimum time between two calls of prune.
@@ -20,7 +21,12 @@
 	p.openingUntil.DeleteFunc(expired)
 	p.formations.DeleteFunc(func(_ string, f formation) bool { return now.After(f.until) })
 	p.stagedLoads.DeleteFunc(func(_ string, s stagedLoad) bool { return now.After(s.until) })
-	p.closedGroups.DeleteFunc(func(name string, _ catalog.GroupID) bool { return !groups[name] })
+	p.closedGroups.DeleteFunc(func(name string, _ closedGroup) bool { return !groups[name] })
+	p.unopenedGroups.DeleteFunc(func(name string, id catalog.GroupID) bool {
+		_, forming := p.formations.Get(name)
+		return !groups[name] && !forming
+	})
+	p.headVerdicts.DeleteFunc(func(name string, _ placement.HeadVerdict) bool { return !groups[name] })
 	p.headlessSince.DeleteFunc(func(name string, _ time.Time) bool { return !groups[name] })
 	p.memberlessSince.DeleteFunc(func(name string, _ time.Time) bool {
 		_, stored := heads[name]
--- a/internal/planner/slots_test.go
+++ b/internal/planner/slots_test.go
@@ -38,7 +38,8 @@
 func (m *busyMachine) Report(e *catalog.Engine) (Report, error) {
 	return Report{StartUnixMS: e.StartUnixMS, Membership: e.Membership}, m.exchange()
 }
-func (m *busyMachine) Order(*catalog.Engine, Order) error { return m.exchange() }
+func (m *busyMachine) Answers(*catalog.Engine, string) bool { return m.exchange() == nil }
+func (m *busyMachine) Order(*catalog.Engine, Order) error   { return m.exchange() }
 
 const fleetEngines = 1095
 
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -121,6 +121,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.handleReport)
 	mux.HandleFunc("POST /order", e.handleOrder)
+	mux.HandleFunc("GET "+healthPath, e.handleHealth)
 	mux.HandleFunc("/", e.handleRequest)
 	e.server = httptest.NewServer(mux)
 	e.announcedAddr = strings.TrimPrefix(e.server.URL, "http://")
@@ -322,6 +323,18 @@
 	writeJSON(w, e.announcement())
 }
 
+// healthPath is the path of health checks.
+const healthPath = "/healthz"
+
+func (e *Engine) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("Instance-Id", e.config.ID)
+	if e.draining || e.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // orderRequest is the body of POST /order.
 type orderRequest struct {
 	Operation    string
--- a/internal/wire/compat_test.go
+++ b/internal/wire/compat_test.go
@@ -67,6 +67,8 @@
 	{"leave datagram", func() any { return &LeaveNotices{} }, true},
 	{"record request", func() any { return &RecordRequest{} }, true},
 	{"demand datagram", func() any { return &DemandReport{} }, true},
+	{"head query", func() any { return &HeadQuery{} }, true},
+	{"head statement", func() any { return &HeadStatement{} }, true},
 	{"push", func() any { return &RecordPush{} }, true},
 	{"push part", func() any { return &PushPart{} }, true},
 }
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -81,7 +81,9 @@
 	leaveDatagram  = 'V' // LeaveNotices
 	crashDatagram  = 'C' // CrashNews
 	// requestDatagram is a RecordRequest.
-	requestDatagram = 'Q'
+	requestDatagram       = 'Q'
+	headQueryDatagram     = 'H' // HeadQuery
+	headStatementDatagram = 'W' // HeadStatement
 )
 
 // EncodeLoadReport encodes a report as a datagram.
@@ -96,7 +98,8 @@
 }
 
 // DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart, a
-// *DemandReport, a *LoadSums, *LeaveNotices, *CrashNews or a *RecordRequest.
+// *DemandReport, a *LoadSums, *LeaveNotices, *CrashNews, a *RecordRequest, a *HeadQuery
+// or a *HeadStatement.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -123,6 +126,12 @@
 	case requestDatagram:
 		r := &RecordRequest{}
 		return r, Unmarshal(b[1:], r)
+	case headQueryDatagram:
+		q := &HeadQuery{}
+		return q, Unmarshal(b[1:], q)
+	case headStatementDatagram:
+		s := &HeadStatement{}
+		return s, Unmarshal(b[1:], s)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "datagram of unknown kind %d", b[0])
 	}
