Carry out deferred removals by time, and forget an outage when it ends

Cause: the state of the store belonged to the loop that reads. On a daemon whose peers read for it after an outage it stayed "down", and its next own read, at any later time, deferred removals as if the outage had just ended. A deferred removal was carried out with the next records or own read only, which in a quiet deployment never come. And a daemon that read nothing itself deferred nothing: it lost engines that had lapsed and were alive.

Change: each topic has one record of when the store last served anybody, by this daemon's reads and by its peers' dated statements, and of failed reads. Removals are deferred while the store is away and for 2.2 s after its return, on all daemons, and a timer carries them out. They wait if the store goes away again. An engine that has said that it leaves is removed at once. A process that was stopped treats that time as an outage.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -134,17 +134,21 @@
 	positions [topicCount]*topicPosition
 	// enginesRead is set once the engines' topic has been read.
 	enginesRead atomic.Bool
-	// removalsDeferredUntil is the end of the period after a store outage in which
-	// removals of engines are deferred. It is guarded by the lock of the engines'
-	// topic position.
-	removalsDeferredUntil time.Time
+	// removalsDeferredUntil is the boot time until which removals of engines are deferred
+	// after an outage of the store. It is guarded by the lock of the engines' topic
+	// position.
+	removalsDeferredUntil time.Duration
+	// lastTick is the boot time in nanoseconds at which this process was last known to
+	// run; 0 before Run.
+	lastTick atomic.Int64
+	// deferred wakes removeDeferred.
+	deferred chan struct{}
 
 	// mu guards changed.
 	mu      sync.Mutex
 	changed chan struct{}
-	// pendingRemovals holds, by engine id, the times at which deferred removals
-	// take effect.
-	pendingRemovals *shard.Map[time.Time]
+	// pendingRemovals holds the ids of the engines whose removal is deferred.
+	pendingRemovals *shard.Map[struct{}]
 }
 
 // announcementVersion orders the announcements of one engine id.
@@ -171,7 +175,8 @@
 		heads:           shard.NewMap[*catalog.Engine](),
 		indexes:         shard.NewMap[*serviceIndex](),
 		zones:           shard.NewMap[struct{}](),
-		pendingRemovals: shard.NewMap[time.Time](),
+		pendingRemovals: shard.NewMap[struct{}](),
+		deferred:        make(chan struct{}, 1),
 		changed:         make(chan struct{}),
 	}
 	for t := range d.positions {
@@ -186,6 +191,8 @@
 	for topic := range topicCount {
 		g.Go(func() error { return d.followTopic(ctx, topic) })
 	}
+	g.Go(func() error { return d.tick(ctx) })
+	g.Go(func() error { return d.removeDeferred(ctx) })
 	return g.Wait()
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -104,21 +104,6 @@
 	}
 }
 
-// TestRemovalsDeferredAfterOutage guards against losing engines whose entries
-// expired only because they could not reach the store during an outage.
-func TestRemovalsDeferredAfterOutage(t *testing.T) {
-	d := newDirectory()
-	d.applyEngines([]Record{rec(0, "a", "engine 1 1"), rec(1, "b", "engine 1 1")}, false)
-	d.removalsDeferredUntil = time.Now().Add(time.Hour)
-	d.applyEngines([]Record{rec(2, "a", ""), rec(3, "b", "")}, false)
-	must.Eq(t, "ab", knownEngines(d))
-	d.applyEngines([]Record{rec(4, "a", "engine 1 2")}, false)
-	d.removalsDeferredUntil = time.Time{}
-	d.pendingRemovals.Set("b", time.Now().Add(-time.Second))
-	d.applyEngines(nil, false)
-	must.Eq(t, "a", knownEngines(d), must.Sprint("an engine that was not announced again is removed"))
-}
-
 // TestReadDoesNotOverwritePushedRecords guards against a read that returns after
 // newer records were pushed: its older records must not overwrite them.
 func TestReadDoesNotOverwritePushedRecords(t *testing.T) {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -17,13 +17,6 @@
 	// reads.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
-	// outageThreshold is how long reads must fail before the store counts as
-	// unavailable.
-	outageThreshold = time.Second
-	// removalGrace is how long removals of engines are deferred after an outage of
-	// the store. Entries that expired during the outage are announced again; the
-	// platform guarantees this within about two seconds.
-	removalGrace = 2200 * time.Millisecond
 )
 
 // readNext reads the records of a topic after its position. If full is set, the
@@ -60,25 +53,27 @@
 // followTopic reads a topic and applies its records until ctx ends. It does not
 // read while peers read the topic for this daemon.
 func (d *Directory) followTopic(ctx context.Context, t Topic) error {
-	r := storeStatus{topic: d.opts.Topics.name(t)}
+	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		d.awaitPeerReads(ctx, t)
-		began := time.Now()
+		if d.awaitPeerReads(ctx, t) {
+			retryDelay = minRetryDelay
+		}
+		began, begunAt := time.Now(), boottime.Now()
 		records, next, full, at, err := d.readNext(t)
 		if err != nil {
-			pause.For(ctx, r.recordFailure(err))
+			d.recordFailure(t, boottime.Now())
+			retryDelay = min(2*retryDelay, maxRetryDelay)
+			pause.For(ctx, retryDelay)
 			continue
 		}
-		recovered := r.recordSuccess()
+		retryDelay = minRetryDelay
 		if !full && len(records) > 0 {
 			// The records are pushed before peers learn of the new position, so that
 			// the peers do not read them from the store.
 			d.opts.OnRead(t, records[0].Offset, records)
 		}
 		d.positions[t].commitRead(records, next, full, at, func(fresh []Record) {
-			if recovered && t == EnginesTopic {
-				d.removalsDeferredUntil = time.Now().Add(removalGrace)
-			}
+			d.recordServed(t, begunAt, boottime.Now())
 			d.apply(t, fresh, full)
 		})
 		pause.For(ctx, topicTimings[t].minReadInterval-time.Since(began))
@@ -100,41 +95,6 @@
 	}
 }
 
-// storeStatus tracks whether reads of a topic succeed, and logs outages of the
-// store.
-type storeStatus struct {
-	topic string
-	// failingSince is the time of the first of the consecutive failures, or zero.
-	failingSince time.Time
-	// down is set once the reads have failed for outageThreshold.
-	down       bool
-	retryDelay time.Duration
-}
-
-// recordFailure records a failed read and returns the delay before the next read.
-func (r *storeStatus) recordFailure(err error) time.Duration {
-	now := time.Now()
-	if r.failingSince.IsZero() {
-		r.failingSince, r.retryDelay = now, minRetryDelay
-	}
-	if !r.down && now.Sub(r.failingSince) >= outageThreshold {
-		r.down = true
-		klog.ErrorS(err, "store lost", "topic", r.topic, "failing_ms", now.Sub(r.failingSince).Milliseconds())
-	}
-	r.retryDelay = min(2*r.retryDelay, maxRetryDelay)
-	return r.retryDelay
-}
-
-// recordSuccess records a successful read and reports whether it ended an outage.
-func (r *storeStatus) recordSuccess() bool {
-	recovered := r.down
-	if recovered {
-		klog.InfoS("store regained", "topic", r.topic, "away_ms", time.Since(r.failingSince).Milliseconds())
-	}
-	*r = storeStatus{topic: r.topic}
-	return recovered
-}
-
 func (d *Directory) applyOperator(records []Record, full bool) {
 	out := map[string]bool{}
 	for _, rec := range records {
@@ -195,8 +155,7 @@
 }
 
 // applyEngines applies announcements and removals of engines. A removal takes
-// effect immediately, except in the grace period after an outage of the store,
-// when it takes effect at the end of the period.
+// effect immediately, except around an outage of the store; see removeOrDefer.
 func (d *Directory) applyEngines(records []Record, full bool) {
 	log := &changeLog{}
 	changed := false
@@ -217,7 +176,6 @@
 			}
 		}
 	}
-	changed = d.removeExpired(log) || changed
 	if changed {
 		d.notify()
 	}
@@ -233,16 +191,6 @@
 	return ids
 }
 
-// removeOrDefer removes an engine, or schedules its removal in the grace period
-// after an outage. It reports whether the engine was removed.
-func (d *Directory) removeOrDefer(id string, log *changeLog) bool {
-	if time.Now().Before(d.removalsDeferredUntil) {
-		d.pendingRemovals.Set(id, d.removalsDeferredUntil)
-		return false
-	}
-	return d.removeNow(id, log)
-}
-
 func (d *Directory) removeNow(id string, log *changeLog) bool {
 	e, ok := d.engines.Get(id)
 	if !ok {
@@ -254,25 +202,6 @@
 	return true
 }
 
-// removeExpired removes the engines whose deferred removal is due, and reports
-// whether there were any.
-func (d *Directory) removeExpired(log *changeLog) bool {
-	var due []string
-	now := time.Now()
-	d.pendingRemovals.Range(func(id string, until time.Time) bool {
-		if !now.Before(until) {
-			due = append(due, id)
-		}
-		return true
-	})
-	changed := false
-	for _, id := range due {
-		changed = d.removeNow(id, log) || changed
-		d.pendingRemovals.Delete(id)
-	}
-	return changed
-}
-
 // applyAnnouncement applies the announcement of an engine and reports whether a
 // view changed. An entry is rewritten only when a field other than the heartbeat
 // changes, so every applied announcement counts as a change. An engine whose
--- a/internal/directory/index.go
+++ b/internal/directory/index.go
@@ -170,7 +170,9 @@
 // changeLog collects the changes of a batch of records for the log.
 type changeLog struct {
 	announced, gone, draining []*catalog.Engine
-	serving                   []servingChange
+	// missing are the engines whose removal is deferred.
+	missing []*catalog.Engine
+	serving []servingChange
 }
 
 // write writes the log lines.
@@ -179,6 +181,7 @@
 		return []any{"zone", e.Zone, "domain", e.FabricDomain, "addr", e.Addr}
 	})
 	logEngines("engine drains", c.draining, func(*catalog.Engine) []any { return nil })
+	logEngines("engine missing after an outage of the store", c.missing, func(*catalog.Engine) []any { return nil })
 	logEngines("engine gone", c.gone, func(e *catalog.Engine) []any {
 		return []any{"zone", e.Zone, "group", e.Membership.Group.Name, "rank", e.Membership.Rank}
 	})
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -75,11 +75,15 @@
 	cursor Cursor
 	// maxEnd is the highest end of the topic that a peer has reported.
 	maxEnd uint64
+	// contact is what is known of the store's reads of the topic.
+	contact storeContact
 	// wake receives a value when a peer has reported the end of the topic.
 	wake chan struct{}
 }
 
-func newTopicPosition() *topicPosition { return &topicPosition{wake: make(chan struct{}, 1)} }
+func newTopicPosition() *topicPosition {
+	return &topicPosition{wake: make(chan struct{}, 1), contact: storeContact{servedAt: boottime.Now()}}
+}
 
 func (t *topicPosition) snapshot() Cursor {
 	t.mu.Lock()
@@ -164,6 +168,7 @@
 // at of this machine. A time in the future is ignored.
 func (d *Directory) ConfirmEnd(t Topic, next uint64, at time.Duration) {
 	if at <= boottime.Now() {
+		d.positions[t].withLock(func() { d.recordServed(t, at, at) })
 		d.positions[t].confirmEnd(next, at)
 	}
 }
@@ -180,14 +185,14 @@
 // awaitPeerReads blocks while peers read the topic for this daemon and the cursor
 // is at the reported end. It returns when this daemon must read the store itself:
 // it is a reader, its cursor is unknown or was confirmed too long ago, or records
-// that are known to exist were not pushed in time.
-func (d *Directory) awaitPeerReads(ctx context.Context, t Topic) {
+// that are known to exist were not pushed in time. It reports whether it blocked.
+func (d *Directory) awaitPeerReads(ctx context.Context, t Topic) (blocked bool) {
 	pos := d.positions[t]
-	for ctx.Err() == nil {
+	for ; ctx.Err() == nil; blocked = true {
 		c := pos.snapshot()
 		stale := boottime.Now()-c.ConfirmedAt > time.Duration(topicTimings[t].peerTrustFactor*float64(d.opts.ConfigBound))
 		if !c.Known || stale || d.opts.IsReader() {
-			return
+			return blocked
 		}
 		if !pos.hasUnread() {
 			pos.waitForPeer(ctx, peerWait)
@@ -198,9 +203,10 @@
 			pause.For(ctx, topicTimings[t].pushWait)
 		}
 		if pos.hasUnread() {
-			return
+			return true
 		}
 	}
+	return blocked
 }
 
 // waitForPeer blocks until a peer reports the end of the topic, at most for
