Bound the lines of a response's head

A faulty engine could take all memory of a daemon, and with it the requests of all its clients: it sends a head of many short lines, and then the body slowly. 64 KiB of such lines take 965 KB once parsed, for as long as the response lasts (measured: 50 heads held, lines of three forms, 965, 528 and 306 KB each). Cause: the bound of 64 KiB was on the bytes alone. Ruled out: trailers, interim answers and chunk extensions, which net/http bounds by its buffer.

Change: a head may have 256 lines, counted while it is read, so that a head that itself arrives slowly is cut too. Lines of a body in the same packet do not count.

Evidence: upstream TestHeadsOfManyLinesTakeBoundedMemory failed before with 39 MB for 40 heads, where 10 MB are allowed, and passes.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,15 +45,17 @@
 	// maxMismatchedResponses bounds the responses to other requests that are
 	// skipped.
 	maxMismatchedResponses = 2
-	// maxHeadBytes bounds the head of a response.
+	// maxHeadBytes and maxHeadLines bound the head of a response. A parsed line takes
+	// over a hundred bytes, however short it is.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 1 << 20
 )
 
-// errTooLong is returned for a response that exceeds maxHeadBytes or
+// errTooLong is returned for a response that exceeds maxHeadBytes, maxHeadLines or
 // maxSkippedBytes.
-var errTooLong = errors.New("response has a head over 64 KiB, or is for another request and over 1 MiB")
+var errTooLong = errors.New("response has a head over 64 KiB or 256 lines, or is for another request and over 1 MiB")
 
 // Request is one request to an engine.
 type Request struct {
@@ -96,20 +98,49 @@
 	maxIdle  time.Duration
 }
 
-// limitedReader fails with errTooLong after left bytes. Unlike io.LimitedReader it
-// does not report the limit as the end of the input, which would end a body without
-// a length.
+// limitedReader fails with errTooLong after left bytes, or linesLeft lines of a head.
+// Unlike io.LimitedReader it does not report the limit as the end of the input, which
+// would end a body without a length.
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	// inHead is set until the empty line after the head has been read.
+	inHead    bool
+	linesLeft int
+	// lineIsEmpty is set while nothing of the current line has been read.
+	lineIsEmpty bool
+}
+
+// beginHead sets the limits for the head of a response.
+func (l *limitedReader) beginHead() {
+	l.left, l.inHead, l.linesLeft, l.lineIsEmpty = maxHeadBytes, true, maxHeadLines, true
+}
+
+// countLines counts the lines of a head in p, which follows what was read before.
+func (l *limitedReader) countLines(p []byte) {
+	for _, c := range p {
+		switch {
+		case c == '\n' && l.lineIsEmpty:
+			l.inHead = false
+			return
+		case c == '\n':
+			l.linesLeft--
+			l.lineIsEmpty = true
+		case c != '\r':
+			l.lineIsEmpty = false
+		}
+	}
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
+	if l.left <= 0 || l.inHead && l.linesLeft <= 0 {
 		return 0, errTooLong
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if l.inHead {
+		l.countLines(p[:n])
+	}
 	return n, err
 }
 
@@ -234,7 +265,7 @@
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxMismatchedResponses + 1 {
-		cn.limit.left = maxHeadBytes
+		cn.limit.beginHead()
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
 			return nil, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of %s", r.Addr)
@@ -244,13 +275,13 @@
 		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
 			// A response to another request; the expected one may follow.
-			cn.limit.left = maxSkippedBytes
+			cn.limit.left, cn.limit.inHead = maxSkippedBytes, false
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 				break
 			}
 			continue
 		}
-		cn.limit.left = math.MaxInt64
+		cn.limit.left, cn.limit.inHead = math.MaxInt64, false
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header,
 			conn: cn, body: resp.Body, client: c, addr: r.Addr,
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -242,6 +245,69 @@
 	}
 }
 
+// TestHeadsOfManyLinesTakeBoundedMemory guards against an engine that sends a head of many
+// short lines and then its body slowly. Parsed, 64 KiB of them took a megabyte for as long
+// as the response lasted, for each request.
+func TestHeadsOfManyLinesTakeBoundedMemory(t *testing.T) {
+	const heads, bytesEach = 40, 4 * maxHeadBytes
+	for _, line := range []string{"%x:\r\n", "X-%d: 0\r\n", "X-Filler-%010d: 0123456789\r\n"} {
+		var head strings.Builder
+		head.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n")
+		for n := 0; head.Len() < maxHeadBytes-1024; n++ {
+			fmt.Fprintf(&head, line, n)
+		}
+		head.WriteString("\r\n")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = c.Write([]byte(head.String())) }() // no end of the body
+			}
+		}()
+		heap := func() int64 {
+			runtime.GC()
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			return int64(stats.HeapAlloc)
+		}
+		before := heap()
+		client := NewClient()
+		var held []*Response
+		for range heads {
+			resp, err := client.Do(t.Context(), &Request{Addr: l.Addr().String(), Method: http.MethodGet, Target: "/x", Header: http.Header{"Host": {"h"}}, ID: "1", IDHeader: "Request-Id"})
+			if err == nil {
+				held = append(held, resp)
+			}
+		}
+		must.LessEq(t, int64(heads*bytesEach), heap()-before, must.Sprintf("%d heads of lines %q", len(held), line))
+		for _, resp := range held {
+			resp.Close()
+		}
+		must.NoError(t, l.Close())
+	}
+}
+
+// TestHeadLinesAreCountedInTheHeadOnly reads a response whose body has more lines than a
+// head may have, in the same packet as its head.
+func TestHeadLinesAreCountedInTheHeadOnly(t *testing.T) {
+	body := strings.Repeat("\n", 2*maxHeadLines) + strings.Repeat("x\r\n", 2*maxHeadLines)
+	for _, end := range []string{"\r\n", "\n"} {
+		s := startEngine(t, func(_ int64, id string) string {
+			return strings.ReplaceAll("HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n", "\r\n", end) + body
+		})
+		c := NewClient()
+		for _, id := range []string{"1", "2", "3"} { // on one connection
+			got, err := get(c, s.addr, id, false)
+			must.NoError(t, err)
+			must.Eq(t, body, got)
+		}
+	}
+}
+
 // endlessBytes stands for a response without end. It exceeds all limits and the
 // socket buffers.
 const endlessBytes = 64 << 20
