Meter the incomplete events of all streams together

An engine that sends an event without end on many streams made each of them hold up to 256 KiB, without a bound in sum: a few hundred streams take the memory of a small machine. Cause: the quota of buffered responses covered bodies only.

Change: an incomplete event over 16 KiB takes its memory from the same quota. If that is used up the event is discarded and the attempt ends, as after a malformed one.

--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -14,13 +14,15 @@
 	// unmeteredBytes is the size up to which a body is buffered without taking from
 	// the bufferQuota, so that large bodies cannot keep small ones from being read.
 	unmeteredBytes = 64 << 10
+	// unmeteredEventBytes is the same for the incomplete event of a stream.
+	unmeteredEventBytes = 16 << 10
 )
 
 // errBodyTooLarge is returned for a response body over maxBufferedBytes.
 var errBodyTooLarge = errors.New("response body exceeds the limit of 16 MiB for buffered responses")
 
-// bufferQuota bounds the memory of the large bodies that all requests of a daemon
-// have buffered. It is safe for concurrent use.
+// bufferQuota bounds the memory of the large bodies and incomplete events that all
+// requests of a daemon have buffered. It is safe for concurrent use.
 type bufferQuota struct{ free atomic.Int64 }
 
 func newBufferQuota(bytes int64) *bufferQuota {
@@ -70,12 +72,33 @@
 	}
 	if size > unmeteredBytes {
 		if !j.buffers.take(size) {
-			return nil, fault.New(fault.Overload, "send fewer large requests at once", "large responses in progress take up the memory for buffered responses")
+			return nil, errBuffersFull()
 		}
 		j.bufferedBytes += size
 	}
 	return append(make([]byte, 0, size), body...), nil
 }
 
+// meterEvent takes the memory of a stream's incomplete event from the daemon's
+// bufferQuota. If that is used up it discards the event, since an engine that sends one
+// without end to many clients would otherwise take all memory.
+func (j *job) meterEvent(ev *eventFilter) error {
+	size := cap(ev.buf)
+	if size <= unmeteredEventBytes || size <= j.eventBytes {
+		return nil
+	}
+	if !j.buffers.take(size - j.eventBytes) {
+		ev.buf, ev.searched = nil, 0
+		return errBuffersFull()
+	}
+	j.bufferedBytes += size - j.eventBytes
+	j.eventBytes = size
+	return nil
+}
+
+func errBuffersFull() error {
+	return fault.New(fault.Overload, "send fewer large requests at once", "large responses in progress take up the memory for buffered responses")
+}
+
 // releaseBuffers returns the job's part of the bufferQuota.
 func (j *job) releaseBuffers() { j.buffers.give(j.bufferedBytes) }
--- a/internal/relay/buffer_test.go
+++ b/internal/relay/buffer_test.go
@@ -53,3 +53,39 @@
 	must.NoError(t, err)
 	must.Eq(t, large, string(body))
 }
+
+// endlessEvent is a stream that begins an event and breaks off within it.
+type endlessEvent struct{ left int }
+
+func (r *endlessEvent) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), r.left)
+	for i := range p[:n] {
+		p[i] = 'd' // the name of a field
+	}
+	r.left -= n
+	return n, nil
+}
+
+// TestEndlessEventsOfAllStreamsShareTheQuota guards against an engine that sends an event
+// without end on many streams: each of them held up to 256 KiB, without a common bound.
+func TestEndlessEventsOfAllStreamsShareTheQuota(t *testing.T) {
+	const quota, streams = 1 << 20, 100
+	r := New(Options{BufferBytes: quota})
+	var jobs []*job
+	held := 0
+	for range streams {
+		j, filter, headerSent := &job{Relay: r}, &eventFilter{}, false
+		err := j.copyEvents(t.Context(), nil, bodyResponse{Reader: &endlessEvent{left: maxEventBytes / 2}}, filter, &headerSent, nil)
+		must.Error(t, err)
+		held += cap(filter.buf)
+		jobs = append(jobs, j)
+	}
+	must.LessEq(t, quota+streams*unmeteredEventBytes, held)
+	for _, j := range jobs {
+		j.releaseBuffers()
+	}
+	must.Eq(t, int64(quota), r.buffers.free.Load())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,6 +136,8 @@
 	mediaType string
 	// bufferedBytes is what the job has taken from the bufferQuota.
 	bufferedBytes int
+	// eventBytes is the part of it that is for incomplete events.
+	eventBytes int
 	summary       RequestSummary
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -233,6 +233,9 @@
 			if !ok {
 				return errBadStream
 			}
+			if err := j.meterEvent(filter); err != nil {
+				return err
+			}
 		}
 		switch {
 		case err == nil:
