Soak with answers without end, and check the daemons' memory

Other operators reported machines that ran out of memory under an engine that sent bytes without end. The soak gets such engines: header lines, a body without a length, or one event, until the daemon closes. The memory of each daemon is sampled and must stay within that of its machine; the result line shows the largest.

--- a/internal/procs/proc.go
+++ b/internal/procs/proc.go
@@ -140,10 +140,12 @@
 
 // Usage returns the process's CPU time so far and its resident set size in bytes.
 func (p *Proc) Usage() (cpu time.Duration, rss int64, err error) {
-	return processUsage(p.PID())
+	return ProcessUsage(p.PID())
 }
 
-func processUsage(pid int) (time.Duration, int64, error) {
+// ProcessUsage returns the CPU time so far and the resident set size in bytes of a
+// process.
+func ProcessUsage(pid int) (time.Duration, int64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0, 0, err
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -46,6 +46,8 @@
 	// entryTTL is the time after which the store drops the entry of a dead engine:
 	// three heartbeat intervals.
 	entryTTL = 1200 * time.Millisecond
+	// memoryInterval is the interval of the samples of the daemons' memory.
+	memoryInterval = 100 * time.Millisecond
 )
 
 // daemon is one daemon of the cluster; its process is killed and started again several
@@ -64,6 +66,7 @@
 	startedAt      []time.Time   // of each process
 	signalledAt    []time.Time   // of each signal
 	ending         bool          // set while a fault ends the process, until its next start
+	peakRSSBytes   int64         // the largest resident set of a process that was seen
 }
 
 // engine is a stand-in engine that daemons reach through a faulty link.
@@ -177,7 +180,26 @@
 func (d *daemon) history() ProcessHistory {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return ProcessHistory{Starts: slices.Clone(d.startedAt), Signals: slices.Clone(d.signalledAt)}
+	return ProcessHistory{Starts: slices.Clone(d.startedAt), Signals: slices.Clone(d.signalledAt), PeakRSSBytes: d.peakRSSBytes}
+}
+
+// sampleMemory records the resident set of the process.
+func (d *daemon) sampleMemory() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// It fails if the process has just ended.
+	if _, rss, err := procs.ProcessUsage(d.cmd.Process.Pid); err == nil {
+		d.peakRSSBytes = max(d.peakRSSBytes, rss)
+	}
+}
+
+// watchMemory samples the memory of all daemons until ctx ends.
+func (c *cluster) watchMemory(ctx context.Context) {
+	for pause.For(ctx, memoryInterval) {
+		for _, d := range c.daemons {
+			d.sampleMemory()
+		}
+	}
 }
 
 // tryBeginEnding marks the process as being ended. It returns false if another fault is
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -29,7 +29,11 @@
 )
 
 // ProcessHistory holds the times of a daemon's starts and of the signals to it.
-type ProcessHistory struct{ Starts, Signals []time.Time }
+type ProcessHistory struct {
+	Starts, Signals []time.Time
+	// PeakRSSBytes is the largest resident set that was seen.
+	PeakRSSBytes int64
+}
 
 // undisturbed reports whether the process ran without a start or a signal for
 // deadlyBound before t.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/faultproxy"
 	"github.com/ragwortquay/ragwortquay/internal/pause"
+	"github.com/ragwortquay/ragwortquay/internal/standin/site"
 )
 
 const (
@@ -22,6 +23,8 @@
 	drainDuration = 2500 * time.Millisecond
 	// droppedEngineResponses is the number of an engine's responses that are discarded.
 	droppedEngineResponses = 4
+	// endlessResponses is the number of an engine's responses that do not end.
+	endlessResponses = 8
 	// revokeUnseenFor is how long a daemon is cut off from the store when a key is
 	// revoked. It is twice the revocation bound, so that clients use the key after a
 	// daemon must have stopped trusting it.
@@ -119,6 +122,9 @@
 		inj.withLinkFaults(ctx, e.link, faultproxy.Faults{HoldToClient: true}, f.Duration)
 	case EngineDropResponses:
 		inj.withLinkFaults(ctx, e.link, faultproxy.Faults{DropResponses: droppedEngineResponses}, f.Duration)
+	case EngineEndless:
+		kinds := [...]site.Spoil{site.EndlessHead, site.EndlessBody, site.EndlessEvent}
+		e.SpoilAnswers(endlessResponses, kinds[f.Target%len(kinds)])
 	case EngineDelay:
 		inj.withLinkFaults(ctx, e.link, faultproxy.Faults{DelayMS: linkDelayMS}, f.Duration)
 	default:
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -14,6 +14,8 @@
 	// stopInFlightMargin is the age from which a request counts as in flight at a stop:
 	// a younger one may still be in a socket buffer, unread by the daemon.
 	stopInFlightMargin = 100 * time.Millisecond
+	// memoryBytes is the memory of a daemon's machine, as in its settings.
+	memoryBytes = 206 << 20
 )
 
 // Observation is one request and its response, as the client saw it.
@@ -68,6 +70,11 @@
 		}
 	}
 	violations = append(violations, e.checkDeadly()...)
+	for n, p := range e.Processes {
+		if p.PeakRSSBytes > memoryBytes {
+			violations = append(violations, fmt.Sprintf("daemon %d took %d MB of memory", n, p.PeakRSSBytes>>20))
+		}
+	}
 	for _, join := range e.DisruptiveJoins {
 		violations = append(violations, "disruptive join of a member of a serving group: "+join)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -31,7 +31,8 @@
 	EngineBlackHole     Kind = "engine_silent" // no data passes between the daemons and the engine
 	EngineHoldResponses Kind = "engine_hold"   // requests reach the engine, responses are held back
 	EngineDelay         Kind = "engine_delay"
-	EngineDropResponses Kind = "engine_loses" // requests are executed, their responses are discarded
+	EngineDropResponses Kind = "engine_loses"   // requests are executed, their responses are discarded
+	EngineEndless       Kind = "engine_endless" // requests are executed, their responses do not end
 )
 
 // weightedKinds are the kinds that a schedule draws from. A kind that is listed twice is
@@ -51,7 +52,9 @@
 	// than the lease time (1.2 s) to more than the bound for revoked keys.
 	minFaultDuration = 150 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
-	// seriesCount is the number of independent series of faults.
+	// seriesCount is the number of independent series of faults of weightedKinds. One
+	// more series has answers without end only, so that the schedules of seeds that
+	// have found faults stay as they were.
 	seriesCount = 2
 )
 
@@ -68,11 +71,14 @@
 // Schedule returns the faults of a seed, ordered by time.
 func Schedule(seed uint64, length time.Duration) []Fault {
 	var out []Fault
-	for i := range uint64(seriesCount) {
-		rng := rand.New(rand.NewPCG(seed, i))
+	for i := range uint64(seriesCount + 1) {
+		rng, kinds := rand.New(rand.NewPCG(seed, i)), weightedKinds
+		if i == seriesCount {
+			kinds = []Kind{EngineEndless}
+		}
 		for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, minGap, maxGap) {
 			out = append(out, Fault{
-				At: at, Kind: weightedKinds[rng.IntN(len(weightedKinds))], Target: rng.IntN(1 << 16), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
+				At: at, Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 16), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
 			})
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,7 +3,7 @@
 // clients and engines observed. It relies on no internals of the daemons: their logs
 // are kept for people and are not evaluated.
 //
-// Some requests end the engines that run them.
+// Some requests end the engines that run them, and some responses do not end.
 //
 // Not covered: packet loss between daemons (their datagrams are disturbed only when a
 // process is paused or ends) and clock changes.
@@ -43,6 +43,8 @@
 	Answered   int // requests that got a response with status 200
 	Executions int // at engines
 	Faults     int // in the schedule
+	// PeakRSSBytes is the largest resident set of a daemon that was seen.
+	PeakRSSBytes int64
 	// Violations are the violated guarantees, one line each.
 	Violations []string
 }
@@ -61,6 +63,7 @@
 		return Result{}, fault.Wrap(fault.Unavailable, err, "read the daemons' logs in "+o.Dir, "the daemons did not serve all kinds of requests within %s of the start", startTimeout)
 	}
 	clientCtx, stopClients := context.WithCancel(ctx)
+	go c.watchMemory(clientCtx)
 	for _, d := range c.daemons {
 		clients.startClients(clientCtx, o.Seed, d)
 	}
@@ -78,6 +81,9 @@
 		e.Processes = append(e.Processes, d.history())
 	}
 	r := Result{Seed: o.Seed, Requests: len(e.Observations), Executions: len(e.Executions), Faults: len(faults), Violations: Check(e)}
+	for _, p := range e.Processes {
+		r.PeakRSSBytes = max(r.PeakRSSBytes, p.PeakRSSBytes)
+	}
 	if recoveryErr != nil {
 		r.Violations = append(r.Violations, "daemons do not serve all kinds of requests after the last fault: "+recoveryErr.Error())
 	}
@@ -102,8 +108,8 @@
 
 // String returns the result as one line, followed by one line for each violation.
 func (r *Result) String() string {
-	s := fmt.Sprintf("seed %d: %d faults, %d requests, %d answered, %d executions at engines, %d violations of guarantees",
-		r.Seed, r.Faults, r.Requests, r.Answered, r.Executions, len(r.Violations))
+	s := fmt.Sprintf("seed %d: %d faults, %d requests, %d answered, %d executions at engines, at most %d MB a daemon, %d violations of guarantees",
+		r.Seed, r.Faults, r.Requests, r.Answered, r.Executions, r.PeakRSSBytes>>20, len(r.Violations))
 	for _, v := range r.Violations {
 		s += "\n  " + v
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,7 +27,7 @@
 			seen[f.Kind] = true
 		}
 	}
-	for _, k := range weightedKinds {
+	for _, k := range append([]Kind{EngineEndless}, weightedKinds...) {
 		must.True(t, seen[k], must.Sprintf("20 seeds never draw %s", k))
 	}
 }
@@ -126,6 +126,8 @@
 		"deadly request, runs within the bound":     {deadly(s, s, s, s/4, s/4, s/4, s/4), ""},
 		"deadly request, daemon disturbed":          {disturbed, ""},
 		"deadly request, all daemons started since": {forgotten, ""},
+		"memory of the machine":                     {Evidence{Processes: []ProcessHistory{{PeakRSSBytes: memoryBytes}}}, ""},
+		"memory over that of the machine":           {Evidence{Processes: []ProcessHistory{{PeakRSSBytes: memoryBytes + 1}}}, "daemon 0 took 206 MB"},
 		"sound request refused":                     {Evidence{Observations: []Observation{sound}}, "sound request r"},
 	} {
 		cases = append(cases, struct {
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -97,8 +97,16 @@
 	// CutUnframedEvent ends one within the event.
 	UnframedStream
 	CutUnframedEvent
+	// EndlessHead, EndlessBody and EndlessEvent send header lines, a body without a
+	// length, or one event, until the caller closes the connection.
+	EndlessHead
+	EndlessBody
+	EndlessEvent
 )
 
+// endlessParts holds, for each answer without end, what is repeated after its start.
+var endlessParts = map[Spoil]string{EndlessHead: "X-A: 0\r\n", EndlessBody: "0123456789", EndlessEvent: "d"}
+
 // groupMembership is the engine's membership in a group, as announced.
 type groupMembership struct {
 	Name    string `json:"name"`
@@ -497,10 +505,17 @@
 		CutHead:          "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Ty",
 		UnframedStream:   ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: token\n\n",
 		CutUnframedEvent: ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: tok",
+		EndlessHead:      ok,
+		EndlessBody:      ok + "Connection: close\r\n\r\n",
+		EndlessEvent:     ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\n",
 		UnprovenRefusal:  "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
 	}
 	// A write fails only if the caller has closed the connection.
-	_, _ = conn.Write([]byte(answers[how]))
+	_, err = conn.Write([]byte(answers[how]))
+	block := []byte(strings.Repeat(endlessParts[how], endlessBlockBytes/max(1, len(endlessParts[how]))))
+	for len(block) > 0 && err == nil {
+		_, err = conn.Write(block)
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok && how == ResetUnframed {
 		// The caller reads the half before the reset discards it.
 		time.Sleep(resetDelay)
@@ -508,6 +523,9 @@
 	}
 }
 
+// endlessBlockBytes is the size of one write of an answer without end.
+const endlessBlockBytes = 4 << 10
+
 // resetDelay is the time between the bytes of an answer and the reset of its
 // connection.
 const resetDelay = 50 * time.Millisecond
