--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,7 @@
 	bufferedBytes int
 	// eventBytes is the part of it that is for incomplete events.
 	eventBytes int
-	summary       RequestSummary
+	summary    RequestSummary
 }
 
 // Serve serves the request. It returns when the response is complete or aborted, or
