Confirm a close by a state that the head stated after it

The announcement may be older than an earlier planner's order to open, which was executed in between; the head then finishes its requests while its members join another group, and their streams stand still.

Change: the planner asks the head for its state when it has accepted a close. The group counts as closed only if that report, or an announcement read after the close, says so; until then the close is sent again.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -160,7 +160,7 @@
 	addUnexpired(p.reservedUntil, now, s.Reserved)
 	addUnexpired(p.openingUntil, now, s.Opening)
 	p.closedGroups.Range(func(_ string, c closedGroup) bool {
-		s.CloseAcked[c.id] = true
+		s.CloseAcked[c.id] = p.closeConfirmed(&c)
 		return true
 	})
 	p.addFormations(s, view)
@@ -327,16 +327,39 @@
 	go p.sendClose(head, id, c.Abort)
 }
 
-// sendClose sends a close order to a head and records that the group is closed when
-// the head has answered.
+// sendClose sends a close order to a head. When the head has answered it records that
+// the group is closed, and asks the head for its state.
 func (p *Planner) sendClose(head *catalog.Engine, id catalog.GroupID, abort bool) {
 	err := p.sendOrder(head, Order{Op: Close, Group: id, Abort: abort})
-	if err == nil || fault.Is(err, fault.Conflict) {
-		p.closedGroups.Set(id.Name, closedGroup{id, time.Now()})
+	if err != nil && !fault.Is(err, fault.Conflict) {
+		return
+	}
+	closed := closedGroup{id, head.ID, time.Now()}
+	p.closedGroups.Set(id.Name, closed)
+	if es, ok := p.engines.Get(head.ID); ok && es.beginQuery(closed.at) {
+		p.query(es)
+	}
+	if p.closeConfirmed(&closed) {
 		p.reservedUntil.Delete(head.ID)
 	}
 }
 
+// closeConfirmed reports whether a group's head has stated its state after it accepted the
+// close order. An older announcement that it does not serve proves nothing: an earlier
+// planner's order to open may have been executed in between, and the head then finishes
+// its requests.
+func (p *Planner) closeConfirmed(c *closedGroup) bool {
+	es, ok := p.engines.Get(c.head)
+	if !ok {
+		return true // it is not listed, and headStopped judges it
+	}
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	m := es.reported.Membership
+	serves := m.Group == c.id && (m.State == catalog.Open || m.State == catalog.Closing)
+	return !es.present || es.engine.SeenAt.After(c.at) || !es.reportedAt.Before(c.at) && !serves
+}
+
 // form forms a group by sending the join order to all members concurrently.
 func (p *Planner) form(service *catalog.Service, f *placement.Form) {
 	fence := p.nextFence()
--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -122,13 +122,7 @@
 	now := time.Now()
 	var due []*engineStatus
 	p.engines.Range(func(_ string, es *engineStatus) bool {
-		es.mu.Lock()
-		defer es.mu.Unlock()
-		inGroup := es.engine.Membership.State != catalog.NoGroup
-		absentHead := !es.present && es.engine.Membership.Rank == 0 && inGroup
-		needsQuery := es.present && inGroup && es.suspect || absentHead || es.leads
-		if needsQuery && !es.replaced && !es.querying && now.Sub(es.queriedAt) >= queryInterval {
-			es.queriedAt, es.querying = now, true
+		if es.needsQuery(now) && es.beginQuery(now) {
 			due = append(due, es)
 		}
 		return true
@@ -138,8 +132,29 @@
 	}
 }
 
+func (es *engineStatus) needsQuery(now time.Time) bool {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	inGroup := es.engine.Membership.State != catalog.NoGroup
+	absentHead := !es.present && es.engine.Membership.Rank == 0 && inGroup
+	wanted := es.present && inGroup && es.suspect || absentHead || es.leads
+	return wanted && !es.replaced && now.Sub(es.queriedAt) >= queryInterval
+}
+
+// beginQuery reports whether a series of queries may begin, which query then ends: no
+// other one is in progress.
+func (es *engineStatus) beginQuery(now time.Time) bool {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	if es.querying {
+		return false
+	}
+	es.queriedAt, es.querying = now, true
+	return true
+}
+
 // query queries an engine up to maxMisses times and records the results. It asks the
-// peers about a head that did not answer.
+// peers about a head that did not answer. The caller has called beginQuery.
 func (p *Planner) query(es *engineStatus) {
 	es.mu.Lock()
 	e := es.engine
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
@@ -62,7 +63,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.closes++
-		s.report.Membership.State = catalog.Closing
+		if s.report.Membership.State == catalog.Open {
+			s.report.Membership.State = catalog.Closing
+		}
 	}
 	return err
 }
@@ -269,3 +272,28 @@
 		must.True(t, step())
 	})
 }
+
+// TestCloseIsConfirmedByALaterState guards against members that are taken on an
+// announcement that the head does not serve, which is older than its close: an earlier
+// planner's order to open was executed in between, and the head finishes its requests.
+func TestCloseIsConfirmedByALaterState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scene := &headScene{report: Report{StartUnixMS: headStart, Membership: openHead().Membership}}
+		scene.p = New(Options{Lease: &fixedLease{}, Engines: scene, Peers: scene, Directory: directory.New(directory.Options{}), Demand: balance.NewDemand(), StallBound: headStall})
+		scene.p.applyRenewal(true, 3, 1<<62-1<<40)
+		announced := openHead()
+		announced.Membership.State, announced.SeenAt = catalog.Ready, time.Now()
+		scene.p.engines.Set("head", &engineStatus{engine: *announced, present: true})
+		view := &directory.ServiceView{Service: &catalog.Service{Name: "llm", Engine: &catalog.EngineSpec{}}, Engines: []*catalog.Engine{announced}}
+		time.Sleep(time.Second)
+		scene.p.sendClose(announced, headGroup, false)
+		must.Eq(t, 1, scene.closes)
+		must.False(t, scene.p.buildSnapshot(view).CloseAcked[headGroup], must.Sprint("the head is closing"))
+		scene.mu.Lock()
+		scene.report.Membership.State = catalog.Ready
+		scene.mu.Unlock()
+		time.Sleep(orderInterval)
+		scene.p.sendClose(announced, headGroup, false)
+		must.True(t, scene.p.buildSnapshot(view).CloseAcked[headGroup], must.Sprint("the head has finished"))
+	})
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -214,7 +214,9 @@
 // closedGroup is a group whose head has answered a close order, and when.
 type closedGroup struct {
 	id catalog.GroupID
-	at time.Time
+	// head is the id of the head.
+	head string
+	at   time.Time
 }
 
 // formation is a group that this planner is forming.
