Take a report of another start for the end of an engine

Since heads are judged by evidence, the report of an engine that has the address of one that ended, or of a later incarnation of it, was taken for that engine's own: a group that had lost a member stood still until the store's list showed it, and the group of the other engine was ordered to close, which that refused.

Change: such a report ends the incarnation, as it did before, unless it names the group itself: then the engine started again before it joined. The query of a peer carries the group for that.

Evidence: planner TestEngineOfAnotherStartIsDown fails with the change out.

--- a/internal/edge/witness.go
+++ b/internal/edge/witness.go
@@ -11,7 +11,8 @@
 
 // Ask asks other daemons whether they reach an engine. It implements planner.Peers.
 func (g *meshAdapter) Ask(e *catalog.Engine) {
-	g.d.mesh.AskAboutHead(&wire.HeadQuery{Engine: e.ID, StartMS: e.StartUnixMS, Service: e.Service, Addr: e.Addr})
+	group := e.Membership.Group
+	g.d.mesh.AskAboutHead(&wire.HeadQuery{Engine: e.ID, StartMS: e.StartUnixMS, Service: e.Service, Addr: e.Addr, Group: group.Name, Epoch: group.Epoch})
 }
 
 // LastHeard returns when the engine last sent data of a request to this daemon. It
@@ -24,7 +25,8 @@
 // that asked. It does not answer while it examines too many others; the query comes again.
 func (g *meshAdapter) HandleHeadQuery(q *wire.HeadQuery) {
 	go func() {
-		e := catalog.Engine{ID: q.Engine, StartUnixMS: q.StartMS, Service: q.Service, Addr: q.Addr}
+		group := catalog.GroupID{Name: q.Group, Epoch: q.Epoch}
+		e := catalog.Engine{ID: q.Engine, StartUnixMS: q.StartMS, Service: q.Service, Addr: q.Addr, Membership: catalog.Membership{Group: group}}
 		if found, ok := g.d.planner.Examine(&e); ok {
 			g.d.mesh.SendHeadStatement(q.Sender, encodeStatement(q, &found, g.LastHeard(q.Engine), time.Now()))
 		}
--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -60,7 +60,7 @@
 // markAbsentHeads marks the engines that lead groups without announcing them, so that
 // they are queried.
 func (p *Planner) markAbsentHeads(view *directory.ServiceView, now time.Time) {
-	leads := map[string]bool{}
+	leads := map[string]catalog.GroupID{}
 	for i := range view.Groups {
 		g := &view.Groups[i]
 		f, forming := p.formations.Get(g.ID.Name)
@@ -68,7 +68,7 @@
 			continue
 		}
 		if id, _, ok := p.absentHead(g.ID); ok {
-			leads[id] = true
+			leads[id] = g.ID
 		}
 	}
 	p.engines.Range(func(id string, es *engineStatus) bool {
@@ -137,7 +137,7 @@
 	defer es.mu.Unlock()
 	inGroup := es.engine.Membership.State != catalog.NoGroup
 	absentHead := !es.present && es.engine.Membership.Rank == 0 && inGroup
-	wanted := es.present && inGroup && es.suspect || absentHead || es.leads
+	wanted := es.present && inGroup && es.suspect || absentHead || es.leadsUnannounced()
 	return wanted && !es.replaced && now.Sub(es.queriedAt) >= queryInterval
 }
 
@@ -158,7 +158,10 @@
 func (p *Planner) query(es *engineStatus) {
 	es.mu.Lock()
 	e := es.engine
-	isHead := e.Membership.Rank == 0 || es.leads
+	if es.leadsUnannounced() {
+		e.Membership = catalog.Membership{Group: es.leads, State: catalog.Open}
+	}
+	isHead := e.Membership.Rank == 0
 	es.mu.Unlock()
 	defer func() {
 		es.mu.Lock()
@@ -191,11 +194,19 @@
 	}
 }
 
+// leadsUnannounced reports whether the engine leads a group that it does not announce. The
+// caller holds the lock.
+func (es *engineStatus) leadsUnannounced() bool { return es.leads != catalog.GroupID{} }
+
 // examine queries an engine for its report. If it does not get one and thorough is set,
-// it checks whether the engine answers otherwise.
+// it checks whether the engine answers otherwise. A report of another start is that of
+// another engine at the address or of a later incarnation, unless it names the group: then
+// the engine started again before it joined.
 func (p *Planner) examine(e *catalog.Engine, thorough bool) Finding {
 	r, err := p.opts.Engines.Report(e)
 	switch {
+	case err == nil && r.StartUnixMS != e.StartUnixMS && r.Membership.Group != e.Membership.Group:
+		return Finding{Kind: placement.Replaced}
 	case err == nil:
 		return Finding{Kind: placement.Reported, Report: r}
 	case fault.Is(err, fault.NotFound):
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -297,3 +297,42 @@
 		must.True(t, scene.p.buildSnapshot(view).CloseAcked[headGroup], must.Sprint("the head has finished"))
 	})
 }
+
+// TestEngineOfAnotherStartIsDown guards against a member that has ended and whose address
+// another engine has, or a later incarnation of it: its report was taken for that of the
+// member, whose group stood still and was not replaced.
+func TestEngineOfAnotherStartIsDown(t *testing.T) {
+	member := catalog.Engine{ID: "i-1", StartUnixMS: headStart, Membership: catalog.Membership{Group: headGroup, Rank: 1, State: catalog.Ready}}
+	for _, c := range []struct {
+		name   string
+		report Report
+		down   bool
+	}{
+		{"itself", Report{StartUnixMS: headStart, Membership: member.Membership}, false},
+		{"a later incarnation", Report{StartUnixMS: headStart + 1}, true},
+		{"another engine, the head of another group", Report{StartUnixMS: headStart - 1, Membership: catalog.Membership{Group: catalog.GroupID{Name: "g9", Epoch: 9}, State: catalog.Open}}, true},
+		{"a later incarnation that joined the group", Report{StartUnixMS: headStart + 1, Membership: member.Membership}, false},
+	} {
+		for _, present := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				scene := &headScene{report: c.report}
+				scene.p = New(Options{Lease: &fixedLease{}, Engines: scene, Peers: scene, Directory: directory.New(directory.Options{}), StallBound: headStall})
+				scene.p.applyRenewal(true, 3, 1<<62-1<<40)
+				e := member
+				if !present {
+					e.Membership.Rank = 0 // an absent head
+				}
+				es := &engineStatus{engine: e, present: present, suspect: true}
+				scene.p.engines.Set("i-1", es)
+				scene.p.querySuspects()
+				synctest.Wait()
+				must.Eq(t, c.down, es.unresponsive(), must.Sprintf("%s, present: %t", c.name, present))
+				closes := 0
+				if !present && !c.down {
+					closes = 1 // the group of an absent head that answers
+				}
+				must.Eq(t, closes, scene.closes, must.Sprintf("%s, present: %t", c.name, present))
+			})
+		}
+	}
+}
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -41,10 +41,11 @@
 	// stopped.
 	present     bool
 	absentSince time.Time
-	// suspect is set if the engine is to be queried, leads if it is to be queried as
-	// the head of a group that it does not announce.
-	suspect, leads bool
-	queriedAt      time.Time
+	// suspect is set if the engine is to be queried. leads is the group that it leads
+	// without announcing it, or zero.
+	suspect   bool
+	leads     catalog.GroupID
+	queriedAt time.Time
 	// querying is set while a series of queries is in progress.
 	querying bool
 	// misses is the number of consecutive queries for its report that failed.
@@ -180,7 +181,7 @@
 		if es.present {
 			es.present, es.absentSince = false, now
 		}
-		if now.Sub(es.absentSince) > absentRetention && !es.leads {
+		if now.Sub(es.absentSince) > absentRetention && !es.leadsUnannounced() {
 			expired = append(expired, id)
 		}
 		return true
--- a/internal/wire/witness.go
+++ b/internal/wire/witness.go
@@ -7,12 +7,14 @@
 	// sending.
 	Sender string
 	SentNS int64
-	// Engine and StartMS identify the incarnation; the other fields are those of its
-	// entry.
+	// Engine and StartMS identify the incarnation; Service and Addr are those of its
+	// entry. Group and Epoch identify the group that it leads.
 	Engine  string
 	StartMS int64
 	Service string
 	Addr    string
+	Group   string
+	Epoch   int64
 }
 
 // HeadStatement is the answer to a HeadQuery. The order of the fields is the encoding.
