Free a closed head together with its members

Since a close is confirmed by a later state, the head of a closed group stayed reserved for some milliseconds longer than its members were free, so that these and a spare formed a smaller group of another model without it.

Change: the reservation ends in the planning round in which the close counts as confirmed, unless a later order has reserved the engine anew.

--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -156,13 +156,16 @@
 		}
 		return true
 	})
-	addUnexpired(p.unansweredUntil, now, s.Reserved, s.Unanswered)
-	addUnexpired(p.reservedUntil, now, s.Reserved)
-	addUnexpired(p.openingUntil, now, s.Opening)
 	p.closedGroups.Range(func(_ string, c closedGroup) bool {
-		s.CloseAcked[c.id] = p.closeConfirmed(&c)
+		if s.CloseAcked[c.id] = p.closeConfirmed(&c); s.CloseAcked[c.id] {
+			// In the same round as the other members, or they form a group without it.
+			p.endReservation(c.head, c.reservedUntil)
+		}
 		return true
 	})
+	addUnexpired(p.unansweredUntil, now, s.Reserved, s.Unanswered)
+	addUnexpired(p.reservedUntil, now, s.Reserved)
+	addUnexpired(p.openingUntil, now, s.Opening)
 	p.addFormations(s, view)
 	for i := range view.Groups {
 		g := &view.Groups[i]
@@ -308,6 +311,14 @@
 // reserve excludes an engine from planning until the given time.
 func (p *Planner) reserve(e *catalog.Engine, until time.Time) { p.reservedUntil.Set(e.ID, until) }
 
+// endReservation ends the reservation of an engine until the given time, unless a later
+// order has reserved it anew.
+func (p *Planner) endReservation(id string, until time.Time) {
+	p.reservedUntil.Update(id, func(current time.Time, ok bool) (time.Time, bool) {
+		return current, ok && !current.Equal(until)
+	})
+}
+
 // open orders the head of a complete group to serve. No reservation is needed: a
 // head that has announced Ready accepts the order.
 func (p *Planner) open(g *catalog.Group) {
@@ -323,25 +334,24 @@
 	id := c.Group.ID
 	p.formations.Delete(id.Name)
 	head := c.Group.Head()
-	p.reserve(head, time.Now().Add(orderInterval))
-	go p.sendClose(head, id, c.Abort)
+	until := time.Now().Add(orderInterval)
+	p.reserve(head, until)
+	go p.sendClose(head, id, c.Abort, until)
 }
 
-// sendClose sends a close order to a head. When the head has answered it records that
-// the group is closed, and asks the head for its state.
-func (p *Planner) sendClose(head *catalog.Engine, id catalog.GroupID, abort bool) {
+// sendClose sends a close order to a head that is reserved for it until the given time.
+// When the head has answered it records that the group is closed, and asks the head for
+// its state.
+func (p *Planner) sendClose(head *catalog.Engine, id catalog.GroupID, abort bool, reservedUntil time.Time) {
 	err := p.sendOrder(head, Order{Op: Close, Group: id, Abort: abort})
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		return
 	}
-	closed := closedGroup{id, head.ID, time.Now()}
-	p.closedGroups.Set(id.Name, closed)
-	if es, ok := p.engines.Get(head.ID); ok && es.beginQuery(closed.at) {
+	now := time.Now()
+	p.closedGroups.Set(id.Name, closedGroup{id: id, head: head.ID, at: now, reservedUntil: reservedUntil})
+	if es, ok := p.engines.Get(head.ID); ok && es.beginQuery(now) {
 		p.query(es)
 	}
-	if p.closeConfirmed(&closed) {
-		p.reservedUntil.Delete(head.ID)
-	}
 }
 
 // closeConfirmed reports whether a group's head has stated its state after it accepted the
--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -342,7 +342,7 @@
 	if until, ok := p.unansweredUntil.Get(e.ID); ok && time.Now().Before(until) {
 		return // an order is in progress
 	}
-	go p.sendClose(&e, m.Group, false)
+	go p.sendClose(&e, m.Group, false, time.Time{})
 }
 
 // headStopped reports whether the head of a group, which does not announce the group,
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -286,15 +286,25 @@
 		scene.p.engines.Set("head", &engineStatus{engine: *announced, present: true})
 		view := &directory.ServiceView{Service: &catalog.Service{Name: "llm", Engine: &catalog.EngineSpec{}}, Engines: []*catalog.Engine{announced}}
 		time.Sleep(time.Second)
-		scene.p.sendClose(announced, headGroup, false)
+		until := time.Now().Add(orderInterval)
+		scene.p.reserve(announced, until)
+		scene.p.sendClose(announced, headGroup, false, until)
 		must.Eq(t, 1, scene.closes)
-		must.False(t, scene.p.buildSnapshot(view).CloseAcked[headGroup], must.Sprint("the head is closing"))
+		snapshot := scene.p.buildSnapshot(view)
+		must.False(t, snapshot.CloseAcked[headGroup], must.Sprint("the head is closing"))
+		must.True(t, snapshot.Reserved["head"])
 		scene.mu.Lock()
 		scene.report.Membership.State = catalog.Ready
 		scene.mu.Unlock()
 		time.Sleep(orderInterval)
-		scene.p.sendClose(announced, headGroup, false)
-		must.True(t, scene.p.buildSnapshot(view).CloseAcked[headGroup], must.Sprint("the head has finished"))
+		until = time.Now().Add(orderInterval)
+		scene.p.reserve(announced, until)
+		scene.p.sendClose(announced, headGroup, false, until)
+		snapshot = scene.p.buildSnapshot(view)
+		must.True(t, snapshot.CloseAcked[headGroup], must.Sprint("the head has finished"))
+		must.False(t, snapshot.Reserved["head"], must.Sprint("the head is free together with its members"))
+		scene.p.reserve(announced, until.Add(time.Second)) // for a later order
+		must.True(t, scene.p.buildSnapshot(view).Reserved["head"])
 	})
 }
 
--- a/internal/planner/slots_test.go
+++ b/internal/planner/slots_test.go
@@ -116,7 +116,7 @@
 func TestCloseNotSentIsNotAnswered(t *testing.T) {
 	p := New(Options{Lease: &fixedLease{}, Engines: &busyMachine{}})
 	head := &catalog.Engine{ID: "i-1"}
-	p.sendClose(head, catalog.GroupID{Name: "g1", Epoch: 1}, false)
+	p.sendClose(head, catalog.GroupID{Name: "g1", Epoch: 1}, false, time.Time{})
 	must.Zero(t, p.closedGroups.Len())
 	_, unanswered := p.unansweredUntil.Get(head.ID)
 	must.False(t, unanswered, must.Sprint("an order that was not sent cannot be executed late"))
