Do not blame a part of prompts that has been answered

Cause: a part that all requests share is in flight at every end, and only answers between the ends spoke for it. What had been answered before the first end was forgotten, and a refused part is never answered again. An end whose deadly request was not reported also left the sound part without a rival.

Change: a daemon remembers which parts were answered for as long as a verdict lasts, up to a bound. Such a part gets no history, is no rival, and is not taken over from a daemon that refuses it, which is told instead. Of the three ends that a verdict needs, one may lack a rival.

--- a/internal/retry/suspect.go
+++ b/internal/retry/suspect.go
@@ -125,10 +125,10 @@
 }
 
 const (
-	// exclusiveCrashes and sharedCrashes are the numbers of crashes under which a
+	// exclusiveCrashes and SharedCrashes are the numbers of crashes under which a
 	// request is quarantined, where suspects run exclusively and where they do not.
 	exclusiveCrashes = 2
-	sharedCrashes    = 3
+	SharedCrashes    = 3
 	// partRequests is the number of different requests under which a part of them is
 	// quarantined. With fewer the request itself is.
 	partRequests = 2
@@ -138,7 +138,7 @@
 )
 
 // WithCrash returns the history with crash c added. The request is quarantined after
-// exclusiveCrashes or sharedCrashes, unless another suspect was in flight or the
+// exclusiveCrashes or SharedCrashes, unless another suspect was in flight or the
 // failure domain had an outage, either of which may have caused the crash. Requests
 // that merely shared a batch with the one that causes the crashes become suspects and
 // are cleared when they are answered.
@@ -178,7 +178,7 @@
 	case r.OnProbation:
 		return 1
 	case ctx.Shared:
-		return sharedCrashes
+		return SharedCrashes
 	default:
 		return exclusiveCrashes
 	}
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -17,6 +17,10 @@
 	crashesPerSweep = 64
 	// maxExposedParts bounds the parts that are recorded for one crash.
 	maxExposedParts = 256
+	// maxAnsweredParts is the number of parts whose answers are remembered from which the
+	// older half is deleted, and answersPerSweep the number of answers between two checks.
+	maxAnsweredParts = 16384
+	answersPerSweep  = 256
 )
 
 // Ledger holds the crash histories of requests, in shards. It is safe for concurrent
@@ -26,6 +30,10 @@
 	// exposed holds the parts of the prompts that were in flight at each crash.
 	exposed   *shard.Map[exposedParts]
 	additions counter
+	// answered holds when requests with a part were last answered, by the part. It
+	// outlives the histories.
+	answered *shard.Map[time.Time]
+	answers  counter
 }
 
 // exposedParts are the parts of the prompts that were in flight at a crash.
@@ -36,7 +44,7 @@
 
 // NewLedger returns a ledger without histories.
 func NewLedger() *Ledger {
-	return &Ledger{histories: shard.NewMap[retry.CrashHistory](), exposed: shard.NewMap[exposedParts]()}
+	return &Ledger{histories: shard.NewMap[retry.CrashHistory](), exposed: shard.NewMap[exposedParts](), answered: shard.NewMap[time.Time]()}
 }
 
 // Verdict returns the strictest verdict on any of the fingerprints.
@@ -92,27 +100,69 @@
 }
 
 // rivals returns the suspected parts that were in flight at all crashes of a part's
-// history, each of which may have caused them instead.
+// history, each of which may have caused them instead. Of the crashes that a verdict
+// needs, one may lack a rival: the exposure of the request that has it may be missing.
 func (l *Ledger) rivals(now time.Time, f retry.Fingerprint, h *retry.CrashHistory) []retry.Fingerprint {
 	told := min(h.RivalCrashes, len(h.Crashes))
-	rivals, known := h.Rivals, told > 0
+	seen, ends := map[retry.Fingerprint]int{}, 0
+	if told > 0 {
+		ends = 1 // the told rivals were at all of them
+		for _, g := range h.Rivals {
+			seen[g] = 1
+		}
+	}
 	for _, c := range h.Crashes[told:] {
 		e, ok := l.exposed.Get(incarnationText(c))
-		switch {
-		case !ok:
-		case !known:
-			rivals, known = e.parts, true
-		default:
-			rivals = slices.DeleteFunc(slices.Clone(rivals), func(g retry.Fingerprint) bool { return !slices.Contains(e.parts, g) })
+		if !ok {
+			continue
 		}
+		ends++
+		for _, g := range e.parts {
+			seen[g]++
+		}
+	}
+	needed := ends
+	if told == 0 && len(h.Crashes) <= retry.SharedCrashes && ends == len(h.Crashes) {
+		needed = max(1, ends-1)
 	}
-	return slices.DeleteFunc(slices.Clone(rivals), func(g retry.Fingerprint) bool {
-		rival, ok := l.History(g)
-		if !ok { // this daemon has not heard of it
-			return !slices.Contains(h.Rivals, g)
+	var rivals []retry.Fingerprint
+	for g, n := range seen {
+		if n >= needed && g != f && l.isSuspected(now, g, h) {
+			rivals = append(rivals, g)
 		}
-		return g == f || rival.Verdict(now) == retry.Clear
-	})
+	}
+	slices.Sort(rivals)
+	return rivals
+}
+
+// isSuspected reports whether a part may have caused the crashes of a history.
+func (l *Ledger) isSuspected(now time.Time, g retry.Fingerprint, h *retry.CrashHistory) bool {
+	if l.answeredLately(now, g) {
+		return false
+	}
+	history, ok := l.History(g)
+	if !ok { // this daemon has not heard of it
+		return slices.Contains(h.Rivals, g)
+	}
+	return history.Verdict(now) != retry.Clear
+}
+
+// rememberAnswer records that a request with the part was answered.
+func (l *Ledger) rememberAnswer(now time.Time, f retry.Fingerprint) {
+	l.answered.Set(Text(f), now)
+	if l.answers.next()%answersPerSweep != 0 || l.answered.Len() <= maxAnsweredParts {
+		return
+	}
+	for age := retry.QuarantineTTL; age > 0 && l.answered.Len() > maxAnsweredParts/2; age /= 2 {
+		l.answered.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= age })
+	}
+}
+
+// answeredLately reports whether a request with the part has been answered lately. A part
+// that ends the engines that write on it never is.
+func (l *Ledger) answeredLately(now time.Time, f retry.Fingerprint) bool {
+	at, ok := l.answered.Get(Text(f))
+	return ok && now.Sub(at) < retry.QuarantineTTL
 }
 
 // refuses reports whether a request is refused for one of its parts, which is in
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -13,6 +13,9 @@
 	// newsTTL is how long an item of news is sent. It covers the loss of a datagram
 	// and a whole round to all daemons of a large fleet.
 	newsTTL = 600 * time.Millisecond
+	// answerNewsTTL is the same for an answer that may clear a quarantine. A daemon that
+	// missed it would go on refusing.
+	answerNewsTTL = 3 * time.Second
 	// newsRetention is how long an item is recognised when it arrives again.
 	newsRetention = 10 * time.Second
 	// quarantineNewsInterval is the interval at which all daemons are told of the
@@ -53,10 +56,11 @@
 	quarantinesAt time.Time
 }
 
-// queued is an item of news with the time at which it was queued.
+// queued is an item of news with the time at which it was queued, and until when it is
+// sent.
 type queued[T any] struct {
-	item T
-	at   time.Time
+	item      T
+	at, until time.Time
 }
 
 func newOutbox() *outbox {
@@ -66,22 +70,24 @@
 // addExposure queues an exposure and reports whether it was not known.
 func (o *outbox) addExposure(e Exposure, now time.Time) bool {
 	key := e.Engine + "/" + strconv.FormatInt(e.StartMS, 10) + "/" + Text(e.Identity.Request)
-	return addNew(o.exposures, key, e, now)
+	return addNew(o.exposures, key, e, now, newsTTL)
 }
 
 // addAnswer queues an answer.
-func (o *outbox) addAnswer(f retry.Fingerprint, now time.Time) {
-	o.answers.Set(Text(f), queued[retry.Fingerprint]{f, now})
+func (o *outbox) addAnswer(f retry.Fingerprint, now time.Time, ttl time.Duration) {
+	o.answers.Set(Text(f), queued[retry.Fingerprint]{f, now, now.Add(ttl)})
 }
 
-func addNew[T any](m *shard.Map[queued[T]], key string, item T, now time.Time) bool {
+// addNew queues an item that has not been queued within newsRetention, and reports whether
+// it did.
+func addNew[T any](m *shard.Map[queued[T]], key string, item T, now time.Time, ttl time.Duration) bool {
 	isNew := false
 	m.Update(key, func(old queued[T], known bool) (queued[T], bool) {
 		isNew = !known
 		if known {
 			return old, true
 		}
-		return queued[T]{item, now}, true
+		return queued[T]{item, now, now.Add(ttl)}, true
 	})
 	return isNew
 }
@@ -92,7 +98,7 @@
 	m.DeleteFunc(func(_ string, q queued[T]) bool { return now.Sub(q.at) > newsRetention })
 	var out []T
 	m.Range(func(_ string, q queued[T]) bool {
-		if now.Sub(q.at) <= newsTTL {
+		if !now.After(q.until) {
 			out = append(out, q.item)
 		}
 		return true
@@ -137,9 +143,14 @@
 		}
 	}
 	for _, f := range n.Answers {
+		w.ledger.rememberAnswer(now, f)
 		w.answer(f, false)
 	}
 	for i := range n.Quarantines {
+		if f := n.Quarantines[i].Fingerprint; w.ledger.answeredLately(now, f) {
+			w.tellAnswer(now, f) // the sender has not seen that
+			continue
+		}
 		before, after := w.ledger.adopt(now, &n.Quarantines[i], !w.opts.PassesOn())
 		w.changed(now, n.Quarantines[i].Fingerprint, before, after)
 	}
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -230,3 +231,86 @@
 	must.Eq(t, retry.Suspected, f.verdict("p"))
 	must.Eq(t, retry.Refused, f.verdict("f", "p"))
 }
+
+// news reports whether a daemon has exposures or answers to tell.
+func (f *fleet) news() bool {
+	return slices.ContainsFunc(f.watches, func(w *Watch) bool {
+		n := w.News()
+		return len(n.Exposures)+len(n.Answers) > 0
+	})
+}
+
+// TestAnsweredPartIsNotTheCause guards against a part that sound requests share, and that
+// was in flight whenever other requests ended their engines. It was refused for half an
+// hour with nothing to answer it in between, and all sound requests with it (DENIED).
+func TestAnsweredPartIsNotTheCause(t *testing.T) {
+	for _, daemons := range []int{3, 15, 295} {
+		for _, c := range []struct {
+			name string
+			// answeredAt are the daemons that have answered a request with the part.
+			answeredAt []int
+		}{
+			{"all daemons have answered it", nil},
+			{"only a daemon that passes news on", []int{0}},
+			{"only one that does not", []int{2}},
+		} {
+			f := newFleet(daemons)
+			rng := rand.New(rand.NewPCG(uint64(daemons), 1))
+			for n := range f.watches {
+				if c.answeredAt == nil || n == c.answeredAt[0] {
+					f.answer(n, request("sound", "shared"))
+				}
+			}
+			f.now = f.now.Add(time.Minute) // nobody sends anything
+			for k := range 8 {
+				text := fmt.Sprint("deadly-", k%2)
+				f.endAll(k%daemons, fmt.Sprint("i-", k), request(text, "shared", text))
+				for range 2 {
+					f.exchange(rng, 0.2)
+				}
+			}
+			for f.news() {
+				f.exchange(rng, 0.2)
+			}
+			for n, w := range f.watches {
+				must.Eq(t, retry.Clear, w.Verdict(request("sound", "shared", "own")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
+				must.Eq(t, retry.Refused, w.Verdict(request("deadly-1", "shared", "deadly-1")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
+			}
+		}
+	}
+}
+
+// TestAnsweredPartsAreBounded floods a daemon with parts that nobody else has. The answers
+// of one that comes again and again must be remembered.
+func TestAnsweredPartsAreBounded(t *testing.T) {
+	f := newFleet(1)
+	for k := range 4 * maxAnsweredParts {
+		f.now = f.now.Add(time.Millisecond)
+		parts := []string{fmt.Sprint("made-up-", k)}
+		if k%100 == 0 {
+			parts = append(parts, "shared")
+		}
+		f.answer(0, request("sound", parts...))
+	}
+	must.LessEq(t, maxAnsweredParts+answersPerSweep, f.watches[0].ledger.answered.Len())
+	f.deadlyRequests(3, "shared", "p")
+	must.Eq(t, retry.Clear, f.verdict("shared"))
+	must.Eq(t, retry.Refused, f.verdict("p"))
+}
+
+// TestAnswersAreToldOnce checks that two daemons that pass news on do not make each other
+// send without end.
+func TestAnswersAreToldOnce(t *testing.T) {
+	f := newFleet(2)
+	published := 0
+	for _, w := range f.watches {
+		w.opts.Publish = func() { published++ }
+		w.ledger.rememberAnswer(f.now, request("", "shared").Parts[0])
+	}
+	f.endAll(0, "i-1", request("deadly", "shared", "p"))
+	published = 0
+	for range 20 {
+		f.exchange(rand.New(rand.NewPCG(1, 1)), 0)
+	}
+	must.LessEq(t, 2, published)
+}
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -159,6 +159,10 @@
 	if a.answered.Swap(true) {
 		return
 	}
+	now := a.watch.opts.Now()
+	for _, f := range a.id.Parts {
+		a.watch.ledger.rememberAnswer(now, f)
+	}
 	for _, f := range a.id.fingerprints() {
 		a.watch.answer(f, true)
 	}
@@ -177,7 +181,9 @@
 	w.opts.Publish()
 }
 
-// expose adds an exposure to the histories of its request and the parts of its prompt.
+// expose adds an exposure to the histories of its request and the parts of its prompt. A
+// part that has been answered lately is not the cause; daemons that pass news on say so to
+// those that have not seen it.
 func (w *Watch) expose(e *Exposure) {
 	now := w.opts.Now()
 	crash := e.crash()
@@ -186,6 +192,12 @@
 	}
 	for i, f := range e.Identity.fingerprints() {
 		ctx := retry.CrashContext{Shared: true, SentAt: e.SentAt}
+		if i > 0 && w.ledger.answeredLately(now, f) {
+			if w.opts.PassesOn() {
+				w.tellAnswer(now, f)
+			}
+			continue
+		}
 		if i > 0 {
 			ctx.Request = e.Identity.Request
 		}
@@ -194,6 +206,14 @@
 	}
 }
 
+// tellAnswer tells other daemons that a request with the part has been answered, unless
+// it did so within newsRetention.
+func (w *Watch) tellAnswer(now time.Time, f retry.Fingerprint) {
+	if addNew(w.outbox.answers, Text(f), f, now, answerNewsTTL) {
+		w.opts.Publish()
+	}
+}
+
 // answer records an answer to a request with the fingerprint. own is set if this
 // daemon has seen it.
 func (w *Watch) answer(f retry.Fingerprint, own bool) {
@@ -207,10 +227,12 @@
 	if !own && !(strong && w.opts.PassesOn()) {
 		return
 	}
-	w.outbox.addAnswer(f, now)
-	if strong {
-		w.opts.Publish() // others may be about to refuse it
+	if !strong {
+		w.outbox.addAnswer(f, now, newsTTL)
+		return
 	}
+	w.outbox.addAnswer(f, now, answerNewsTTL)
+	w.opts.Publish() // others may be about to refuse it
 }
 
 // isStrong reports whether a request, or a part of its prompt, is a strong suspect.
