--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -328,48 +328,6 @@
 	go func() { _ = p.sendOrder(g.Head(), Order{Op: Open, Group: g.ID}) }()
 }
 
-// close orders the head of a group to stop serving. Once the head has answered, it
-// refuses orders of earlier planners, because their fences are lower.
-func (p *Planner) close(c *placement.Close) {
-	id := c.Group.ID
-	p.formations.Delete(id.Name)
-	head := c.Group.Head()
-	until := time.Now().Add(orderInterval)
-	p.reserve(head, until)
-	go p.sendClose(head, id, c.Abort, until)
-}
-
-// sendClose sends a close order to a head that is reserved for it until the given time.
-// When the head has answered it records that the group is closed, and asks the head for
-// its state.
-func (p *Planner) sendClose(head *catalog.Engine, id catalog.GroupID, abort bool, reservedUntil time.Time) {
-	err := p.sendOrder(head, Order{Op: Close, Group: id, Abort: abort})
-	if err != nil && !fault.Is(err, fault.Conflict) {
-		return
-	}
-	now := time.Now()
-	p.closedGroups.Set(id.Name, closedGroup{id: id, head: head.ID, at: now, reservedUntil: reservedUntil})
-	if es, ok := p.engines.Get(head.ID); ok && es.beginQuery(now) {
-		p.query(es)
-	}
-}
-
-// closeConfirmed reports whether a group's head has stated its state after it accepted the
-// close order. An older announcement that it does not serve proves nothing: an earlier
-// planner's order to open may have been executed in between, and the head then finishes
-// its requests.
-func (p *Planner) closeConfirmed(c *closedGroup) bool {
-	es, ok := p.engines.Get(c.head)
-	if !ok {
-		return true // it is not listed, and headStopped judges it
-	}
-	es.mu.Lock()
-	defer es.mu.Unlock()
-	m := es.reported.Membership
-	serves := m.Group == c.id && (m.State == catalog.Open || m.State == catalog.Closing)
-	return !es.present || es.engine.SeenAt.After(c.at) || !es.reportedAt.Before(c.at) && !serves
-}
-
 // form forms a group by sending the join order to all members concurrently.
 func (p *Planner) form(service *catalog.Service, f *placement.Form) {
 	fence := p.nextFence()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -211,15 +211,6 @@
 	at    time.Time
 }
 
-// closedGroup is a group whose head has answered a close order, and when.
-type closedGroup struct {
-	id catalog.GroupID
-	// head is the id of the head, which is reserved for the order until reservedUntil.
-	head          string
-	at            time.Time
-	reservedUntil time.Time
-}
-
 // formation is a group that this planner is forming.
 type formation struct {
 	id      catalog.GroupID
