Log whether the end of an engine counts for the verdict on its request

The lines of a daemon told that an engine had ended under a request, but not whether that end counted, so that ends that count once for a batch could not be told from ends that were not recognised. The new line "end recorded" says so, with the number of counted ends and how long after the last of them the request had been sent.

--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -41,7 +41,12 @@
 	}
 	j.engineEnded = true
 	j.summary.EnginesEnded++
-	j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt})
+	before, after := j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt})
+	fields := []any{"engine", e.ID, "fingerprint", suspect.Text(j.identity.Request), "counted", len(after.Crashes) > len(before.Crashes), "counted_ends", len(after.Crashes)}
+	if !before.LastCrashAt.IsZero() {
+		fields = append(fields, "sent_after_last_counted_ms", sentAt.Sub(before.LastCrashAt).Milliseconds())
+	}
+	j.logDecision("end recorded", fields...)
 }
 
 // begin registers an attempt that is about to be sent; cancel gives it up.
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -174,17 +174,20 @@
 // End removes the attempt.
 func (a *Attempt) End() { a.watch.attempts.Delete(a.key) }
 
-// EngineEnded records that an engine has ended under an attempt of this daemon.
-func (w *Watch) EngineEnded(e Exposure) {
-	w.expose(&e)
+// EngineEnded records that an engine has ended under an attempt of this daemon. It
+// returns the history of the request itself before and after it.
+func (w *Watch) EngineEnded(e Exposure) (before, after retry.CrashHistory) {
+	before, after = w.expose(&e)
 	w.outbox.addExposure(e, w.opts.Now())
 	w.opts.Publish()
+	return before, after
 }
 
 // expose adds an exposure to the histories of its request and the parts of its prompt. A
 // part that has been answered lately is not the cause; daemons that pass news on say so to
-// those that have not seen it.
-func (w *Watch) expose(e *Exposure) {
+// those that have not seen it. It returns the history of the request itself before and
+// after it.
+func (w *Watch) expose(e *Exposure) (requestBefore, requestAfter retry.CrashHistory) {
 	now := w.opts.Now()
 	crash := e.crash()
 	if w.ledger.addExposed(now, retry.ReplicaIncarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts) {
@@ -202,8 +205,12 @@
 			ctx.Request = e.Identity.Request
 		}
 		before, after := w.ledger.AddCrash(now, f, crash, ctx)
+		if i == 0 {
+			requestBefore, requestAfter = before, after
+		}
 		w.changed(now, f, before, after)
 	}
+	return requestBefore, requestAfter
 }
 
 // tellAnswer tells other daemons that a request with the part has been answered, unless
