Stand-in: start engines at a given address, and reject calls for others there

Engines that replace one that has ended have its address. Reports and health checks for another engine get 421, like requests, as the platform's pages say.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -19,7 +19,9 @@
 // EngineConfig configures an engine.
 type EngineConfig struct {
 	ID, Service, Zone, FabricDomain string
-	Slots                           int
+	// Addr is the address to listen at; empty for a free one.
+	Addr  string
+	Slots int
 	// EventsPerStream is the number of events of a stream. 0 makes the engine a
 	// plain service without models.
 	EventsPerStream int
@@ -123,7 +125,7 @@
 }
 
 // StartEngine starts an engine and announces it; Crash or Close ends it. It
-// panics if ProxyAddr fails, as httptest does if it can't listen.
+// panics if ProxyAddr fails or it can't listen, as httptest does.
 func StartEngine(store *Store, c EngineConfig) *Engine {
 	e := &Engine{config: c, store: store, startUnixMS: time.Now().UnixMilli(), stallCh: make(chan struct{})}
 	mux := http.NewServeMux()
@@ -131,8 +133,17 @@
 	mux.HandleFunc("POST /order", e.handleOrder)
 	mux.HandleFunc("GET "+healthPath, e.handleHealth)
 	mux.HandleFunc("/", e.handleRequest)
-	e.server = httptest.NewServer(mux)
-	e.announcedAddr = strings.TrimPrefix(e.server.URL, "http://")
+	e.server = httptest.NewUnstartedServer(e.onlyForThisEngine(mux))
+	if c.Addr != "" {
+		_ = e.server.Listener.Close()
+		listener, err := net.Listen("tcp", c.Addr)
+		if err != nil {
+			panic(err)
+		}
+		e.server.Listener = listener
+	}
+	e.server.Start()
+	e.announcedAddr = e.Addr()
 	if c.ProxyAddr != nil {
 		addr, err := c.ProxyAddr(e.announcedAddr)
 		if err != nil {
@@ -421,14 +432,24 @@
 	return http.StatusAccepted
 }
 
+// onlyForThisEngine rejects calls that are meant for another engine at the address.
+func (e *Engine) onlyForThisEngine(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if wantInstance := r.Header.Get("Expect-Instance"); wantInstance != "" && wantInstance != e.config.ID {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Addr returns the engine's own address.
+func (e *Engine) Addr() string { return strings.TrimPrefix(e.server.URL, "http://") }
+
 // handleRequest responds with a stream if the engine is the head of an open group,
 // or with a single body if it is a plain service. Other engines refuse.
 func (e *Engine) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	if wantInstance := r.Header.Get("Expect-Instance"); wantInstance != "" && wantInstance != e.config.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
 	e.mu.Lock()
 	plainService := e.config.EventsPerStream == 0
 	refused := !plainService && (e.group.State != "open" || e.group.Rank != 0)
