Reproduce copies of one request that end batches of engines

Copies of one deadly request at 6 to 12 daemons at the same moment, again each 3.2 or 4 s; three engines, or nine, each replaced after 50 ms to 1.5 s.

--- /dev/null
+++ b/internal/edge/batches_test.go
@@ -0,0 +1,200 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/standin/site"
+)
+
+const (
+	// stableWindow is the time after the last allowed end within which all daemons
+	// learn of it. A run that begins later is late.
+	stableWindow = 3 * time.Second
+	// deadlyAfter is how long an engine runs a deadly request until it ends.
+	deadlyAfter = 60 * time.Millisecond
+	// entryLife is the time after which the store drops the entry of an engine that has
+	// ended.
+	entryLife = 3600 * time.Millisecond
+	// soundInterval is the interval between sound requests.
+	soundInterval = 100 * time.Millisecond
+)
+
+// replacedEngines are engines that a deadly request ends. Each is replaced by a new one,
+// with another id, at the same address.
+type replacedEngines struct {
+	f      *fixture
+	config site.EngineConfig
+	// back is the time until an engine is replaced.
+	back time.Duration
+
+	mu      sync.Mutex
+	started int
+	endedAt []time.Time
+	running []*site.Engine
+	closed  bool
+}
+
+// start starts an engine, at addr if that is not empty.
+func (r *replacedEngines) start(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.started++
+	config := r.config
+	config.ID, config.Addr = fmt.Sprintf("i-%s-%d", config.FabricDomain, r.started), addr
+	var e *site.Engine
+	var once sync.Once
+	config.OnDeadly = func() { once.Do(func() { r.replace(e) }) }
+	e = site.StartEngine(r.f.store, config)
+	r.running = append(r.running, e)
+}
+
+// replace ends an engine and replaces it.
+func (r *replacedEngines) replace(e *site.Engine) {
+	r.mu.Lock()
+	r.endedAt = append(r.endedAt, time.Now())
+	r.mu.Unlock()
+	e.Crash()
+	time.AfterFunc(entryLife, e.ExpireEntry)
+	time.AfterFunc(r.back, func() { r.start(e.Addr()) })
+}
+
+func (r *replacedEngines) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, e := range r.running {
+		e.Close()
+	}
+}
+
+// ends returns the times of the ends so far, in order.
+func (r *replacedEngines) ends() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.endedAt...)
+}
+
+// replacedEngines starts n engines of a plain service.
+func (f *fixture) replacedEngines(n int, back time.Duration) *replacedEngines {
+	r := &replacedEngines{f: f, back: back, config: site.EngineConfig{
+		Service: site.PlainService, Zone: "a", Slots: 8, EventInterval: deadlyAfter,
+		Deadly: func(body string, _ []string) bool { return body == deadlyBody },
+	}}
+	for range n {
+		r.start("")
+	}
+	f.stops = append(f.stops, r.close)
+	return r
+}
+
+// sendSound sends sound requests to all daemons in turn until stop is called, which
+// returns the number of those that were answered and of those refused as deadly.
+func (f *fixture) sendSound(path string) (stop func() (answered, refused int64)) {
+	var ok, refused atomic.Int64
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(soundInterval):
+			}
+			wg.Go(func() {
+				switch status, _ := f.post(n%len(f.daemons), path, "", fmt.Sprintf("sound-%d", n)); status {
+				case http.StatusOK:
+					ok.Add(1)
+				case http.StatusUnprocessableEntity:
+					refused.Add(1)
+				}
+			})
+		}
+	})
+	return func() (int64, int64) {
+		close(done)
+		wg.Wait()
+		return ok.Load(), refused.Load()
+	}
+}
+
+// lateRuns returns the number of requests with the given ids that began to run later than
+// stableWindow after the last of the allowed ends.
+func (f *fixture) lateRuns(isDeadly func(id string) bool, ends []time.Time, allowedEnds int) int {
+	if len(ends) < allowedEnds {
+		return 0
+	}
+	late := 0
+	for _, x := range f.store.Executions() {
+		if isDeadly(x.RequestID) && x.At.Sub(ends[allowedEnds-1]) > stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
+// TestCopiesAtTheSameMomentDoNotEndBatchesOfEngines sends copies of one deadly request to
+// several daemons at the same moment, and again when the engines have been replaced.
+func TestCopiesAtTheSameMomentDoNotEndBatchesOfEngines(t *testing.T) {
+	// The rule allows three ends, and three more sends.
+	const allowedEnds, allowedLate, batches = 3, 3, 4
+	cases := []struct {
+		name                     string
+		path                     string
+		copies, daemons, engines int
+		back, interval           time.Duration
+	}{
+		{"idempotent", site.IdempotentPath, 6, 12, 3, 1200 * time.Millisecond, 4 * time.Second},
+		{"idempotent, engines back before the check", site.IdempotentPath, 6, 6, 3, 50 * time.Millisecond, 4 * time.Second},
+		{"idempotent, engines back within the check", site.IdempotentPath, 6, 12, 3, 150 * time.Millisecond, 4 * time.Second},
+		{"non-idempotent", site.NonIdempotentPath, 8, 8, 3, 1500 * time.Millisecond, 4 * time.Second},
+		{"non-idempotent, more copies than daemons", site.NonIdempotentPath, 12, 6, 3, 1200 * time.Millisecond, 3200 * time.Millisecond},
+		{"idempotent, more engines", site.IdempotentPath, 12, 12, 9, 1200 * time.Millisecond, 4 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, goodKey)
+			engines := f.replacedEngines(c.engines, c.back)
+			for range c.daemons {
+				f.addDaemon()
+			}
+			f.waitUntilDaemonsHearEachOther()
+			for n := range f.daemons {
+				eventually(t, "the daemon serves", func() bool { status, _ := f.post(n, c.path, "", "sound"); return status == http.StatusOK })
+			}
+			var mu sync.Mutex
+			deadly := map[string]bool{}
+			stopSound := f.sendSound(c.path)
+			for range batches {
+				var wg sync.WaitGroup
+				for k := range c.copies {
+					id := fmt.Sprintf("deadly-%d", lastRequestID.Add(1))
+					mu.Lock()
+					deadly[id] = true
+					mu.Unlock()
+					wg.Go(func() { f.postAs(id, k%c.daemons, c.path, "", deadlyBody) })
+				}
+				time.Sleep(c.interval)
+				wg.Wait()
+			}
+			_, refused := stopSound()
+			late := f.lateRuns(func(id string) bool { return deadly[id] }, engines.ends(), allowedEnds)
+			must.LessEq(t, allowedLate, late, must.Sprintf("late runs; %d engines ended", len(engines.ends())))
+			must.Eq(t, 0, refused, must.Sprint("sound requests refused for the deadly one"))
+			for n := range f.daemons {
+				status, text := f.post(n, c.path, "", deadlyBody)
+				must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
+			}
+		})
+	}
+}
--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -39,8 +39,13 @@
 // post sends a request with a body and the parts of a prompt. It returns the status and
 // the text of the answer; the status is 0 if it broke off.
 func (f *fixture) post(n int, path, model, body string, parts ...string) (int, string) {
+	return f.postAs(fmt.Sprintf("request-%d", lastRequestID.Add(1)), n, path, model, body, parts...)
+}
+
+// postAs does so under a request id.
+func (f *fixture) postAs(id string, n int, path, model, body string, parts ...string) (int, string) {
 	r, err := site.NewHTTPRequest(context.Background(), f.daemons[n], site.Request{
-		ID: fmt.Sprintf("request-%d", lastRequestID.Add(1)), Method: http.MethodPost, Path: path, APIKey: goodKey, Model: model, Body: body, Parts: parts,
+		ID: id, Method: http.MethodPost, Path: path, APIKey: goodKey, Model: model, Body: body, Parts: parts,
 	})
 	must.NoError(f.t, err)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
