--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/state"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/table"
 	"github.com/ragwortquay/ragwortquay/internal/target"
 )
@@ -49,8 +50,8 @@
 
 // Quarantine tracks which requests crash the targets that run them.
 type Quarantine interface {
-	Verdict(fingerprints []retry.Fingerprint) retry.Verdict
-	BeginAttempt(g limit.Grant, fingerprints []retry.Fingerprint)
+	Verdict(fingerprints []suspect.Fingerprint) suspect.Verdict
+	BeginAttempt(g limit.Grant, fingerprints []suspect.Fingerprint)
 	EndAttempt(g limit.Grant, complete bool)
 	ReportCrash(g limit.Grant)
 }
@@ -96,7 +97,7 @@
 	generate *target.GenerateRequest
 	// fingerprints identify the request to the quarantine. exclusive asks for a
 	// replica that runs no other request at the same time.
-	fingerprints []retry.Fingerprint
+	fingerprints []suspect.Fingerprint
 	exclusive    bool
 	// avoidDomains are the failure domains in which a target crashed while it ran
 	// the request.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -5,7 +5,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/limit"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
 // checkQuarantine refuses a request that has crashed its targets. It marks a
@@ -13,10 +13,10 @@
 // be attributed to this one.
 func (d *Dispatcher) checkQuarantine(j *job) error {
 	switch d.opts.Quarantine.Verdict(j.fingerprints) {
-	case retry.Refused:
+	case suspect.Refused:
 		err := fault.Refuse(fault.Quarantined, "change the request; the same one is refused for a while", "the request crashed the targets that ran it")
 		return d.unclaimedRefusal(j.req, err)
-	case retry.Suspected:
+	case suspect.Suspected:
 		j.exclusive = true
 	}
 	return nil
@@ -32,7 +32,7 @@
 // noQuarantine is a Quarantine that clears every request.
 type noQuarantine struct{}
 
-func (noQuarantine) Verdict([]retry.Fingerprint) retry.Verdict     { return retry.Clear }
-func (noQuarantine) BeginAttempt(limit.Grant, []retry.Fingerprint) {}
-func (noQuarantine) EndAttempt(limit.Grant, bool)                  {}
-func (noQuarantine) ReportCrash(limit.Grant)                       {}
+func (noQuarantine) Verdict([]suspect.Fingerprint) suspect.Verdict   { return suspect.Clear }
+func (noQuarantine) BeginAttempt(limit.Grant, []suspect.Fingerprint) {}
+func (noQuarantine) EndAttempt(limit.Grant, bool)                    {}
+func (noQuarantine) ReportCrash(limit.Grant)                         {}
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
@@ -40,16 +39,16 @@
 // with each end of an engine, for all requests that it had.
 func (d *Daemon) recordVerdict(c suspect.Change) {
 	d.stats.recordVerdict(c.To.String())
-	if c.From != retry.Refused && c.To != retry.Refused {
+	if c.From != suspect.Refused && c.To != suspect.Refused {
 		return
 	}
-	v := suspect.Verdict{Verdict: c.To, Fingerprint: c.Fingerprint, History: c.History}
+	v := suspect.Ruling{Verdict: c.To, Fingerprint: c.Fingerprint, History: c.History}
 	klog.InfoS("verdict changed", "fingerprint", suspect.Text(c.Fingerprint), "from", c.From.String(), "to", c.To.String(),
 		"engines", v.Crashes(), "last_end_ms_ago", time.Since(c.History.LastCrashAt).Milliseconds(), "expires", c.History.ExpiresAt,
 		"rivals", texts(c.Rivals))
 }
 
-func texts(list []retry.Fingerprint) []string {
+func texts(list []suspect.Fingerprint) []string {
 	out := make([]string, len(list))
 	for i, f := range list {
 		out[i] = suspect.Text(f)
@@ -82,7 +81,7 @@
 	for i := range n.Exposures {
 		e := &n.Exposures[i]
 		news.Exposures = append(news.Exposures, suspect.Exposure{
-			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: retry.Fingerprint(e.Request), Parts: fingerprints(e.Parts)},
+			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: suspect.Fingerprint(e.Request), Parts: fingerprints(e.Parts)},
 			SentAt: ago(now, e.SentAgeUS), EndedAt: ago(now, e.EndAgeUS),
 		})
 	}
@@ -111,15 +110,15 @@
 }
 
 func decodeQuarantine(q *wire.Quarantine, now time.Time) suspect.Quarantine {
-	remaining := min(time.Duration(q.RemainingUS)*time.Microsecond, retry.QuarantineTTL)
-	out := suspect.Quarantine{Fingerprint: retry.Fingerprint(q.Fingerprint), LastCrashAt: ago(now, q.LastCrashAgeUS), ExpiresAt: now.Add(remaining), Rivals: fingerprints(q.Rivals)}
+	remaining := min(time.Duration(q.RemainingUS)*time.Microsecond, suspect.QuarantineTTL)
+	out := suspect.Quarantine{Fingerprint: suspect.Fingerprint(q.Fingerprint), LastCrashAt: ago(now, q.LastCrashAgeUS), ExpiresAt: now.Add(remaining), Rivals: fingerprints(q.Rivals)}
 	for _, c := range q.Crashes {
-		out.Crashes = append(out.Crashes, retry.ReplicaIncarnation{Replica: c.Engine, Incarnation: strconv.FormatInt(c.StartMS, 10)})
+		out.Crashes = append(out.Crashes, suspect.Incarnation{Replica: c.Engine, Incarnation: strconv.FormatInt(c.StartMS, 10)})
 	}
 	return out
 }
 
-func numbers(list []retry.Fingerprint) []uint64 {
+func numbers(list []suspect.Fingerprint) []uint64 {
 	var out []uint64
 	for _, f := range list {
 		out = append(out, uint64(f))
@@ -127,10 +126,10 @@
 	return out
 }
 
-func fingerprints(list []uint64) []retry.Fingerprint {
-	var out []retry.Fingerprint
+func fingerprints(list []uint64) []suspect.Fingerprint {
+	var out []suspect.Fingerprint
 	for _, n := range list {
-		out = append(out, retry.Fingerprint(n))
+		out = append(out, suspect.Fingerprint(n))
 	}
 	return out
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,7 @@
 // Package quarantine keeps, on every daemon, the crash histories of requests that
 // were in flight when their targets crashed. A daemon that detects a crash reports
 // to all others which requests it was running there. The rules by which requests
-// are suspected and quarantined are those of package retry.
+// are suspected and quarantined are those of package suspect.
 package quarantine
 
 import (
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/limit"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -46,13 +45,13 @@
 	attempts *shard.Map[attempt]
 
 	mu            sync.Mutex
-	recentCrashes []retry.Crash
+	recentCrashes []suspect.Crash
 }
 
 // attempt is an attempt in flight.
 type attempt struct {
 	grant        limit.Grant
-	fingerprints []retry.Fingerprint
+	fingerprints []suspect.Fingerprint
 }
 
 // New returns a manager without histories.
@@ -62,22 +61,22 @@
 
 // Fingerprints returns the fingerprints of a request: that of its content, and
 // that of its idempotency key if it has one.
-func Fingerprints(workspace, kind, key string, body []byte) []retry.Fingerprint {
+func Fingerprints(workspace, kind, key string, body []byte) []suspect.Fingerprint {
 	scope := workspace + "\x00" + kind + "\x00"
-	out := []retry.Fingerprint{retry.Fingerprint(shard.Hash(scope + string(body)))}
+	out := []suspect.Fingerprint{suspect.Fingerprint(shard.Hash(scope + string(body)))}
 	if key != "" {
-		out = append(out, retry.Fingerprint(shard.Hash("key\x00"+scope+key)))
+		out = append(out, suspect.Fingerprint(shard.Hash("key\x00"+scope+key)))
 	}
 	return out
 }
 
 // Verdict returns the strictest verdict on any of the request's fingerprints.
-func (m *Manager) Verdict(fingerprints []retry.Fingerprint) retry.Verdict {
+func (m *Manager) Verdict(fingerprints []suspect.Fingerprint) suspect.Verdict {
 	return m.ledger.Verdict(time.Now(), fingerprints)
 }
 
 // BeginAttempt registers an attempt that is about to be sent.
-func (m *Manager) BeginAttempt(g limit.Grant, fingerprints []retry.Fingerprint) {
+func (m *Manager) BeginAttempt(g limit.Grant, fingerprints []suspect.Fingerprint) {
 	m.attempts.Set(g.ID, attempt{grant: g, fingerprints: fingerprints})
 }
 
@@ -102,7 +101,7 @@
 // must be called before EndAttempt, and only if the target itself is known to be
 // down.
 func (m *Manager) ReportCrash(g limit.Grant) {
-	c := retry.Crash{Replica: g.Replica, Incarnation: g.Incarnation, FailureDomain: g.FailureDomain, At: time.Now()}
+	c := suspect.Crash{Replica: g.Replica, Incarnation: g.Incarnation, FailureDomain: g.FailureDomain, At: time.Now()}
 	m.attempts.Range(func(_ string, a attempt) bool {
 		if a.grant.Replica == c.Replica && a.grant.Incarnation == c.Incarnation {
 			c.Running = append(c.Running, a.fingerprints)
@@ -113,7 +112,7 @@
 	m.broadcast(c)
 }
 
-func (m *Manager) broadcast(c retry.Crash) {
+func (m *Manager) broadcast(c suspect.Crash) {
 	for _, id := range m.members.Live() {
 		if id == m.members.Self() {
 			continue
@@ -139,13 +138,13 @@
 }
 
 // addCrash adds a crash to the histories of all requests that were in flight.
-func (m *Manager) addCrash(c retry.Crash) {
+func (m *Manager) addCrash(c suspect.Crash) {
 	now := time.Now()
 	all, recent := m.mergeReport(c)
 	for _, fingerprints := range c.Running {
-		crashContext := retry.CrashContext{
+		crashContext := suspect.Context{
 			OtherSuspects: m.countOtherSuspects(now, &all, fingerprints),
-			Outage:        retry.IsOutage(&c, recent, fingerprints),
+			Outage:        suspect.IsOutage(&c, recent, fingerprints),
 		}
 		for _, fingerprint := range fingerprints {
 			m.ledger.AddCrash(now, fingerprint, &c, crashContext)
@@ -156,13 +155,13 @@
 // mergeReport merges a report into earlier reports of the same crash. It returns the
 // crash with all requests known to have been in flight, and the crashes that were
 // recent before this report.
-func (m *Manager) mergeReport(c retry.Crash) (retry.Crash, []retry.Crash) {
+func (m *Manager) mergeReport(c suspect.Crash) (suspect.Crash, []suspect.Crash) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	recent := append([]retry.Crash(nil), m.recentCrashes...)
+	recent := append([]suspect.Crash(nil), m.recentCrashes...)
 	for i := range m.recentCrashes {
 		if recorded := &m.recentCrashes[i]; recorded.SameIncarnation(&c) {
-			recorded.Running = append(append([][]retry.Fingerprint(nil), recorded.Running...), c.Running...)
+			recorded.Running = append(append([][]suspect.Fingerprint(nil), recorded.Running...), c.Running...)
 			return *recorded, recent
 		}
 	}
@@ -175,19 +174,19 @@
 
 // countOtherSuspects returns the number of other requests in flight at crash c that
 // were already suspects because of an earlier crash.
-func (m *Manager) countOtherSuspects(now time.Time, c *retry.Crash, fingerprints []retry.Fingerprint) int {
+func (m *Manager) countOtherSuspects(now time.Time, c *suspect.Crash, fingerprints []suspect.Fingerprint) int {
 	n := 0
 	for _, other := range c.Running {
-		if !retry.Overlap(other, fingerprints) && m.suspectedBefore(now, c, other) {
+		if !suspect.Overlap(other, fingerprints) && m.suspectedBefore(now, c, other) {
 			n++
 		}
 	}
 	return n
 }
 
-func (m *Manager) suspectedBefore(now time.Time, c *retry.Crash, fingerprints []retry.Fingerprint) bool {
+func (m *Manager) suspectedBefore(now time.Time, c *suspect.Crash, fingerprints []suspect.Fingerprint) bool {
 	for _, fingerprint := range fingerprints {
-		if history, ok := m.ledger.History(fingerprint); ok && history.WithoutCrash(c).Verdict(now) != retry.Clear {
+		if history, ok := m.ledger.History(fingerprint); ok && history.WithoutCrash(c).Verdict(now) != suspect.Clear {
 			return true
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/ragwortquay/ragwortquay/internal/limit"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
 )
 
@@ -70,16 +70,18 @@
 	return limit.Grant{ID: id, Replica: replica, Incarnation: "i1", FailureDomain: "f-" + replica}
 }
 
-func contentFingerprints(s string) []retry.Fingerprint { return Fingerprints("w", "k", "", []byte(s)) }
+func contentFingerprints(s string) []suspect.Fingerprint {
+	return Fingerprints("w", "k", "", []byte(s))
+}
 
 func TestFingerprints(t *testing.T) {
 	plain := Fingerprints("w", "k", "", []byte("b"))
 	keyed := Fingerprints("w", "k", "key", []byte("other"))
 	again := Fingerprints("w", "k", "key", []byte("changed"))
-	must.True(t, retry.Overlap(plain, Fingerprints("w", "k", "x", []byte("b"))))
-	must.True(t, retry.Overlap(keyed, again))
-	must.False(t, retry.Overlap(plain, keyed))
-	must.False(t, retry.Overlap(plain, Fingerprints("v", "k", "", []byte("b"))))
+	must.True(t, suspect.Overlap(plain, Fingerprints("w", "k", "x", []byte("b"))))
+	must.True(t, suspect.Overlap(keyed, again))
+	must.False(t, suspect.Overlap(plain, keyed))
+	must.False(t, suspect.Overlap(plain, Fingerprints("v", "k", "", []byte("b"))))
 }
 
 func TestSecondCrashIsReportedToAllDaemons(t *testing.T) {
@@ -90,7 +92,7 @@
 		n.crashReplica(at, g)
 		n.nodes[at].manager.EndAttempt(g, false)
 		for _, o := range n.nodes {
-			must.Eq(t, []retry.Verdict{retry.Suspected, retry.Refused}[i], o.manager.Verdict(contentFingerprints("poison")))
+			must.Eq(t, []suspect.Verdict{suspect.Suspected, suspect.Refused}[i], o.manager.Verdict(contentFingerprints("poison")))
 		}
 	}
 }
@@ -103,8 +105,8 @@
 	d1.BeginAttempt(newGrant("g2", "a"), contentFingerprints("neighbour"))
 	d1.BeginAttempt(newGrant("g3", "b"), contentFingerprints("elsewhere"))
 	n.crashReplica("d1", first)
-	must.Eq(t, retry.Suspected, d2.Verdict(contentFingerprints("neighbour")))
-	must.Eq(t, retry.Clear, d2.Verdict(contentFingerprints("elsewhere")))
+	must.Eq(t, suspect.Suspected, d2.Verdict(contentFingerprints("neighbour")))
+	must.Eq(t, suspect.Clear, d2.Verdict(contentFingerprints("elsewhere")))
 
 	// Both requests are sent again and share another replica. Neither can be
 	// quarantined, since either may have caused the crash.
@@ -112,16 +114,16 @@
 	d2.BeginAttempt(both, contentFingerprints("poison"))
 	d2.BeginAttempt(newGrant("g5", "c"), contentFingerprints("neighbour"))
 	n.crashReplica("d2", both)
-	must.Eq(t, retry.Suspected, d1.Verdict(contentFingerprints("neighbour")))
-	must.Eq(t, retry.Suspected, d1.Verdict(contentFingerprints("poison")))
+	must.Eq(t, suspect.Suspected, d1.Verdict(contentFingerprints("neighbour")))
+	must.Eq(t, suspect.Suspected, d1.Verdict(contentFingerprints("poison")))
 
 	// Each request now runs exclusively: the neighbour completes and is cleared,
 	// the other one crashes its replica and is refused.
 	d1.BeginAttempt(newGrant("g6", "d"), contentFingerprints("neighbour"))
 	d1.EndAttempt(newGrant("g6", "d"), true)
-	must.Eq(t, retry.Clear, d1.Verdict(contentFingerprints("neighbour")))
+	must.Eq(t, suspect.Clear, d1.Verdict(contentFingerprints("neighbour")))
 	last := newGrant("g7", "e")
 	d1.BeginAttempt(last, contentFingerprints("poison"))
 	n.crashReplica("d1", last)
-	must.Eq(t, retry.Refused, d2.Verdict(contentFingerprints("poison")))
+	must.Eq(t, suspect.Refused, d2.Verdict(contentFingerprints("poison")))
 }
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -8,7 +8,6 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
@@ -59,7 +58,7 @@
 // its prompt there, or nil. ran is set if an engine may have run it.
 func (j *job) quarantined(ran bool) *Refusal {
 	v := j.opts.Watch.Verdict(j.identity)
-	if v.Verdict != retry.Refused {
+	if v.Verdict != suspect.Refused {
 		return nil
 	}
 	what, part := "this request", ""
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,8 +1,7 @@
 // Package retry decides how to proceed after a failed attempt: retry the request
 // from the start, resume its stream on another replica, or fail. It keeps the
-// retry budgets, which stop retries from amplifying an outage, and determines
-// which requests crash their targets. The package does no I/O and reads no clock:
-// callers pass in the time and the state of the request.
+// retry budgets, which stop retries from amplifying an outage. The package does no
+// I/O and reads no clock: callers pass in the time and the state of the request.
 package retry
 
 import (
--- a/internal/retry/suspect.go
+++ b/internal/suspect/history.go
@@ -1,4 +1,4 @@
-package retry
+package suspect
 
 import (
 	"slices"
@@ -61,11 +61,11 @@
 	}
 }
 
-// CrashHistory is the crash history of the request with one fingerprint. The zero
+// History is the crash history of the request with one fingerprint. The zero
 // value is an empty history.
-type CrashHistory struct {
+type History struct {
 	// Crashes lists the incarnations that crashed while running the request.
-	Crashes []ReplicaIncarnation
+	Crashes []Incarnation
 	// ExpiresAt is when the history is disregarded.
 	ExpiresAt time.Time
 	// Quarantined means that the request is refused until ExpiresAt.
@@ -74,7 +74,7 @@
 	LastCrashAt time.Time
 	// Answered lists the latest incarnations that crashed before the request was last
 	// answered. Late reports of their crashes are ignored.
-	Answered []ReplicaIncarnation
+	Answered []Incarnation
 	// Requests lists up to partRequests requests that ran during Crashes, if the
 	// history is that of a part of requests.
 	Requests []Fingerprint
@@ -86,14 +86,14 @@
 	OnProbation bool
 }
 
-// ReplicaIncarnation identifies one incarnation of a replica.
-type ReplicaIncarnation struct {
+// Incarnation identifies one incarnation of a replica.
+type Incarnation struct {
 	Replica     string
 	Incarnation string
 }
 
 // Verdict returns how the request is handled at time now.
-func (r *CrashHistory) Verdict(now time.Time) Verdict {
+func (r *History) Verdict(now time.Time) Verdict {
 	switch {
 	case !now.Before(r.ExpiresAt):
 		return Clear
@@ -106,8 +106,8 @@
 	}
 }
 
-// CrashContext holds possible other causes of a crash.
-type CrashContext struct {
+// Context holds possible other causes of a crash.
+type Context struct {
 	// OtherSuspects is the number of other requests in flight that were already
 	// suspected because of an earlier crash.
 	OtherSuspects int
@@ -132,7 +132,7 @@
 	// partRequests is the number of different requests under which a part of them is
 	// quarantined. With fewer the request itself is.
 	partRequests = 2
-	// maxCrashes and maxAnswered bound CrashHistory.Crashes and Answered.
+	// maxCrashes and maxAnswered bound History.Crashes and Answered.
 	maxCrashes  = 16
 	maxAnswered = 16
 )
@@ -145,11 +145,11 @@
 //
 // A crash does not count if the request was sent before the last counted one:
 // replicas that go down together have one cause.
-func (r CrashHistory) WithCrash(now time.Time, c *Crash, ctx CrashContext) CrashHistory {
+func (r History) WithCrash(now time.Time, c *Crash, ctx Context) History {
 	if !now.Before(r.ExpiresAt) {
 		r = r.afterExpiry(now)
 	}
-	s := ReplicaIncarnation{Replica: c.Replica, Incarnation: c.Incarnation}
+	s := Incarnation{Replica: c.Replica, Incarnation: c.Incarnation}
 	if slices.Contains(r.Crashes, s) || slices.Contains(r.Answered, s) {
 		return r
 	}
@@ -173,7 +173,7 @@
 	return r
 }
 
-func (r *CrashHistory) neededCrashes(ctx CrashContext) int {
+func (r *History) neededCrashes(ctx Context) int {
 	switch {
 	case r.OnProbation:
 		return 1
@@ -186,8 +186,8 @@
 
 // afterExpiry returns what an expired history leaves: a quarantine is followed by a
 // probation of the same length.
-func (r *CrashHistory) afterExpiry(now time.Time) CrashHistory {
-	return CrashHistory{
+func (r *History) afterExpiry(now time.Time) History {
+	return History{
 		Answered:    r.Answered,
 		OnProbation: r.Quarantined && now.Before(r.ExpiresAt.Add(QuarantineTTL)),
 	}
@@ -195,7 +195,7 @@
 
 // WithAnswer returns the history of a request that has been answered: none of the
 // crashes so far is its doing.
-func (r CrashHistory) WithAnswer() CrashHistory {
+func (r History) WithAnswer() History {
 	answered := append(slices.Clone(r.Answered), r.Crashes...)
 	r.Answered = answered[max(0, len(answered)-maxAnswered):]
 	r.Crashes, r.Requests, r.Quarantined, r.OnProbation = nil, nil, false, false
@@ -205,7 +205,7 @@
 
 // AnsweredSince reports whether the request has been answered after the last of the
 // crashes.
-func (r *CrashHistory) AnsweredSince(crashes []ReplicaIncarnation) bool {
+func (r *History) AnsweredSince(crashes []Incarnation) bool {
 	return len(crashes) > 0 && slices.Contains(r.Answered, crashes[len(crashes)-1])
 }
 
@@ -231,8 +231,8 @@
 }
 
 // WithoutCrash returns a copy of the history without crash c.
-func (r CrashHistory) WithoutCrash(c *Crash) *CrashHistory {
-	s := ReplicaIncarnation{Replica: c.Replica, Incarnation: c.Incarnation}
-	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(o ReplicaIncarnation) bool { return o == s })
+func (r History) WithoutCrash(c *Crash) *History {
+	s := Incarnation{Replica: c.Replica, Incarnation: c.Incarnation}
+	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(o Incarnation) bool { return o == s })
 	return &r
 }
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -26,7 +25,7 @@
 // Ledger holds the crash histories of requests, in shards. It is safe for concurrent
 // use.
 type Ledger struct {
-	histories *shard.Map[retry.CrashHistory]
+	histories *shard.Map[History]
 	// exposed holds the parts of the prompts that were in flight at each crash.
 	exposed   *shard.Map[exposedParts]
 	additions counter
@@ -38,18 +37,18 @@
 
 // exposedParts are the parts of the prompts that were in flight at a crash.
 type exposedParts struct {
-	parts []retry.Fingerprint
+	parts []Fingerprint
 	at    time.Time
 }
 
 // NewLedger returns a ledger without histories.
 func NewLedger() *Ledger {
-	return &Ledger{histories: shard.NewMap[retry.CrashHistory](), exposed: shard.NewMap[exposedParts](), answered: shard.NewMap[time.Time]()}
+	return &Ledger{histories: shard.NewMap[History](), exposed: shard.NewMap[exposedParts](), answered: shard.NewMap[time.Time]()}
 }
 
 // Verdict returns the strictest verdict on any of the fingerprints.
-func (l *Ledger) Verdict(now time.Time, fingerprints []retry.Fingerprint) retry.Verdict {
-	worst := retry.Clear
+func (l *Ledger) Verdict(now time.Time, fingerprints []Fingerprint) Verdict {
+	worst := Clear
 	for _, f := range fingerprints {
 		if history, ok := l.History(f); ok {
 			worst = max(worst, history.Verdict(now))
@@ -59,18 +58,18 @@
 }
 
 // History returns the history of a fingerprint.
-func (l *Ledger) History(f retry.Fingerprint) (retry.CrashHistory, bool) {
+func (l *Ledger) History(f Fingerprint) (History, bool) {
 	return l.histories.Get(Text(f))
 }
 
 // AddCrash adds a crash to the history of a fingerprint. It returns the history
 // before and after it.
-func (l *Ledger) AddCrash(now time.Time, f retry.Fingerprint, c *retry.Crash, ctx retry.CrashContext) (before, after retry.CrashHistory) {
+func (l *Ledger) AddCrash(now time.Time, f Fingerprint, c *Crash, ctx Context) (before, after History) {
 	if l.additions.next()%crashesPerSweep == 0 || l.histories.Len() >= maxHistories {
 		l.sweep(now)
 	}
 	full := l.histories.Len() >= maxHistories
-	l.histories.Update(Text(f), func(history retry.CrashHistory, known bool) (retry.CrashHistory, bool) {
+	l.histories.Update(Text(f), func(history History, known bool) (History, bool) {
 		before, after = history, history
 		if known || !full {
 			after = history.WithCrash(now, c, ctx)
@@ -82,7 +81,7 @@
 
 // addExposed records that parts of a prompt were in flight at a crash, and reports
 // whether the crash was not known.
-func (l *Ledger) addExposed(now time.Time, c retry.ReplicaIncarnation, parts []retry.Fingerprint) (isNew bool) {
+func (l *Ledger) addExposed(now time.Time, c Incarnation, parts []Fingerprint) (isNew bool) {
 	full := l.exposed.Len() >= maxHistories
 	l.exposed.Update(incarnationText(c), func(e exposedParts, known bool) (exposedParts, bool) {
 		if isNew = !known; isNew {
@@ -102,9 +101,9 @@
 // rivals returns the suspected parts that were in flight at all crashes of a part's
 // history, each of which may have caused them instead. Of the crashes that a verdict
 // needs, one may lack a rival: the exposure of the request that has it may be missing.
-func (l *Ledger) rivals(now time.Time, f retry.Fingerprint, h *retry.CrashHistory) []retry.Fingerprint {
+func (l *Ledger) rivals(now time.Time, f Fingerprint, h *History) []Fingerprint {
 	told := min(h.RivalCrashes, len(h.Crashes))
-	seen, ends := map[retry.Fingerprint]int{}, 0
+	seen, ends := map[Fingerprint]int{}, 0
 	if told > 0 {
 		ends = 1 // the told rivals were at all of them
 		for _, g := range h.Rivals {
@@ -122,10 +121,10 @@
 		}
 	}
 	needed := ends
-	if told == 0 && len(h.Crashes) <= retry.SharedCrashes && ends == len(h.Crashes) {
+	if told == 0 && len(h.Crashes) <= SharedCrashes && ends == len(h.Crashes) {
 		needed = max(1, ends-1)
 	}
-	var rivals []retry.Fingerprint
+	var rivals []Fingerprint
 	for g, n := range seen {
 		if n >= needed && g != f && l.isSuspected(now, g, h) {
 			rivals = append(rivals, g)
@@ -136,7 +135,7 @@
 }
 
 // isSuspected reports whether a part may have caused the crashes of a history.
-func (l *Ledger) isSuspected(now time.Time, g retry.Fingerprint, h *retry.CrashHistory) bool {
+func (l *Ledger) isSuspected(now time.Time, g Fingerprint, h *History) bool {
 	if l.answeredLately(now, g) {
 		return false
 	}
@@ -144,44 +143,44 @@
 	if !ok { // this daemon has not heard of it
 		return slices.Contains(h.Rivals, g)
 	}
-	return history.Verdict(now) != retry.Clear
+	return history.Verdict(now) != Clear
 }
 
 // rememberAnswer records that a request with the part was answered.
-func (l *Ledger) rememberAnswer(now time.Time, f retry.Fingerprint) {
+func (l *Ledger) rememberAnswer(now time.Time, f Fingerprint) {
 	l.answered.Set(Text(f), now)
 	if l.answers.next()%answersPerSweep != 0 || l.answered.Len() <= maxAnsweredParts {
 		return
 	}
-	for age := retry.QuarantineTTL; age > 0 && l.answered.Len() > maxAnsweredParts/2; age /= 2 {
+	for age := QuarantineTTL; age > 0 && l.answered.Len() > maxAnsweredParts/2; age /= 2 {
 		l.answered.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= age })
 	}
 }
 
 // answeredLately reports whether a request with the part has been answered lately. A part
 // that ends the engines that write on it never is.
-func (l *Ledger) answeredLately(now time.Time, f retry.Fingerprint) bool {
+func (l *Ledger) answeredLately(now time.Time, f Fingerprint) bool {
 	at, ok := l.answered.Get(Text(f))
-	return ok && now.Sub(at) < retry.QuarantineTTL
+	return ok && now.Sub(at) < QuarantineTTL
 }
 
 // refuses reports whether a request is refused for one of its parts, which is in
 // quarantine. If another part may have caused the crashes as well, only a request that
 // has both is refused: one that has a single one of them shows which it is.
-func (l *Ledger) refuses(now time.Time, f retry.Fingerprint, h *retry.CrashHistory, id *Identity) bool {
+func (l *Ledger) refuses(now time.Time, f Fingerprint, h *History, id *Identity) bool {
 	rivals := l.rivals(now, f, h)
-	return len(rivals) == 0 || slices.ContainsFunc(rivals, func(g retry.Fingerprint) bool { return slices.Contains(id.Parts, g) })
+	return len(rivals) == 0 || slices.ContainsFunc(rivals, func(g Fingerprint) bool { return slices.Contains(id.Parts, g) })
 }
 
-func incarnationText(c retry.ReplicaIncarnation) string { return c.Replica + "@" + c.Incarnation }
+func incarnationText(c Incarnation) string { return c.Replica + "@" + c.Incarnation }
 
 // Answer records that a request with the fingerprint has been answered, and returns
 // the history before and after it.
-func (l *Ledger) Answer(f retry.Fingerprint) (before, after retry.CrashHistory) {
+func (l *Ledger) Answer(f Fingerprint) (before, after History) {
 	if history, ok := l.History(f); !ok || len(history.Crashes) == 0 {
 		return history, history
 	}
-	l.histories.Update(Text(f), func(history retry.CrashHistory, known bool) (retry.CrashHistory, bool) {
+	l.histories.Update(Text(f), func(history History, known bool) (History, bool) {
 		before, after = history, history.WithAnswer()
 		return after, known
 	})
@@ -191,8 +190,8 @@
 // sweep deletes expired histories, but for those whose quarantine is followed by a
 // probation.
 func (l *Ledger) sweep(now time.Time) {
-	l.histories.DeleteFunc(func(_ string, h retry.CrashHistory) bool {
-		return !now.Before(h.ExpiresAt) && (!h.Quarantined || !now.Before(h.ExpiresAt.Add(retry.QuarantineTTL)))
+	l.histories.DeleteFunc(func(_ string, h History) bool {
+		return !now.Before(h.ExpiresAt) && (!h.Quarantined || !now.Before(h.ExpiresAt.Add(QuarantineTTL)))
 	})
-	l.exposed.DeleteFunc(func(_ string, e exposedParts) bool { return now.Sub(e.at) > retry.QuarantineTTL })
+	l.exposed.DeleteFunc(func(_ string, e exposedParts) bool { return now.Sub(e.at) > QuarantineTTL })
 }
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -31,25 +30,25 @@
 // and requests in quarantine.
 type News struct {
 	Exposures   []Exposure
-	Answers     []retry.Fingerprint
+	Answers     []Fingerprint
 	Quarantines []Quarantine
 }
 
 // Quarantine is a request in quarantine, with the crashes that led to it.
 type Quarantine struct {
-	Fingerprint retry.Fingerprint
-	Crashes     []retry.ReplicaIncarnation
+	Fingerprint Fingerprint
+	Crashes     []Incarnation
 	LastCrashAt time.Time
 	ExpiresAt   time.Time
 	// Rivals are the parts that may have caused the crashes instead.
-	Rivals []retry.Fingerprint
+	Rivals []Fingerprint
 }
 
 // outbox holds the news that this daemon sends. It keeps them for newsRetention, so
 // that each is passed on once.
 type outbox struct {
 	exposures *shard.Map[queued[Exposure]]
-	answers   *shard.Map[queued[retry.Fingerprint]]
+	answers   *shard.Map[queued[Fingerprint]]
 
 	mu sync.Mutex
 	// quarantinesAt is when the requests in quarantine were last begun to be sent.
@@ -64,7 +63,7 @@
 }
 
 func newOutbox() *outbox {
-	return &outbox{exposures: shard.NewMap[queued[Exposure]](), answers: shard.NewMap[queued[retry.Fingerprint]]()}
+	return &outbox{exposures: shard.NewMap[queued[Exposure]](), answers: shard.NewMap[queued[Fingerprint]]()}
 }
 
 // addExposure queues an exposure and reports whether it was not known.
@@ -74,8 +73,8 @@
 }
 
 // addAnswer queues an answer.
-func (o *outbox) addAnswer(f retry.Fingerprint, now time.Time, ttl time.Duration) {
-	o.answers.Set(Text(f), queued[retry.Fingerprint]{f, now, now.Add(ttl)})
+func (o *outbox) addAnswer(f Fingerprint, now time.Time, ttl time.Duration) {
+	o.answers.Set(Text(f), queued[Fingerprint]{f, now, now.Add(ttl)})
 }
 
 // addNew queues an item that has not been queued within newsRetention, and reports whether
@@ -159,11 +158,11 @@
 // quarantines returns at most maxQuarantineNews requests in quarantine.
 func (l *Ledger) quarantines(now time.Time) []Quarantine {
 	var out []Quarantine
-	refused := map[retry.Fingerprint]retry.CrashHistory{}
-	l.histories.Range(func(key string, h retry.CrashHistory) bool {
+	refused := map[Fingerprint]History{}
+	l.histories.Range(func(key string, h History) bool {
 		f, err := strconv.ParseUint(key, 16, 64)
-		if err == nil && h.Verdict(now) == retry.Refused {
-			refused[retry.Fingerprint(f)] = h
+		if err == nil && h.Verdict(now) == Refused {
+			refused[Fingerprint(f)] = h
 		}
 		return len(refused) < maxQuarantineNews
 	})
@@ -178,11 +177,11 @@
 // been answered since. informed is set if the other daemon knows more of the crashes
 // than this one, so that its rivals replace those found here. It returns the history
 // before and after it.
-func (l *Ledger) adopt(now time.Time, q *Quarantine, informed bool) (before, after retry.CrashHistory) {
+func (l *Ledger) adopt(now time.Time, q *Quarantine, informed bool) (before, after History) {
 	full := l.histories.Len() >= maxHistories
-	l.histories.Update(Text(q.Fingerprint), func(history retry.CrashHistory, known bool) (retry.CrashHistory, bool) {
+	l.histories.Update(Text(q.Fingerprint), func(history History, known bool) (History, bool) {
 		before, after = history, history
-		refused := history.Verdict(now) == retry.Refused
+		refused := history.Verdict(now) == Refused
 		if !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) || (refused && !informed) {
 			return history, known
 		}
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 )
 
 // endAll ends an engine under several requests at once, sent after the last end.
@@ -35,7 +33,7 @@
 	f.watches[daemon].Begin(id, func() {}).Answered()
 }
 
-func (f *fleet) verdict(parts ...string) retry.Verdict {
+func (f *fleet) verdict(parts ...string) Verdict {
 	return f.watches[0].Verdict(request("new", parts...)).Verdict
 }
 
@@ -44,15 +42,15 @@
 		name string
 		play func(f *fleet)
 		// want holds verdicts on a new request by its parts.
-		want map[string]retry.Verdict
+		want map[string]Verdict
 	}{
 		{
 			"two requests with the part", func(f *fleet) { f.deadlyRequests(2, "p") },
-			map[string]retry.Verdict{"p": retry.Suspected, "q": retry.Clear},
+			map[string]Verdict{"p": Suspected, "q": Clear},
 		},
 		{
 			"three requests with the part", func(f *fleet) { f.deadlyRequests(3, "p") },
-			map[string]retry.Verdict{"p": retry.Refused, "q": retry.Clear},
+			map[string]Verdict{"p": Refused, "q": Clear},
 		},
 		{
 			"one request again and again: it is refused, not its parts", func(f *fleet) {
@@ -60,7 +58,7 @@
 					f.endAll(0, fmt.Sprint("i-", k), request("same", "p"))
 				}
 			},
-			map[string]retry.Verdict{"p": retry.Suspected},
+			map[string]Verdict{"p": Suspected},
 		},
 		{
 			"the first part is in flight at each end, but answered", func(f *fleet) {
@@ -69,25 +67,25 @@
 					f.answer(0, request("sound", "f"))
 				}
 			},
-			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "f p": retry.Refused},
+			map[string]Verdict{"f": Clear, "p": Refused, "f p": Refused},
 		},
 		{
 			"two parts can't be told apart: only requests with both are refused", func(f *fleet) { f.deadlyRequests(3, "f", "p") },
-			map[string]retry.Verdict{"f": retry.Suspected, "p": retry.Suspected, "f p": retry.Refused},
+			map[string]Verdict{"f": Suspected, "p": Suspected, "f p": Refused},
 		},
 		{
 			"told apart by an answer", func(f *fleet) {
 				f.deadlyRequests(3, "f", "p")
 				f.answer(0, request("sound", "f"))
 			},
-			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "p g": retry.Refused},
+			map[string]Verdict{"f": Clear, "p": Refused, "p g": Refused},
 		},
 		{
 			"told apart by an end", func(f *fleet) {
 				f.deadlyRequests(3, "f", "p")
 				f.deadlyRequests(1, "g", "p")
 			},
-			map[string]retry.Verdict{"f": retry.Suspected, "p": retry.Refused},
+			map[string]Verdict{"f": Suspected, "p": Refused},
 		},
 		{
 			"the first part has more ends that count than the deadly one", func(f *fleet) {
@@ -98,7 +96,7 @@
 					f.watches[0].EngineEnded(Exposure{Engine: fmt.Sprint("e-", k), StartMS: 1, Identity: request(fmt.Sprint(k), "f", "p"), SentAt: early, EndedAt: f.now})
 				}
 			},
-			map[string]retry.Verdict{"f": retry.Suspected, "f p": retry.Refused},
+			map[string]Verdict{"f": Suspected, "f p": Refused},
 		},
 		{
 			"two deadly parts at once", func(f *fleet) {
@@ -108,23 +106,23 @@
 					f.answer(0, request("sound", "f"))
 				}
 			},
-			map[string]retry.Verdict{"f": retry.Clear, "p": retry.Refused, "q": retry.Refused},
+			map[string]Verdict{"f": Clear, "p": Refused, "q": Refused},
 		},
 		{
 			"a pause between the ends", func(f *fleet) {
 				f.deadlyRequests(2, "p")
-				f.now = f.now.Add(retry.SuspectTTL - time.Minute)
+				f.now = f.now.Add(SuspectTTL - time.Minute)
 				f.deadlyRequests(1, "p")
 			},
-			map[string]retry.Verdict{"p": retry.Refused},
+			map[string]Verdict{"p": Refused},
 		},
 		{
 			"a pause after the verdict", func(f *fleet) {
 				f.deadlyRequests(3, "p")
-				f.now = f.now.Add(retry.QuarantineTTL + time.Minute)
+				f.now = f.now.Add(QuarantineTTL + time.Minute)
 				f.deadlyRequests(1, "p")
 			},
-			map[string]retry.Verdict{"p": retry.Refused},
+			map[string]Verdict{"p": Refused},
 		},
 		{
 			"a domain goes dark under a popular part", func(f *fleet) {
@@ -132,7 +130,7 @@
 					f.watches[0].EngineEnded(Exposure{Engine: fmt.Sprint("i-", k), StartMS: 1, Identity: request(fmt.Sprint(k), "f"), SentAt: f.now.Add(-time.Second), EndedAt: f.now})
 				}
 			},
-			map[string]retry.Verdict{"f": retry.Suspected},
+			map[string]Verdict{"f": Suspected},
 		},
 		{
 			"a flood of parts that nobody else has", func(f *fleet) {
@@ -140,7 +138,7 @@
 					f.endAll(0, "i-1", request(fmt.Sprint(k), fmt.Sprint("made-up-", k), "f"))
 				}
 			},
-			map[string]retry.Verdict{"f": retry.Suspected, "made-up-1": retry.Suspected},
+			map[string]Verdict{"f": Suspected, "made-up-1": Suspected},
 		},
 	}
 	for _, c := range cases {
@@ -157,8 +155,8 @@
 	f := newFleet(1)
 	f.deadlyRequests(3, "p")
 	other := Identify(&Request{Service: "other", Method: "POST", Target: "/p", Caller: "caller", Body: []byte("b"), SharedParts: []string{"p"}})
-	must.Eq(t, retry.Clear, f.watches[0].Verdict(other).Verdict)
-	must.Eq(t, retry.Refused, f.verdict("p"))
+	must.Eq(t, Clear, f.watches[0].Verdict(other).Verdict)
+	must.Eq(t, Refused, f.verdict("p"))
 }
 
 // A daemon that starts later knows which parts can't be told apart.
@@ -170,8 +168,8 @@
 	must.Len(t, 0, n.Exposures)
 	started := newFleet(1)
 	started.watches[0].Apply(&n)
-	must.Eq(t, retry.Suspected, started.verdict("f"))
-	must.Eq(t, retry.Refused, started.verdict("f", "p"))
+	must.Eq(t, Suspected, started.verdict("f"))
+	must.Eq(t, Refused, started.verdict("f", "p"))
 }
 
 // A waiting request with the part is given up by the verdict, a sound one with the same
@@ -199,26 +197,26 @@
 			f.exchange(rng, 0)
 		}
 	}
-	verdict := func(parts ...string) retry.Verdict {
+	verdict := func(parts ...string) Verdict {
 		return f.watches[witness].Verdict(request("new", parts...)).Verdict
 	}
-	must.Eq(t, retry.Refused, verdict("f", "p"))
-	must.Eq(t, retry.Suspected, verdict("f"))
-	must.Eq(t, retry.Suspected, verdict("p"))
+	must.Eq(t, Refused, verdict("f", "p"))
+	must.Eq(t, Suspected, verdict("f"))
+	must.Eq(t, Suspected, verdict("p"))
 
 	// A request with one of them tells them apart, for the witness too.
 	f.endAll(other, "i-9", request("deadly-9", "p", "g"))
 	for range 8 {
 		f.exchange(rng, 0)
 	}
-	must.Eq(t, retry.Refused, verdict("p"))
-	must.Eq(t, retry.Suspected, verdict("f"))
+	must.Eq(t, Refused, verdict("p"))
+	must.Eq(t, Suspected, verdict("f"))
 	f.answer(witness, request("sound", "f"))
 	for range 4 {
 		f.exchange(rng, 0)
 	}
-	must.Eq(t, retry.Clear, f.verdict("f"))
-	must.Eq(t, retry.Refused, verdict("p"))
+	must.Eq(t, Clear, f.verdict("f"))
+	must.Eq(t, Refused, verdict("p"))
 }
 
 // A part that sound requests share with deadly ones must not be refused by itself when
@@ -227,9 +225,9 @@
 	f := newFleet(1)
 	f.deadlyRequests(2, "f", "p")
 	f.endAll(0, "i-9", request("sound", "f"))
-	must.Eq(t, retry.Suspected, f.verdict("f"))
-	must.Eq(t, retry.Suspected, f.verdict("p"))
-	must.Eq(t, retry.Refused, f.verdict("f", "p"))
+	must.Eq(t, Suspected, f.verdict("f"))
+	must.Eq(t, Suspected, f.verdict("p"))
+	must.Eq(t, Refused, f.verdict("f", "p"))
 }
 
 // news reports whether a daemon has exposures or answers to tell.
@@ -273,8 +271,8 @@
 				f.exchange(rng, 0.2)
 			}
 			for n, w := range f.watches {
-				must.Eq(t, retry.Clear, w.Verdict(request("sound", "shared", "own")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
-				must.Eq(t, retry.Refused, w.Verdict(request("deadly-1", "shared", "deadly-1")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
+				must.Eq(t, Clear, w.Verdict(request("sound", "shared", "own")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
+				must.Eq(t, Refused, w.Verdict(request("deadly-1", "shared", "deadly-1")).Verdict, must.Sprintf("%d daemons, %s: daemon %d", daemons, c.name, n))
 			}
 		}
 	}
@@ -294,8 +292,8 @@
 	}
 	must.LessEq(t, maxAnsweredParts+answersPerSweep, f.watches[0].ledger.answered.Len())
 	f.deadlyRequests(3, "shared", "p")
-	must.Eq(t, retry.Clear, f.verdict("shared"))
-	must.Eq(t, retry.Refused, f.verdict("p"))
+	must.Eq(t, Clear, f.verdict("shared"))
+	must.Eq(t, Refused, f.verdict("p"))
 }
 
 // TestAnswersAreToldOnce checks that two daemons that pass news on do not make each other
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -31,17 +30,17 @@
 	SentAt, EndedAt time.Time
 }
 
-func (e *Exposure) crash() *retry.Crash {
-	return &retry.Crash{Replica: e.Engine, Incarnation: strconv.FormatInt(e.StartMS, 10), At: e.EndedAt}
+func (e *Exposure) crash() *Crash {
+	return &Crash{Replica: e.Engine, Incarnation: strconv.FormatInt(e.StartMS, 10), At: e.EndedAt}
 }
 
 // Change is a change of the verdict on a fingerprint.
 type Change struct {
-	Fingerprint retry.Fingerprint
-	From, To    retry.Verdict
-	History     retry.CrashHistory
+	Fingerprint Fingerprint
+	From, To    Verdict
+	History     History
 	// Rivals are the parts that may have caused the crashes instead.
-	Rivals []retry.Fingerprint
+	Rivals []Fingerprint
 }
 
 // Options configure a Watch. All fields are required.
@@ -76,20 +75,20 @@
 	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox()}
 }
 
-// Verdict is how a request is handled, with the history that decides it.
-type Verdict struct {
-	retry.Verdict
-	Fingerprint retry.Fingerprint
+// Ruling is how a request is handled, with the history that decides it.
+type Ruling struct {
+	Verdict
+	Fingerprint Fingerprint
 	// Part is the index in Identity.Parts of the part that decides it, or -1 if the
 	// request itself does.
 	Part    int
-	History retry.CrashHistory
+	History History
 }
 
 // Crashes returns the incarnations that ended under the request, each as engine@start.
-func (v *Verdict) Crashes() []string { return incarnationTexts(v.History.Crashes) }
+func (v *Ruling) Crashes() []string { return incarnationTexts(v.History.Crashes) }
 
-func incarnationTexts(crashes []retry.ReplicaIncarnation) []string {
+func incarnationTexts(crashes []Incarnation) []string {
 	out := make([]string, len(crashes))
 	for i, c := range crashes {
 		out[i] = incarnationText(c)
@@ -98,9 +97,9 @@
 }
 
 // Verdict returns the strictest verdict on a request.
-func (w *Watch) Verdict(id Identity) Verdict {
+func (w *Watch) Verdict(id Identity) Ruling {
 	now := w.opts.Now()
-	worst := Verdict{Part: -1}
+	worst := Ruling{Part: -1}
 	for i, f := range id.fingerprints() {
 		history, ok := w.ledger.History(f)
 		if !ok {
@@ -108,11 +107,11 @@
 		}
 		part := i - 1 // the first fingerprint is that of the request
 		v := history.Verdict(now)
-		if v == retry.Refused && part >= 0 && !w.ledger.refuses(now, f, &history, &id) {
-			v = retry.Suspected
+		if v == Refused && part >= 0 && !w.ledger.refuses(now, f, &history, &id) {
+			v = Suspected
 		}
 		if v > worst.Verdict {
-			worst = Verdict{v, f, part, history}
+			worst = Ruling{v, f, part, history}
 		}
 	}
 	return worst
@@ -147,7 +146,7 @@
 	if a.answered.Load() {
 		return
 	}
-	if v := a.watch.Verdict(a.id); v.Verdict == retry.Refused {
+	if v := a.watch.Verdict(a.id); v.Verdict == Refused {
 		a.cancel()
 	}
 }
@@ -176,7 +175,7 @@
 
 // EngineEnded records that an engine has ended under an attempt of this daemon. It
 // returns the history of the request itself before and after it.
-func (w *Watch) EngineEnded(e Exposure) (before, after retry.CrashHistory) {
+func (w *Watch) EngineEnded(e Exposure) (before, after History) {
 	before, after = w.expose(&e)
 	w.outbox.addExposure(e, w.opts.Now())
 	w.opts.Publish()
@@ -187,14 +186,14 @@
 // part that has been answered lately is not the cause; daemons that pass news on say so to
 // those that have not seen it. It returns the history of the request itself before and
 // after it.
-func (w *Watch) expose(e *Exposure) (requestBefore, requestAfter retry.CrashHistory) {
+func (w *Watch) expose(e *Exposure) (requestBefore, requestAfter History) {
 	now := w.opts.Now()
 	crash := e.crash()
-	if w.ledger.addExposed(now, retry.ReplicaIncarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts) {
+	if w.ledger.addExposed(now, Incarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts) {
 		w.opts.OnEnd(e.Engine, e.StartMS)
 	}
 	for i, f := range e.Identity.fingerprints() {
-		ctx := retry.CrashContext{Shared: true, SentAt: e.SentAt}
+		ctx := Context{Shared: true, SentAt: e.SentAt}
 		if i > 0 && w.ledger.answeredLately(now, f) {
 			if w.opts.PassesOn() {
 				w.tellAnswer(now, f)
@@ -215,7 +214,7 @@
 
 // tellAnswer tells other daemons that a request with the part has been answered, unless
 // it did so within newsRetention.
-func (w *Watch) tellAnswer(now time.Time, f retry.Fingerprint) {
+func (w *Watch) tellAnswer(now time.Time, f Fingerprint) {
 	if addNew(w.outbox.answers, Text(f), f, now, answerNewsTTL) {
 		w.opts.Publish()
 	}
@@ -223,7 +222,7 @@
 
 // answer records an answer to a request with the fingerprint. own is set if this
 // daemon has seen it.
-func (w *Watch) answer(f retry.Fingerprint, own bool) {
+func (w *Watch) answer(f Fingerprint, own bool) {
 	before, after := w.ledger.Answer(f)
 	if len(before.Crashes) == 0 {
 		return
@@ -244,7 +243,7 @@
 
 // isStrong reports whether a request, or a part of its prompt, is a strong suspect.
 func (w *Watch) isStrong(id *Identity) bool {
-	return slices.ContainsFunc(id.fingerprints(), func(f retry.Fingerprint) bool {
+	return slices.ContainsFunc(id.fingerprints(), func(f Fingerprint) bool {
 		history, _ := w.ledger.History(f)
 		return len(history.Crashes) >= strongSuspect
 	})
@@ -252,13 +251,13 @@
 
 // changed reports a change of the verdict on a fingerprint, and gives up the attempts
 // of requests that are now refused.
-func (w *Watch) changed(now time.Time, f retry.Fingerprint, before, after retry.CrashHistory) {
+func (w *Watch) changed(now time.Time, f Fingerprint, before, after History) {
 	from, to := before.Verdict(now), after.Verdict(now)
 	if from == to {
 		return
 	}
 	w.opts.OnChange(Change{f, from, to, after, w.ledger.rivals(now, f, &after)})
-	if to != retry.Refused {
+	if to != Refused {
 		return
 	}
 	if w.opts.PassesOn() {
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"github.com/ragwortquay/ragwortquay/internal/retry"
 )
 
 // fleet is the watches of several daemons, of which the first two pass news on.
@@ -76,8 +74,8 @@
 				}
 			}
 			for i, w := range f.watches {
-				must.Eq(t, retry.Refused, w.Verdict(request("deadly")).Verdict, must.Sprintf("daemon %d of %d, seed %d", i, n, seed))
-				must.Eq(t, retry.Clear, w.Verdict(request("sound")).Verdict)
+				must.Eq(t, Refused, w.Verdict(request("deadly")).Verdict, must.Sprintf("daemon %d of %d, seed %d", i, n, seed))
+				must.Eq(t, Clear, w.Verdict(request("sound")).Verdict)
 			}
 			if n == 295 {
 				break // once is enough for the size
@@ -99,7 +97,7 @@
 	must.Len(t, 0, n.Exposures)
 	started.Apply(&n)
 	v := started.Verdict(request("deadly"))
-	must.Eq(t, retry.Refused, v.Verdict)
+	must.Eq(t, Refused, v.Verdict)
 	must.Eq(t, []string{"i-0@1", "i-1@1", "i-2@1"}, v.Crashes())
 }
 
@@ -118,7 +116,7 @@
 	f.exchange(rng, 0)
 	for _, w := range f.watches {
 		w.Apply(&late)
-		must.Eq(t, retry.Clear, w.Verdict(request("slow")).Verdict)
+		must.Eq(t, Clear, w.Verdict(request("slow")).Verdict)
 	}
 }
 
@@ -130,7 +128,7 @@
 	for k := range 50 {
 		w.EngineEnded(Exposure{Engine: fmt.Sprint("i-", k), StartMS: 1, Identity: request("popular"), SentAt: now.Add(-time.Second), EndedAt: now.Add(time.Duration(k) * time.Millisecond)})
 	}
-	must.Eq(t, retry.Suspected, w.Verdict(request("popular")).Verdict)
+	must.Eq(t, Suspected, w.Verdict(request("popular")).Verdict)
 	must.Eq(t, 50, f.ends)
 }
 
@@ -181,7 +179,7 @@
 		f.watches[1].Apply(&news)
 	}
 	must.Eq(t, own, passedOn(), must.Sprint("items of news that are passed on to all daemons"))
-	must.Eq(t, retry.Suspected, f.watches[0].Verdict(request("new", "popular")).Verdict)
+	must.Eq(t, Suspected, f.watches[0].Verdict(request("new", "popular")).Verdict)
 }
 
 // TestFloodOfRequestsIsBounded exposes more requests than a ledger holds.
--- a/internal/wire/grant.go
+++ b/internal/wire/grant.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/ragwortquay/ragwortquay/internal/limit"
-	"github.com/ragwortquay/ragwortquay/internal/retry"
+	"github.com/ragwortquay/ragwortquay/internal/suspect"
 )
 
 // Types of the messages of package grant. The home of a pool is the daemon that
@@ -150,7 +150,7 @@
 
 // CrashReport reports a crash and the requests that the sender ran on the replica.
 type CrashReport struct {
-	Crash retry.Crash `msgpack:"c"`
+	Crash suspect.Crash `msgpack:"c"`
 }
 
 // WireType returns TypeCrashReport.
