Recognise a request whatever its route becomes between two attempts

Callers whose request ends engines could have it run anew: its identity held the service that the route chose for the attempt, by weight or after a new configuration, the target with its escapes as written, and the tenant only where the route needs a key. Each of these made it another request, with three more engines to end.

The identity of a request is now its method, host (without port, in lower case), target without escapes, tenant by its key also on a public route, and body; the parts of prompts still count apart in each service.

--- /dev/null
+++ b/internal/relay/caller_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
+)
+
+// A caller stays the same when its route becomes public, or its key is replaced.
+func TestCallerOutlastsChangesOfItsRoute(t *testing.T) {
+	cfg := &catalog.Config{Tenants: []catalog.Tenant{{Name: "a", Keys: []string{"old", "new"}}, {Name: "b", Keys: []string{"other"}}}}
+	cfg.BuildIndex()
+	cases := []struct {
+		name, key string
+		// tenant is that of a route that needs a key.
+		tenant, want string
+	}{
+		{"route that needs a key", "old", "a", "a"},
+		{"public route", "old", "", "a"},
+		{"public route, another key of the tenant", "new", "", "a"},
+		{"public route, another tenant", "other", "", "b"},
+		{"public route, no key", "", "", ""},
+		{"public route, a withdrawn key", "gone", "", ""},
+	}
+	for _, c := range cases {
+		j := &job{req: &Request{APIKey: c.key}, tenant: c.tenant}
+		must.Eq(t, c.want, j.caller(cfg), must.Sprint(c.name))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -195,7 +195,7 @@
 	}
 	j.service = route.SelectService(j.req.ID)
 	j.identity = suspect.Identify(&suspect.Request{
-		Service: j.service, Method: j.req.Method, Target: j.req.Target, Caller: j.tenant, Body: j.req.Body, SharedParts: j.req.SharedParts,
+		Service: j.service, Method: j.req.Method, Host: j.req.Host, Target: j.req.Target, Caller: j.caller(cfg), Body: j.req.Body, SharedParts: j.req.SharedParts,
 	})
 	if s, ok := cfg.Services[j.service]; ok {
 		if s.Engine != nil {
@@ -208,6 +208,15 @@
 	return nil
 }
 
+// caller returns the name of the client's tenant, also on a public route: routes may
+// become public or cease to be.
+func (j *job) caller(cfg *catalog.Config) string {
+	if t, ok := cfg.Tenant(j.req.APIKey); ok {
+		return t.Name
+	}
+	return j.tenant
+}
+
 // refuseByConfig returns a refusal with the given cause if the configuration is
 // fresh. A stale one may lack a new route or key, so the cause is then NotReady.
 func (j *job) refuseByConfig(fresh bool, cause Cause, reason string) *Refusal {
--- a/internal/suspect/identity.go
+++ b/internal/suspect/identity.go
@@ -5,7 +5,9 @@
 package suspect
 
 import (
+	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
@@ -22,20 +24,26 @@
 	Parts []Fingerprint
 }
 
-// Request is what identifies a request to a service. Other properties differ between
-// attempts of one client.
+// Request is what identifies a request. Other properties differ between attempts of one
+// client.
 type Request struct {
-	Service, Method, Target, Caller string
-	Body                            []byte
+	// Service is the one to which the request is sent. A route may choose another one for
+	// the next attempt.
+	Service string
+	// Method, Host and Target are as the client sent them.
+	Method, Host, Target string
+	// Caller is the name of the client's tenant.
+	Caller string
+	Body   []byte
 	// SharedParts are the ids of the parts of the prompt that other requests may
 	// share.
 	SharedParts []string
 }
 
-// Identify returns the identity of a request. The same part counts apart in each
-// service.
+// Identify returns the identity of a request. The request itself is the same in all
+// services; the same part counts apart in each service.
 func Identify(r *Request) Identity {
-	scope := "request\x00" + r.Service + "\x00" + r.Method + "\x00" + r.Target + "\x00" + r.Caller + "\x00"
+	scope := strings.Join([]string{"request", r.Method, normalizedHost(r.Host), normalizedTarget(r.Target), r.Caller, ""}, "\x00")
 	id := Identity{Request: Fingerprint(shard.Hash(scope + strconv.FormatUint(shard.HashBytes(r.Body), 16)))}
 	for _, part := range r.SharedParts[:min(len(r.SharedParts), maxParts)] {
 		id.Parts = append(id.Parts, Fingerprint(shard.Hash("part\x00"+r.Service+"\x00"+part)))
@@ -43,6 +51,23 @@
 	return id
 }
 
+// normalizedHost returns a host in lower case, without a port and the root's dot.
+func normalizedHost(host string) string {
+	host = strings.ToLower(host)
+	if name, port, ok := strings.Cut(host, ":"); ok && !strings.Contains(port, ":") {
+		host = name
+	}
+	return strings.TrimSuffix(host, ".")
+}
+
+// normalizedTarget returns a request target without escapes.
+func normalizedTarget(target string) string {
+	if decoded, err := url.PathUnescape(target); err == nil {
+		return decoded
+	}
+	return target
+}
+
 // fingerprints returns the fingerprints of the request and its parts.
 func (i *Identity) fingerprints() []Fingerprint {
 	return append([]Fingerprint{i.Request}, i.Parts...)
