Let client errors of an engine clear no suspect

A request that ends engines began anew with each 4xx that an engine gave it in between: a faulty engine may answer so without having begun to run it. Only answers below 400 clear a request now.

TestErrorAnswersClearNoSuspect plays it with 404 beside 500; on the code before, the case with 404 failed and that with 500 passed.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -205,29 +205,33 @@
 // TestErrorAnswersClearNoSuspect lets engines answer a deadly request with an error
 // between the ends: a faulty engine may do so without having begun to run it.
 func TestErrorAnswersClearNoSuspect(t *testing.T) {
-	f := newFixture(t)
-	f.publish(1, goodKey)
-	engines := f.endingEngines(site.PlainService, "", 8, 0)
-	f.addDaemon()
-	eventually(t, "the daemon serves", func() bool {
-		status, _ := f.post(0, site.NonIdempotentPath, "", "sound")
-		return status == http.StatusOK
-	})
-	for range 3 {
-		before := ended(engines)
-		for _, e := range engines {
-			e.SpoilAnswers(1, site.ErrorText)
-		}
-		status, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
-		must.Eq(t, http.StatusInternalServerError, status, must.Sprint(text))
-		for _, e := range engines {
-			e.SpoilAnswers(0, site.ErrorText)
-		}
-		f.post(0, site.NonIdempotentPath, "", deadlyBody)
-		must.Eq(t, before+1, ended(engines))
+	for status, spoil := range map[int]site.Spoil{http.StatusInternalServerError: site.ErrorText, http.StatusNotFound: site.ClientErrorText} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, goodKey)
+			engines := f.endingEngines(site.PlainService, "", 8, 0)
+			f.addDaemon()
+			eventually(t, "the daemon serves", func() bool {
+				status, _ := f.post(0, site.NonIdempotentPath, "", "sound")
+				return status == http.StatusOK
+			})
+			for range 3 {
+				before := ended(engines)
+				for _, e := range engines {
+					e.SpoilAnswers(1, spoil)
+				}
+				got, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
+				must.Eq(t, status, got, must.Sprint(text))
+				for _, e := range engines {
+					e.SpoilAnswers(0, spoil)
+				}
+				f.post(0, site.NonIdempotentPath, "", deadlyBody)
+				must.Eq(t, before+1, ended(engines))
+			}
+			got, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
+			must.Eq(t, http.StatusUnprocessableEntity, got, must.Sprint(text))
+		})
 	}
-	status, text := f.post(0, site.NonIdempotentPath, "", deadlyBody)
-	must.Eq(t, http.StatusUnprocessableEntity, status, must.Sprint(text))
 }
 
 // TestVerdictHoldsForStartedDaemonsAndWithoutTheStore has a request in quarantine. A
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -128,7 +128,7 @@
 	}
 	body, err := j.readBody(resp)
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
-	if ok {
+	if err == nil && resp.Status() < http.StatusBadRequest {
 		j.attempt.Answered()
 	}
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -93,6 +93,8 @@
 	// 200.
 	ErrorText
 	ErrorPage
+	// ClientErrorText answers with status 404 and a text.
+	ClientErrorText
 	// CutHead closes the connection within the head of the answer.
 	CutHead
 	// UnframedStream answers with a stream of one event, without a length or chunks.
@@ -522,6 +524,7 @@
 		CutChunks:        ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 		ResetUnframed:    ok + "Connection: close\r\n\r\nhalf of it",
 		ErrorText:        "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id + "\r\nContent-Length: 16\r\n\r\nerror: out of it",
+		ClientErrorText:  "HTTP/1.1 404 Not Found\r\nRequest-Id: " + id + "\r\nContent-Length: 9\r\n\r\nnot here\n",
 		ErrorPage:        ok + "Content-Type: text/plain\r\nContent-Length: 18\r\n\r\nerror: out of it\n\n",
 		CutHead:          "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Ty",
 		UnframedStream:   ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: token\n\n",
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -152,8 +152,8 @@
 }
 
 // Answered records that the attempt has an answer, or the first part of one, so that
-// its request does not end engines. An error does not show that: a faulty engine may
-// answer with one before it runs the request.
+// its request does not end engines. An error does not show that, whosever it is: an engine
+// may answer with one before it runs the request.
 func (a *Attempt) Answered() {
 	if a.answered.Swap(true) {
 		return
