Count ends independently of the order in which they become known

Ends of engines under one request are seen by several daemons, and their news cross. An end counted if its attempt had been sent after the last one that the daemon happened to have counted, so that two daemons could count differently for the same ends, and one end that became known first could hide others.

A history now holds all ends, by time, and counts the largest number of them that can be the ends of runs one after the other; a later copy at the same engine moves its run. What counts for a batch of copies at the same moment does not change: one.

--- a/internal/suspect/history.go
+++ b/internal/suspect/history.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -64,7 +65,14 @@
 // History is the crash history of the request with one fingerprint. The zero
 // value is an empty history.
 type History struct {
-	// Crashes lists the incarnations that crashed while running the request.
+	// Ends lists the ends of incarnations that ran the request, as this daemon knows
+	// them, by the time of the end.
+	Ends []End
+	// Told lists incarnations that ended so according to a daemon that refuses the
+	// request.
+	Told []Incarnation
+	// Crashes lists the ends that count: Told, and the largest number of Ends that can be
+	// the ends of runs one after the other.
 	Crashes []Incarnation
 	// ExpiresAt is when the history is disregarded.
 	ExpiresAt time.Time
@@ -75,17 +83,25 @@
 	// Answered lists the latest incarnations that crashed before the request was last
 	// answered. Late reports of their crashes are ignored.
 	Answered []Incarnation
-	// Requests lists up to partRequests requests that ran during Crashes, if the
-	// history is that of a part of requests.
+	// Requests lists up to partRequests requests that ran during Ends, if the history is
+	// that of a part of requests.
 	Requests []Fingerprint
-	// Rivals are other parts that may have caused the first RivalCrashes of Crashes, as
-	// told by a daemon that knows more of them.
-	Rivals       []Fingerprint
-	RivalCrashes int
+	// Rivals are other parts that may have caused the crashes of Told, as told by a daemon
+	// that knows more of them.
+	Rivals []Fingerprint
 	// OnProbation means that a quarantine has expired: the next crash renews it.
 	OnProbation bool
 }
 
+// End is the end of one incarnation that ran the request.
+type End struct {
+	Incarnation
+	// SentAt is when the request was last sent to it; zero if that is not known.
+	SentAt time.Time
+	// EndedAt is when the end was first seen.
+	EndedAt time.Time
+}
+
 // Incarnation identifies one incarnation of a replica.
 type Incarnation struct {
 	Replica     string
@@ -132,9 +148,9 @@
 	// partRequests is the number of different requests under which a part of them is
 	// quarantined. With fewer the request itself is.
 	partRequests = 2
-	// maxCrashes and maxAnswered bound History.Crashes and Answered.
-	maxCrashes  = 16
-	maxAnswered = 16
+	// maxEnds and maxAnswered bound History.Ends and Answered.
+	maxEnds     = 32
+	maxAnswered = 32
 )
 
 // WithCrash returns the history with crash c added. The request is quarantined after
@@ -143,29 +159,30 @@
 // that merely shared a batch with the one that causes the crashes become suspects and
 // are cleared when they are answered.
 //
-// A crash does not count if the request was sent before the last counted one:
-// replicas that go down together have one cause.
+// Runs at the same time count once, since replicas that go down together may have one
+// cause. What counts does not depend on the order in which crashes become known.
 func (r History) WithCrash(now time.Time, c *Crash, ctx Context) History {
 	if !now.Before(r.ExpiresAt) {
 		r = r.afterExpiry(now)
 	}
 	s := Incarnation{Replica: c.Replica, Incarnation: c.Incarnation}
-	if slices.Contains(r.Crashes, s) || slices.Contains(r.Answered, s) {
+	if slices.Contains(r.Told, s) || slices.Contains(r.Answered, s) {
 		return r
 	}
-	if len(r.Crashes) > 0 && !ctx.SentAt.IsZero() && ctx.SentAt.Before(r.LastCrashAt) {
-		return r
-	}
-	r.Crashes = append(slices.Clone(r.Crashes), s)
-	r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxCrashes):]
-	r.LastCrashAt = c.At
+	before := r
+	r.addEnd(End{Incarnation: s, SentAt: ctx.SentAt, EndedAt: c.At})
 	if len(r.Requests) < partRequests && !slices.Contains(r.Requests, ctx.Request) {
 		r.Requests = append(slices.Clone(r.Requests), ctx.Request)
 	}
 	if r.Quarantined {
 		return r
 	}
-	r.ExpiresAt = now.Add(SuspectTTL)
+	if len(r.Ends) > len(before.Ends) {
+		r.ExpiresAt = now.Add(SuspectTTL)
+	}
+	if len(r.Crashes) <= len(before.Crashes) && len(r.Requests) <= len(before.Requests) {
+		return r
+	}
 	unlike := ctx.Request == 0 || r.OnProbation || len(r.Requests) >= partRequests
 	if len(r.Crashes) >= r.neededCrashes(ctx) && unlike && ctx.OtherSuspects == 0 && !ctx.Outage {
 		r.Quarantined, r.ExpiresAt = true, now.Add(QuarantineTTL)
@@ -173,6 +190,61 @@
 	return r
 }
 
+// addEnd adds an end, or what is new of a known one, and counts again.
+func (r *History) addEnd(e End) {
+	r.Ends = slices.Clone(r.Ends)
+	if i := slices.IndexFunc(r.Ends, func(o End) bool { return o.Incarnation == e.Incarnation }); i >= 0 {
+		known := &r.Ends[i]
+		if e.SentAt.After(known.SentAt) {
+			known.SentAt = e.SentAt
+		}
+		if e.EndedAt.Before(known.EndedAt) {
+			known.EndedAt = e.EndedAt
+		}
+	} else {
+		r.Ends = append(r.Ends, e)
+	}
+	slices.SortFunc(r.Ends, func(a, b End) int {
+		return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Incarnation.Incarnation, b.Incarnation.Incarnation))
+	})
+	if len(r.Ends) > maxEnds {
+		r.Ends = withoutRedundant(r.Ends)
+	}
+	r.count()
+}
+
+// count sets Crashes and LastCrashAt.
+func (r *History) count() {
+	r.Crashes = slices.Clone(r.Told)
+	for _, e := range consecutive(r.Ends) {
+		r.Crashes, r.LastCrashAt = append(r.Crashes, e.Incarnation), e.EndedAt
+	}
+}
+
+// consecutive returns the largest number of ends, by time, of runs that followed one
+// after the other: the request was sent when the end before had been seen.
+func consecutive(ends []End) []End {
+	var out []End
+	for _, e := range ends {
+		if len(out) == 0 || e.SentAt.IsZero() || !e.SentAt.Before(out[len(out)-1].EndedAt) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// withoutRedundant returns the ends without the first one that does not count, or
+// without the oldest.
+func withoutRedundant(ends []End) []End {
+	counted := consecutive(ends)
+	for i, e := range ends {
+		if !slices.Contains(counted, e) {
+			return slices.Delete(ends, i, i+1)
+		}
+	}
+	return ends[1:]
+}
+
 func (r *History) neededCrashes(ctx Context) int {
 	switch {
 	case r.OnProbation:
@@ -196,10 +268,13 @@
 // WithAnswer returns the history of a request that has been answered: none of the
 // crashes so far is its doing.
 func (r History) WithAnswer() History {
-	answered := append(slices.Clone(r.Answered), r.Crashes...)
+	answered := append(slices.Clone(r.Answered), r.Told...)
+	for _, e := range r.Ends {
+		answered = append(answered, e.Incarnation)
+	}
 	r.Answered = answered[max(0, len(answered)-maxAnswered):]
-	r.Crashes, r.Requests, r.Quarantined, r.OnProbation = nil, nil, false, false
-	r.Rivals, r.RivalCrashes = nil, 0
+	r.Ends, r.Told, r.Crashes, r.Requests, r.Rivals = nil, nil, nil, nil, nil
+	r.Quarantined, r.OnProbation = false, false
 	return r
 }
 
@@ -233,6 +308,7 @@
 // WithoutCrash returns a copy of the history without crash c.
 func (r History) WithoutCrash(c *Crash) *History {
 	s := Incarnation{Replica: c.Replica, Incarnation: c.Incarnation}
-	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(o Incarnation) bool { return o == s })
+	r.Ends = slices.DeleteFunc(slices.Clone(r.Ends), func(o End) bool { return o.Incarnation == s })
+	r.count()
 	return &r
 }
--- a/internal/suspect/history_test.go
+++ b/internal/suspect/history_test.go
@@ -1,6 +1,9 @@
 package suspect
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +112,81 @@
 		must.Eq(t, c.want, history.Verdict(now), must.Sprint(c.name))
 	}
 }
+
+// end is the end of an engine: when the request was last sent to it and when the end was
+// seen, in milliseconds.
+type end struct {
+	engine      string
+	sent, ended int
+}
+
+func (e end) add(h History, request Fingerprint) History {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	return h.WithCrash(at(e.ended), &Crash{Replica: e.engine, At: at(e.ended)}, Context{Shared: true, SentAt: at(e.sent), Request: request})
+}
+
+// Orders of events under copies of one request, and what they say of it.
+func TestVerdictOnCopies(t *testing.T) {
+	cases := []struct {
+		name    string
+		ends    []end
+		counted int
+		want    Verdict
+	}{
+		{"copies at three engines at the same moment, or an outage of all three", []end{{"a", 0, 60}, {"b", 1, 61}, {"c", 2, 60}}, 1, Suspected},
+		{"the same, then one alone", []end{{"a", 0, 60}, {"b", 1, 61}, {"c", 2, 60}, {"d", 4000, 4060}}, 2, Suspected},
+		{"the same, then two, one after the other", []end{{"a", 0, 60}, {"b", 1, 61}, {"c", 2, 60}, {"d", 4000, 4060}, {"e", 4061, 4120}}, 3, Refused},
+		{"three batches", []end{{"a", 0, 60}, {"b", 1, 61}, {"d", 4000, 4060}, {"e", 4001, 4061}, {"g", 8000, 8060}, {"h", 8001, 8061}}, 3, Refused},
+		{"copies 20 ms apart", []end{{"a", 0, 60}, {"b", 20, 80}, {"c", 40, 100}, {"d", 60, 120}}, 2, Suspected},
+		{"one after the other", []end{{"a", 0, 60}, {"b", 60, 120}, {"c", 121, 180}}, 3, Refused},
+		{"a long run beside three short ones", []end{{"a", 0, 60}, {"long", 0, 500}, {"b", 100, 160}, {"c", 200, 260}}, 3, Refused},
+	}
+	for _, c := range cases {
+		var h History
+		for _, e := range c.ends {
+			h = e.add(h, 0)
+		}
+		must.Eq(t, c.want, h.Verdict(start.Add(time.Minute)), must.Sprint(c.name))
+		must.Len(t, c.counted, h.Crashes, must.Sprint(c.name))
+		must.Len(t, len(c.ends), h.Ends, must.Sprint(c.name))
+	}
+}
+
+// TestCountsDoNotDependOnTheOrderOfNews adds the same ends in many orders, some of them
+// twice and with several copies at one engine.
+func TestCountsDoNotDependOnTheOrderOfNews(t *testing.T) {
+	ends := []end{{"a", 0, 60}, {"a", 5, 60}, {"b", 10, 90}, {"c", 62, 120}, {"c", 30, 121}, {"d", 100, 180}, {"e", 125, 190}}
+	var first History
+	for _, e := range ends {
+		first = e.add(first, 0)
+	}
+	must.Len(t, 3, first.Crashes)
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		order := slices.Concat(ends, ends[:seed%3])
+		rng.Shuffle(len(order), func(i, k int) { order[i], order[k] = order[k], order[i] })
+		var h History
+		for _, e := range order {
+			h = e.add(h, 0)
+		}
+		must.Eq(t, first.Crashes, h.Crashes, must.Sprintf("seed %d", seed))
+		must.Eq(t, first.Verdict(start), h.Verdict(start), must.Sprintf("seed %d", seed))
+	}
+}
+
+// A batch of ends does not hide those that count.
+func TestEndsAreBounded(t *testing.T) {
+	var h History
+	for k := range 5 * maxEnds {
+		h = end{fmt.Sprint("x-", k), 0, 60}.add(h, 0)
+	}
+	must.LessEq(t, maxEnds, len(h.Ends))
+	h = end{"b", 70, 130}.add(h, 0)
+	for k := range 5 * maxEnds {
+		h = end{fmt.Sprint("y-", k), 100, 150}.add(h, 0)
+	}
+	must.Eq(t, Suspected, h.Verdict(start))
+	h = end{"c", 140, 200}.add(h, 0)
+	must.LessEq(t, maxEnds, len(h.Ends))
+	must.Eq(t, Refused, h.Verdict(start))
+}
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -102,7 +102,7 @@
 // history, each of which may have caused them instead. Of the crashes that a verdict
 // needs, one may lack a rival: the exposure of the request that has it may be missing.
 func (l *Ledger) rivals(now time.Time, f Fingerprint, h *History) []Fingerprint {
-	told := min(h.RivalCrashes, len(h.Crashes))
+	told := len(h.Told)
 	seen, ends := map[Fingerprint]int{}, 0
 	if told > 0 {
 		ends = 1 // the told rivals were at all of them
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -185,8 +185,8 @@
 		if !now.Before(q.ExpiresAt) || history.AnsweredSince(q.Crashes) || (full && !known) || (refused && !informed) {
 			return history, known
 		}
-		after.Crashes, after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.Crashes, q.LastCrashAt, q.ExpiresAt, true
-		after.Rivals, after.RivalCrashes = q.Rivals, len(q.Crashes)
+		after.Ends, after.Told, after.Crashes, after.Rivals = nil, q.Crashes, q.Crashes, q.Rivals
+		after.LastCrashAt, after.ExpiresAt, after.Quarantined = q.LastCrashAt, q.ExpiresAt, true
 		return after, true
 	})
 	return before, after
