Take an engine for ended when another one answers at its address

A request that ends engines was not recognised where a new engine had the address of the ended one before the check: the host accepted the connection, which counted as alive.

A host that does not answer, and an engine that does, have not ended, as before. docs: planner's health path is the directory's now.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -240,6 +240,15 @@
 // Engine returns the announced engine with the given id.
 func (d *Directory) Engine(id string) (*catalog.Engine, bool) { return d.engines.Get(id) }
 
+// HealthPath returns the path of a service's health checks, or an empty path.
+func (d *Directory) HealthPath(service string) string {
+	cfg := d.Config()
+	if cfg == nil {
+		return ""
+	}
+	return cfg.Services[service].HealthPath
+}
+
 // Daemons returns the addresses of all announced daemons by name.
 func (d *Directory) Daemons() map[string]string {
 	out := map[string]string{}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortquay/ragwortquay/internal/balance"
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/directory"
 	"github.com/ragwortquay/ragwortquay/internal/ingress"
 	"github.com/ragwortquay/ragwortquay/internal/mesh"
@@ -72,9 +73,10 @@
 	Codec        interface {
 		ingress.Codec
 		relay.EngineSender
-		// Refuses reports whether the host of addr refuses connections there, so
-		// that no engine runs.
-		Refuses(ctx context.Context, addr string) bool
+		// Probe calls the address of an engine on a new connection and reports what
+		// answers there. Without a path of its service's health checks it only
+		// connects, and reports ProbeSilent unless the host refuses.
+		Probe(ctx context.Context, e *catalog.Engine, healthPath string) Probe
 	}
 }
 
@@ -120,7 +122,9 @@
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
-	ends := &endCheck{listed: d.directory.Engine, refuses: p.Codec.Refuses}
+	ends := &endCheck{listed: d.directory.Engine, probe: func(ctx context.Context, e *catalog.Engine) Probe {
+		return p.Codec.Probe(ctx, e, d.directory.HealthPath(e.Service))
+	}}
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Sender: p.Codec, Demand: demand,
 		RetryBudget: retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleetSize),
--- a/internal/edge/ended.go
+++ b/internal/edge/ended.go
@@ -11,19 +11,34 @@
 	"github.com/ragwortquay/ragwortquay/internal/relay"
 )
 
-// endCheckTimeout bounds the connection that tells whether an engine has ended. A
-// host refuses it within a round trip; one that is cut off does not answer.
+// endCheckTimeout bounds the call that tells whether an engine has ended. A host refuses
+// it within a round trip; one that is cut off does not answer.
 const endCheckTimeout = 150 * time.Millisecond
 
+// Probe is what a call to the address of an engine has shown.
+type Probe uint8
+
+// The results of a probe.
+const (
+	// ProbeSilent means that nothing answered in time.
+	ProbeSilent Probe = iota
+	// ProbeRefused means that the host refuses connections there.
+	ProbeRefused
+	// ProbeReplaced means that another engine answers there.
+	ProbeReplaced
+	// ProbeAnswered means that the engine answers.
+	ProbeAnswered
+)
+
 // endCheck finds out whether engines that broke off an attempt have ended.
 type endCheck struct {
 	// listed returns the engine with an id as the store lists it.
 	listed func(id string) (*catalog.Engine, bool)
-	// refuses reports whether the host of an address refuses connections there.
-	refuses func(ctx context.Context, addr string) bool
-	// dials joins the checks of one incarnation, since all attempts at an engine
-	// break off together.
-	dials singleflight.Group
+	// probe calls the engine's address.
+	probe func(ctx context.Context, e *catalog.Engine) Probe
+	// calls joins the probes of one incarnation, since all attempts at an engine break off
+	// together.
+	calls singleflight.Group
 }
 
 // check reports whether the incarnation of an engine has ended. An engine that has
@@ -31,21 +46,28 @@
 // is cut off, whose host does not answer, may go on.
 func (c *endCheck) check(ctx context.Context, e *catalog.Engine) relay.EngineEnd {
 	listed, known := c.listed(e.ID)
-	switch {
-	case known && listed.StartUnixMS > e.StartUnixMS:
+	if known && listed.StartUnixMS > e.StartUnixMS {
 		return relay.EngineEnd{Ended: true, Evidence: "started again"}
+	}
+	switch {
 	case !known:
 		return relay.EngineEnd{Evidence: "had left the list"}
 	case listed.Draining:
 		return relay.EngineEnd{Evidence: "was leaving"}
 	}
-	refused, _, _ := c.dials.Do(e.ID+"/"+strconv.FormatInt(e.StartUnixMS, 10), func() (any, error) {
+	result, _, _ := c.calls.Do(e.ID+"/"+strconv.FormatInt(e.StartUnixMS, 10), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
 		defer cancel()
-		return c.refuses(ctx, e.Addr), nil
+		return c.probe(ctx, e), nil
 	})
-	if refused == true {
+	switch result {
+	case ProbeRefused:
 		return relay.EngineEnd{Ended: true, Evidence: "refuses connections"}
+	case ProbeReplaced:
+		return relay.EngineEnd{Ended: true, Evidence: "another engine answers at its address"}
+	case ProbeAnswered:
+		return relay.EngineEnd{Evidence: "answers"}
+	default:
+		return relay.EngineEnd{Evidence: "does not answer"}
 	}
-	return relay.EngineEnd{Evidence: "accepts connections or does not answer"}
 }
--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -12,24 +12,30 @@
 func TestEndOfAnEngineIsToldFromOtherBreaks(t *testing.T) {
 	sent := &catalog.Engine{ID: "i-1", Addr: "10.0.0.1:80", StartUnixMS: 100}
 	listed := func(e catalog.Engine) *catalog.Engine { return &e }
+	leaving := listed(catalog.Engine{ID: "i-1", StartUnixMS: 100, Draining: true})
 	cases := []struct {
-		name    string
-		listed  *catalog.Engine
-		refuses bool
-		ended   bool
+		name   string
+		listed *catalog.Engine
+		probe  Probe
+		ended  bool
 	}{
-		{"ended, the list lags", listed(*sent), true, true},
-		{"started again", listed(catalog.Engine{ID: "i-1", StartUnixMS: 101}), false, true},
-		{"connection reset, or a single answer broken off", listed(*sent), false, false},
-		{"planned stop", listed(catalog.Engine{ID: "i-1", StartUnixMS: 100, Draining: true}), true, false},
-		{"left the list before, stopped or cut off", nil, true, false},
+		{"ended, the list lags", listed(*sent), ProbeRefused, true},
+		{"started again", listed(catalog.Engine{ID: "i-1", StartUnixMS: 101}), ProbeAnswered, true},
+		{"replaced within the round trip", listed(*sent), ProbeReplaced, true},
+		{"connection reset, or a single answer broken off", listed(*sent), ProbeAnswered, false},
+		{"cut off: its host does not answer", listed(*sent), ProbeSilent, false},
+		{"planned stop", leaving, ProbeRefused, false},
+		{"replaced while it was leaving", leaving, ProbeReplaced, false},
+		{"leaving, and an answer broken off", leaving, ProbeAnswered, false},
+		{"left the list before, stopped or cut off", nil, ProbeRefused, false},
 	}
 	for _, c := range cases {
 		check := &endCheck{
-			listed:  func(string) (*catalog.Engine, bool) { return c.listed, c.listed != nil },
-			refuses: func(context.Context, string) bool { return c.refuses },
+			listed: func(string) (*catalog.Engine, bool) { return c.listed, c.listed != nil },
+			probe:  func(context.Context, *catalog.Engine) Probe { return c.probe },
 		}
-		must.Eq(t, c.ended, check.check(t.Context(), sent).Ended, must.Sprint(c.name))
+		end := check.check(t.Context(), sent)
+		must.Eq(t, c.ended, end.Ended, must.Sprint(c.name))
 	}
 }
 
@@ -38,10 +44,11 @@
 	sent := &catalog.Engine{ID: "i-1", StartUnixMS: 100}
 	check := &endCheck{
 		listed: func(string) (*catalog.Engine, bool) { return sent, true },
-		refuses: func(ctx context.Context, _ string) bool {
+		probe: func(ctx context.Context, _ *catalog.Engine) Probe {
 			<-ctx.Done()
-			return false
+			return ProbeSilent
 		},
 	}
-	must.False(t, check.check(t.Context(), sent).Ended)
+	end := check.check(t.Context(), sent)
+	must.False(t, end.Ended)
 }
--- a/internal/planner/query.go
+++ b/internal/planner/query.go
@@ -141,7 +141,7 @@
 		return Finding{Kind: placement.Reported, Report: r}
 	case fault.Is(err, fault.NotFound):
 		return Finding{Kind: placement.Replaced, Err: err}
-	case thorough && p.opts.Engines.Answers(e, p.healthPath(e.Service)):
+	case thorough && p.opts.Engines.Answers(e, p.opts.Directory.HealthPath(e.Service)):
 		return Finding{Kind: placement.Answered, Err: err}
 	default:
 		return Finding{Kind: placement.Silent, Err: err}
@@ -160,15 +160,6 @@
 	}
 }
 
-// healthPath returns the path of a service's health checks, or an empty path.
-func (p *Planner) healthPath(service string) string {
-	cfg := p.opts.Directory.Config()
-	if cfg == nil {
-		return ""
-	}
-	return cfg.Services[service].HealthPath
-}
-
 // recordFinding records the result of this daemon's query, which was sent at sentAt. It
 // reports false if the engine has been announced anew since.
 func (es *engineStatus) recordFinding(e *catalog.Engine, found Finding, sentAt time.Time) bool {
