Count engines that end while they leave, but not as the only evidence

A request that ended an engine which was draining, or had just left the list, got that engine for free: such an end was taken for a planned stop, whatever else was known. An engine that is leaving finishes what it has; one that breaks an attempt off and refuses connections has ended, by its plan or under the request.

Such ends now count, marked as announced, and at most one of the three that a verdict needs may be one: planned stops alone condemn nothing, however many there are.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -65,7 +65,7 @@
 		e := &news.Exposures[i]
 		out.Exposures = append(out.Exposures, wire.CrashExposure{
 			Engine: e.Engine, StartMS: e.StartMS, Request: uint64(e.Identity.Request), Parts: numbers(e.Identity.Parts),
-			SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(),
+			SentAgeUS: now.Sub(e.SentAt).Microseconds(), EndAgeUS: now.Sub(e.EndedAt).Microseconds(), Announced: e.Announced,
 		})
 	}
 	for i := range news.Quarantines {
@@ -82,7 +82,7 @@
 		e := &n.Exposures[i]
 		news.Exposures = append(news.Exposures, suspect.Exposure{
 			Engine: e.Engine, StartMS: e.StartMS, Identity: suspect.Identity{Request: suspect.Fingerprint(e.Request), Parts: fingerprints(e.Parts)},
-			SentAt: ago(now, e.SentAgeUS), EndedAt: ago(now, e.EndAgeUS),
+			SentAt: ago(now, e.SentAgeUS), EndedAt: ago(now, e.EndAgeUS), Announced: e.Announced,
 		})
 	}
 	for i := range n.Quarantines {
--- a/internal/edge/ended.go
+++ b/internal/edge/ended.go
@@ -41,20 +41,14 @@
 	calls singleflight.Group
 }
 
-// check reports whether the incarnation of an engine has ended. An engine that has
-// announced that it leaves, or has left the list before, was stopped in order. One that
-// is cut off, whose host does not answer, may go on.
+// check reports whether the incarnation of an engine has ended. One that is cut off, whose
+// host does not answer, may go on.
 func (c *endCheck) check(ctx context.Context, e *catalog.Engine) relay.EngineEnd {
 	listed, known := c.listed(e.ID)
 	if known && listed.StartUnixMS > e.StartUnixMS {
 		return relay.EngineEnd{Ended: true, Evidence: "started again"}
 	}
-	switch {
-	case !known:
-		return relay.EngineEnd{Evidence: "had left the list"}
-	case listed.Draining:
-		return relay.EngineEnd{Evidence: "was leaving"}
-	}
+	announced := !known || listed.Draining
 	result, _, _ := c.calls.Do(e.ID+"/"+strconv.FormatInt(e.StartUnixMS, 10), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
 		defer cancel()
@@ -62,12 +56,12 @@
 	})
 	switch result {
 	case ProbeRefused:
-		return relay.EngineEnd{Ended: true, Evidence: "refuses connections"}
+		return relay.EngineEnd{Ended: true, Announced: announced, Evidence: "refuses connections"}
 	case ProbeReplaced:
-		return relay.EngineEnd{Ended: true, Evidence: "another engine answers at its address"}
+		return relay.EngineEnd{Ended: true, Announced: announced, Evidence: "another engine answers at its address"}
 	case ProbeAnswered:
-		return relay.EngineEnd{Evidence: "answers"}
+		return relay.EngineEnd{Announced: announced, Evidence: "answers"}
 	default:
-		return relay.EngineEnd{Evidence: "does not answer"}
+		return relay.EngineEnd{Announced: announced, Evidence: "does not answer"}
 	}
 }
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -18,8 +18,10 @@
 // EngineEnd is how an attempt was broken off.
 type EngineEnd struct {
 	// Ended is set if the incarnation of the engine that the attempt was sent to has
-	// ended without having announced that it leaves.
+	// ended.
 	Ended bool
+	// Announced is set if it had announced that it leaves, or had left the list.
+	Announced bool
 	// Evidence is what shows whether it has.
 	Evidence string
 }
@@ -33,14 +35,14 @@
 	}
 	endedAt := time.Now()
 	end := j.opts.EngineEnd(j.ctx, e)
-	j.logDecision("attempt broken off", "engine", e.ID, "start_ms", e.StartUnixMS, "engine_ended", end.Ended, "evidence", end.Evidence,
+	j.logDecision("attempt broken off", "engine", e.ID, "start_ms", e.StartUnixMS, "engine_ended", end.Ended, "announced", end.Announced, "evidence", end.Evidence,
 		"fingerprint", suspect.Text(j.identity.Request), "after_ms", endedAt.Sub(sentAt).Milliseconds())
 	if !end.Ended {
 		return
 	}
 	j.engineEnded = true
 	j.summary.EnginesEnded++
-	before, after := j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt})
+	before, after := j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt, Announced: end.Announced})
 	fields := []any{"engine", e.ID, "fingerprint", suspect.Text(j.identity.Request), "counted", len(after.Crashes) > len(before.Crashes), "counted_ends", len(after.Crashes)}
 	if !before.LastCrashAt.IsZero() {
 		fields = append(fields, "sent_after_last_counted_ms", sentAt.Sub(before.LastCrashAt).Milliseconds())
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -28,6 +28,8 @@
 	Identity Identity
 	// SentAt is when the attempt was sent, EndedAt when its end was seen.
 	SentAt, EndedAt time.Time
+	// Announced is set if the engine had announced that it leaves, or had left the list.
+	Announced bool
 }
 
 func (e *Exposure) crash() *Crash {
@@ -193,7 +195,7 @@
 		w.opts.OnEnd(e.Engine, e.StartMS)
 	}
 	for i, f := range e.Identity.fingerprints() {
-		ctx := Context{Shared: true, SentAt: e.SentAt}
+		ctx := Context{Shared: true, SentAt: e.SentAt, Announced: e.Announced}
 		if i > 0 && w.ledger.answeredLately(now, f) {
 			if w.opts.PassesOn() {
 				w.tellAnswer(now, f)
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -21,6 +21,8 @@
 	EndAgeUS  int64
 	// Parts are the fingerprints of the shared parts of its prompt.
 	Parts []uint64
+	// Announced is set if the engine had announced that it leaves.
+	Announced bool
 }
 
 // Quarantine is the fingerprint of a request that is not sent any more, for
