Count ends that only the list shows later

An engine whose host did not answer within the check was neither ended nor alive, and the request under it kept the engine for free even when the list showed seconds later that a new engine had its place.

When the list has a later start of the engine, or a later engine at its address, the end counts, at the time of the break. An entry that only lapses proves nothing, since the engine may be cut off and go on.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -240,6 +240,17 @@
 // Engine returns the announced engine with the given id.
 func (d *Directory) Engine(id string) (*catalog.Engine, bool) { return d.engines.Get(id) }
 
+// EngineAt returns the engine that started last at an address.
+func (d *Directory) EngineAt(addr string) (last *catalog.Engine, ok bool) {
+	d.engines.Range(func(_ string, e *catalog.Engine) bool {
+		if e.Addr == addr && (!ok || e.StartUnixMS > last.StartUnixMS) {
+			last, ok = e, true
+		}
+		return true
+	})
+	return last, ok
+}
+
 // HealthPath returns the path of a service's health checks, or an empty path.
 func (d *Directory) HealthPath(service string) string {
 	cfg := d.Config()
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -91,6 +91,7 @@
 	meshAdapter *meshAdapter
 	stats       *stats
 	watch       *suspect.Watch
+	undecided   *undecidedBreaks
 }
 
 // New assembles a daemon; Run starts it.
@@ -125,6 +126,7 @@
 	ends := &endCheck{listed: d.directory.Engine, probe: func(ctx context.Context, e *catalog.Engine) Probe {
 		return p.Codec.Probe(ctx, e, d.directory.HealthPath(e.Service))
 	}}
+	d.undecided = d.newUndecidedBreaks()
 	r := relay.New(relay.Options{
 		Directory: d.directory, Tracker: tracker, Sender: p.Codec, Demand: demand,
 		RetryBudget: retry.NewSharedBudget(retry.Allowance{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}, d.fleetSize),
@@ -135,6 +137,7 @@
 		OnSuspect:   d.meshAdapter.reportSuspicion,
 		OnLeaving:   d.meshAdapter.reportLeaving,
 		EngineEnd:   ends.check,
+		OnUndecided: d.undecided.add,
 		Watch:       d.watch,
 	})
 	d.server = ingress.New(ingress.Options{
@@ -155,6 +158,7 @@
 	g.Go(func() error { return d.announce(background) })
 	g.Go(func() error { return d.mesh.Run(background) })
 	g.Go(func() error { return d.updateGauges(background) })
+	g.Go(func() error { return d.undecided.run(background) })
 	g.Go(func() error { return d.stats.serveMetrics(background, d.settings.MetricsAddr) })
 	g.Go(func() error {
 		// Keep following the store until the last request is answered.
--- a/internal/edge/ended.go
+++ b/internal/edge/ended.go
@@ -62,6 +62,6 @@
 	case ProbeAnswered:
 		return relay.EngineEnd{Announced: announced, Evidence: "answers"}
 	default:
-		return relay.EngineEnd{Announced: announced, Evidence: "does not answer"}
+		return relay.EngineEnd{Undecided: true, Announced: announced, Evidence: "does not answer"}
 	}
 }
--- a/internal/edge/ended_test.go
+++ b/internal/edge/ended_test.go
@@ -19,17 +19,18 @@
 		probe     Probe
 		ended     bool
 		announced bool
+		undecided bool
 	}{
-		{"ended, the list lags", listed(*sent), ProbeRefused, true, false},
-		{"started again", listed(catalog.Engine{ID: "i-1", StartUnixMS: 101}), ProbeAnswered, true, false},
-		{"replaced within the round trip", listed(*sent), ProbeReplaced, true, false},
-		{"connection reset, or a single answer broken off", listed(*sent), ProbeAnswered, false, false},
-		{"cut off: its host does not answer", listed(*sent), ProbeSilent, false, false},
-		{"stopped, or ended while it was leaving", leaving, ProbeRefused, true, true},
-		{"replaced while it was leaving", leaving, ProbeReplaced, true, true},
-		{"leaving, and an answer broken off", leaving, ProbeAnswered, false, true},
-		{"ended after it had left the list", nil, ProbeRefused, true, true},
-		{"cut off after it had left the list", nil, ProbeSilent, false, true},
+		{"ended, the list lags", listed(*sent), ProbeRefused, true, false, false},
+		{"started again", listed(catalog.Engine{ID: "i-1", StartUnixMS: 101}), ProbeAnswered, true, false, false},
+		{"replaced within the round trip", listed(*sent), ProbeReplaced, true, false, false},
+		{"connection reset, or a single answer broken off", listed(*sent), ProbeAnswered, false, false, false},
+		{"cut off: its host does not answer", listed(*sent), ProbeSilent, false, false, true},
+		{"stopped, or ended while it was leaving", leaving, ProbeRefused, true, true, false},
+		{"replaced while it was leaving", leaving, ProbeReplaced, true, true, false},
+		{"leaving, and an answer broken off", leaving, ProbeAnswered, false, true, false},
+		{"ended after it had left the list", nil, ProbeRefused, true, true, false},
+		{"cut off after it had left the list", nil, ProbeSilent, false, true, true},
 	}
 	for _, c := range cases {
 		check := &endCheck{
@@ -39,6 +40,7 @@
 		end := check.check(t.Context(), sent)
 		must.Eq(t, c.ended, end.Ended, must.Sprint(c.name))
 		must.Eq(t, c.announced, end.Announced, must.Sprint(c.name))
+		must.Eq(t, c.undecided, end.Undecided, must.Sprint(c.name))
 	}
 }
 
@@ -54,4 +56,5 @@
 	}
 	end := check.check(t.Context(), sent)
 	must.False(t, end.Ended)
+	must.True(t, end.Undecided)
 }
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -22,30 +22,48 @@
 	Ended bool
 	// Announced is set if it had announced that it leaves, or had left the list.
 	Announced bool
+	// Undecided is set if it may have ended: its host does not answer.
+	Undecided bool
 	// Evidence is what shows whether it has.
 	Evidence string
 }
 
 // examineBreak finds out whether an attempt that failed with err was broken off by
 // the end of its engine before it had an answer, and records it. ctx is the context of
-// the attempt: an attempt that this daemon gave up itself was not broken off.
+// the attempt: one that this daemon gave up itself was not broken off.
 func (j *job) examineBreak(ctx context.Context, e *catalog.Engine, sentAt time.Time, err error) {
 	if j.attempt.HasAnswer() || ctx.Err() != nil || fault.As(err).Outcome == fault.NotRun {
 		return
 	}
-	endedAt := time.Now()
+	x := suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: time.Now()}
+	j.examineEnd(e, x)
+}
+
+// examineEnd finds out whether the engine has ended.
+func (j *job) examineEnd(e *catalog.Engine, x suspect.Exposure) {
 	end := j.opts.EngineEnd(j.ctx, e)
 	j.logDecision("attempt broken off", "engine", e.ID, "start_ms", e.StartUnixMS, "engine_ended", end.Ended, "announced", end.Announced, "evidence", end.Evidence,
-		"fingerprint", suspect.Text(j.identity.Request), "after_ms", endedAt.Sub(sentAt).Milliseconds())
-	if !end.Ended {
-		return
+		"fingerprint", suspect.Text(j.identity.Request), "after_ms", x.EndedAt.Sub(x.SentAt).Milliseconds())
+	switch {
+	case end.Ended:
+		j.engineEnded = true
+		j.summary.EnginesEnded++
+		x.Announced = end.Announced
+		j.recordEnd(x)
+	case end.Undecided:
+		j.opts.OnUndecided(e, x)
+	}
+}
+
+// recordEnd records that an engine has ended under a request.
+func (j *job) recordEnd(x suspect.Exposure) {
+	before, after := j.opts.Watch.EngineEnded(x)
+	fields := []any{
+		"engine", x.Engine, "fingerprint", suspect.Text(x.Identity.Request), "counted", len(after.Crashes) > len(before.Crashes),
+		"counted_ends", len(after.Crashes),
 	}
-	j.engineEnded = true
-	j.summary.EnginesEnded++
-	before, after := j.opts.Watch.EngineEnded(suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: endedAt, Announced: end.Announced})
-	fields := []any{"engine", e.ID, "fingerprint", suspect.Text(j.identity.Request), "counted", len(after.Crashes) > len(before.Crashes), "counted_ends", len(after.Crashes)}
 	if !before.LastCrashAt.IsZero() {
-		fields = append(fields, "sent_after_last_counted_ms", sentAt.Sub(before.LastCrashAt).Milliseconds())
+		fields = append(fields, "sent_after_last_counted_ms", x.SentAt.Sub(before.LastCrashAt).Milliseconds())
 	}
 	j.logDecision("end recorded", fields...)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,8 @@
 	// EngineEnd finds out whether the incarnation of an engine that has broken off an
 	// attempt has ended.
 	EngineEnd func(ctx context.Context, e *catalog.Engine) EngineEnd
+	// OnUndecided is called if that could not be found out.
+	OnUndecided func(e *catalog.Engine, x suspect.Exposure)
 	// Watch remembers under which requests engines have ended.
 	Watch *suspect.Watch
 }
