Count the end of an engine under an attempt that was given up shortly before

An attempt is given up when its client leaves, at its deadline, or when another engine may be faster. Most engines drop it then; one that ran it on and ended under it was not held against the request, since the daemon had closed the connection itself.

A daemon remembers the attempts that it gave up without an answer, for a second, at most 32 an engine. When the engine is found to have ended, by anybody's news, or because it refuses the next connection, they count as in flight at that end. Nothing is probed for an attempt that was given up alone, so that impatient clients cost nothing.

Test: TestEnginesThatEndAfterAnAttemptWasGivenUp; the mechanism did not exist before.

--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -30,13 +30,21 @@
 
 // examineBreak finds out whether an attempt that failed with err was broken off by
 // the end of its engine before it had an answer, and records it. ctx is the context of
-// the attempt: one that this daemon gave up itself was not broken off.
+// the attempt: one that this daemon gave up itself was not broken off, but its engine may
+// run it on.
 func (j *job) examineBreak(ctx context.Context, e *catalog.Engine, sentAt time.Time, err error) {
-	if j.attempt.HasAnswer() || ctx.Err() != nil || fault.As(err).Outcome == fault.NotRun {
+	if j.attempt.HasAnswer() {
 		return
 	}
 	x := suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: time.Now()}
-	j.examineEnd(e, x)
+	switch {
+	case fault.As(err).Outcome == fault.NotRun:
+		j.examineAbandoned(e)
+	case ctx.Err() != nil:
+		j.opts.Watch.Abandoned(x)
+	default:
+		j.examineEnd(e, x)
+	}
 }
 
 // examineEnd finds out whether the engine has ended.
@@ -55,6 +63,19 @@
 	}
 }
 
+// examineAbandoned finds out whether an engine that cannot be reached has ended after an
+// attempt there was given up.
+func (j *job) examineAbandoned(e *catalog.Engine) {
+	x, ok := j.opts.Watch.LastAbandoned(e.ID, e.StartUnixMS)
+	if !ok {
+		return
+	}
+	if end := j.opts.EngineEnd(j.ctx, e); end.Ended {
+		x.EndedAt, x.Announced = time.Now(), end.Announced
+		j.recordEnd(x)
+	}
+}
+
 // recordEnd records that an engine has ended under a request.
 func (j *job) recordEnd(x suspect.Exposure) {
 	before, after := j.opts.Watch.EngineEnded(x)
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -32,6 +32,10 @@
 	Announced bool
 }
 
+func (e *Exposure) incarnation() Incarnation {
+	return Incarnation{Replica: e.Engine, Incarnation: strconv.FormatInt(e.StartMS, 10)}
+}
+
 func (e *Exposure) crash() *Crash {
 	return &Crash{Replica: e.Engine, Incarnation: strconv.FormatInt(e.StartMS, 10), At: e.EndedAt}
 }
@@ -70,11 +74,15 @@
 	attempts  *shard.Map[*Attempt]
 	attemptNo counter
 	outbox    *outbox
+	// abandoned holds attempts of this daemon that were given up lately without an answer,
+	// by the incarnation of their engine.
+	abandoned    *shard.Map[[]Exposure]
+	abandonments counter
 }
 
 // NewWatch returns a Watch without histories.
 func NewWatch(o Options) *Watch {
-	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox()}
+	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox(), abandoned: shard.NewMap[[]Exposure]()}
 }
 
 // Ruling is how a request is handled, with the history that decides it.
@@ -191,7 +199,8 @@
 func (w *Watch) expose(e *Exposure) (requestBefore, requestAfter History) {
 	now := w.opts.Now()
 	crash := e.crash()
-	if w.ledger.addExposed(now, Incarnation{Replica: crash.Replica, Incarnation: crash.Incarnation}, e.Identity.Parts) {
+	isNew := w.ledger.addExposed(now, e.incarnation(), e.Identity.Parts)
+	if isNew {
 		w.opts.OnEnd(e.Engine, e.StartMS)
 	}
 	for i, f := range e.Identity.fingerprints() {
@@ -211,6 +220,9 @@
 		}
 		w.changed(now, f, before, after)
 	}
+	if isNew {
+		w.exposeAbandoned(e)
+	}
 	return requestBefore, requestAfter
 }
 
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -191,3 +191,34 @@
 	must.LessEq(t, maxHistories, f.watches[0].ledger.histories.Len())
 	must.LessEq(t, maxHistories, f.changes)
 }
+
+// TestEnginesThatEndAfterAnAttemptWasGivenUp ends an engine after attempts there were
+// given up. It may have run them on.
+func TestEnginesThatEndAfterAnAttemptWasGivenUp(t *testing.T) {
+	f := newFleet(2)
+	w := f.watches[0]
+	abandon := func(body string) {
+		w.Abandoned(Exposure{Engine: "i-1", StartMS: 1, Identity: request(body), SentAt: f.now.Add(-90 * time.Millisecond), EndedAt: f.now})
+	}
+	engines := func(daemon int, body string) int {
+		history, _ := f.watches[daemon].ledger.History(request(body).Request)
+		return len(history.Ends)
+	}
+	abandon("long before")
+	f.now = f.now.Add(abandonedTTL)
+	abandon("deadly")
+	f.now = f.now.Add(10 * time.Millisecond)
+	must.Eq(t, 0, engines(0, "deadly"))
+	x, ok := w.LastAbandoned("i-1", 1)
+	must.True(t, ok)
+	must.Eq(t, request("deadly"), x.Identity)
+	f.end(1, "i-1", request("neighbour"))
+	f.exchange(rand.New(rand.NewPCG(1, 1)), 0)
+	f.exchange(rand.New(rand.NewPCG(1, 1)), 0)
+	for daemon := range f.watches {
+		must.Eq(t, 1, engines(daemon, "deadly"))
+		must.Eq(t, 0, engines(daemon, "long before"))
+	}
+	_, ok = w.LastAbandoned("i-1", 1)
+	must.False(t, ok)
+}
