Tell of quarantines when those that tell of them have lost their memory

A daemon that refuses a request now tells of it once a second if nobody else has for two seconds. As long as the readers do, nothing more is sent.

Tests: TestQuarantineOutlivesTheDaemonsThatTellOthers (4, 15 and 295 daemons; daemon 0 of 4 did not refuse with the mechanism out), TestQuarantinesAreNotToldByAll.

--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	quarantineNewsTTL = 300 * time.Millisecond
 	// maxQuarantineNews bounds the requests in quarantine that are sent.
 	maxQuarantineNews = 64
+	// quarantineSilence is how long nobody must have told of a quarantine until daemons do
+	// that do not pass news on: the others may have lost their memory.
+	quarantineSilence = 2 * quarantineNewsInterval
 )
 
 // News is what daemons tell each other: exposures and answers that were seen lately,
@@ -126,12 +130,35 @@
 func (w *Watch) News() News {
 	now := w.opts.Now()
 	n := News{Exposures: due(w.outbox.exposures, now), Answers: due(w.outbox.answers, now)}
-	if w.opts.PassesOn() && w.outbox.quarantinesDue(now) {
+	if w.outbox.quarantinesDue(now) {
 		n.Quarantines = w.ledger.quarantines(now)
+		if !w.opts.PassesOn() {
+			n.Quarantines = slices.DeleteFunc(n.Quarantines, func(q Quarantine) bool { return w.isTold(now, q.Fingerprint) })
+		}
 	}
 	return n
 }
 
+// isTold reports whether another daemon has told of a quarantine lately, or this one has
+// just learned of it.
+func (w *Watch) isTold(now time.Time, f Fingerprint) bool {
+	at, ok := w.toldAt.Get(Text(f))
+	if !ok {
+		w.setTold(now, f)
+		return true
+	}
+	return now.Sub(at) < quarantineSilence
+}
+
+func (w *Watch) setTold(now time.Time, f Fingerprint) {
+	if w.toldAt.Len() >= maxHistories {
+		w.toldAt.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= quarantineSilence })
+	}
+	if w.toldAt.Len() < maxHistories {
+		w.toldAt.Set(Text(f), now)
+	}
+}
+
 // Apply applies the news of another daemon.
 func (w *Watch) Apply(n *News) {
 	now := w.opts.Now()
@@ -146,6 +173,7 @@
 		w.answer(f, false)
 	}
 	for i := range n.Quarantines {
+		w.setTold(now, n.Quarantines[i].Fingerprint)
 		if f := n.Quarantines[i].Fingerprint; w.ledger.answeredLately(now, f) {
 			w.tellAnswer(now, f) // the sender has not seen that
 			continue
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -78,11 +78,13 @@
 	// by the incarnation of their engine.
 	abandoned    *shard.Map[[]Exposure]
 	abandonments counter
+	// toldAt holds when another daemon last told of a quarantine, by its fingerprint.
+	toldAt *shard.Map[time.Time]
 }
 
 // NewWatch returns a Watch without histories.
 func NewWatch(o Options) *Watch {
-	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox(), abandoned: shard.NewMap[[]Exposure]()}
+	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox(), abandoned: shard.NewMap[[]Exposure](), toldAt: shard.NewMap[time.Time]()}
 }
 
 // Ruling is how a request is handled, with the history that decides it.
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -192,6 +192,49 @@
 	must.LessEq(t, maxHistories, f.changes)
 }
 
+// TestQuarantineOutlivesTheDaemonsThatTellOthers starts both daemons that pass news on
+// anew. The others must tell them of what they refuse.
+func TestQuarantineOutlivesTheDaemonsThatTellOthers(t *testing.T) {
+	for _, daemons := range []int{4, 15, 295} {
+		f := newFleet(daemons)
+		rng := rand.New(rand.NewPCG(uint64(daemons), 1))
+		for k := range 3 {
+			f.end(daemons-1, fmt.Sprint("i-", k), request("deadly"))
+		}
+		for range 8 {
+			f.exchange(rng, 0.2)
+		}
+		started := newFleet(2)
+		for i := range 2 {
+			f.watches[i] = started.watches[i]
+			f.watches[i].opts.Now = func() time.Time { return f.now }
+		}
+		for range 14 { // 3.5 s
+			f.exchange(rng, 0.2)
+		}
+		for i, w := range f.watches {
+			must.Eq(t, Refused, w.Verdict(request("deadly")).Verdict, must.Sprintf("daemon %d of %d", i, daemons))
+		}
+	}
+}
+
+// TestQuarantinesAreNotToldByAll counts the daemons that tell of a quarantine while those
+// that pass news on do.
+func TestQuarantinesAreNotToldByAll(t *testing.T) {
+	f := newFleet(15)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for k := range 3 {
+		f.end(14, fmt.Sprint("i-", k), request("deadly"))
+	}
+	for range 40 {
+		f.exchange(rng, 0)
+		for i, w := range f.watches[2:] {
+			news := w.News()
+			must.Len(t, 0, news.Quarantines, must.Sprintf("daemon %d", i+2))
+		}
+	}
+}
+
 // TestEnginesThatEndAfterAnAttemptWasGivenUp ends an engine after attempts there were
 // given up. It may have run them on.
 func TestEnginesThatEndAfterAnAttemptWasGivenUp(t *testing.T) {
