Read the news of crashes of the release before

The mark of announced ends changed the layout of the news, and a datagram of another layout is not decoded: in a rolling restart the daemons already replaced would not have heard of the ends that the others see. The news have a kind of their own now, and the earlier one is still read. Daemons of the release before ignore the new kind.

Test: TestCrashNewsOfTheReleaseBefore, which failed on the layout alone ("number of fields in array-encoded struct has changed").

--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -56,5 +56,31 @@
 	return CrashNews{n.Sender, n.Exposures[:e], n.Answers[:a], n.Quarantines[:q]}, CrashNews{n.Sender, n.Exposures[e:], n.Answers[a:], n.Quarantines[q:]}
 }
 
+// crashNewsV1 and crashExposureV1 are the news of the release before.
+type crashNewsV1 struct {
+	Sender      string
+	Exposures   []crashExposureV1
+	Answers     []uint64
+	Quarantines []Quarantine
+}
+
+type crashExposureV1 struct {
+	Engine    string
+	StartMS   int64
+	Request   uint64
+	SentAgeUS int64
+	EndAgeUS  int64
+	Parts     []uint64
+}
+
+// upgrade returns the news in the layout of this release.
+func (n *crashNewsV1) upgrade() *CrashNews {
+	out := &CrashNews{Sender: n.Sender, Answers: n.Answers, Quarantines: n.Quarantines}
+	for _, e := range n.Exposures {
+		out.Exposures = append(out.Exposures, CrashExposure{Engine: e.Engine, StartMS: e.StartMS, Request: e.Request, SentAgeUS: e.SentAgeUS, EndAgeUS: e.EndAgeUS, Parts: e.Parts})
+	}
+	return out
+}
+
 // EncodeCrashNews encodes news as a datagram.
 func EncodeCrashNews(n *CrashNews) ([]byte, error) { return encodeDatagram(crashDatagram, n) }
--- /dev/null
+++ b/internal/wire/crash_test.go
@@ -0,0 +1,16 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Daemons that have been replaced already must hear of the ends that the others see.
+func TestCrashNewsOfTheReleaseBefore(t *testing.T) {
+	b, err := encodeDatagram(crashV1Datagram, &crashNewsV1{Sender: "a", Exposures: []crashExposureV1{{"i-1", 1, 2, 3, 4, []uint64{5}}, {"i-2", 1, 2, 3, 4, nil}}, Answers: []uint64{6}})
+	must.NoError(t, err)
+	got, err := DecodeDatagram(b)
+	must.NoError(t, err)
+	must.Eq(t, any(&CrashNews{Sender: "a", Exposures: []CrashExposure{{Engine: "i-1", StartMS: 1, Request: 2, SentAgeUS: 3, EndAgeUS: 4, Parts: []uint64{5}}, {Engine: "i-2", StartMS: 1, Request: 2, SentAgeUS: 3, EndAgeUS: 4}}, Answers: []uint64{6}}), got)
+}
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -79,7 +79,9 @@
 	demandDatagram = 'D' // DemandReport
 	sumsDatagram   = 'S' // LoadSums
 	leaveDatagram  = 'V' // LeaveNotices
-	crashDatagram  = 'C' // CrashNews
+	crashDatagram  = 'N' // CrashNews
+	// crashV1Datagram is a crashNewsV1.
+	crashV1Datagram = 'C'
 	// requestDatagram is a RecordRequest.
 	requestDatagram       = 'Q'
 	headQueryDatagram     = 'H' // HeadQuery
@@ -123,6 +125,10 @@
 	case crashDatagram:
 		n := &CrashNews{}
 		return n, Unmarshal(b[1:], n)
+	case crashV1Datagram:
+		n := &crashNewsV1{}
+		err := Unmarshal(b[1:], n)
+		return n.upgrade(), err
 	case requestDatagram:
 		r := &RecordRequest{}
 		return r, Unmarshal(b[1:], r)
