Let one attempt of a suspect run at a time, over all daemons

Callers whose request ends engines sent copies of it to several daemons at the same moment, and again when new engines were up. Each batch ended every engine that had a copy, and counted once: the request was sent there before the last end had been seen, as under an outage.

Nothing in one batch tells a request from an outage of the engines that had it; what tells them apart is its next run, alone: it ends one engine, and an outage takes others too. A request, or a part of prompts, under which an engine has ended is now tried by one attempt at a time. Before it is sent, the daemon asks the arbiter, which is the collector that ranks first; others wait until the trial has ended, for the target latency at most, and are refused as not run otherwise. An answer clears the suspect, and nobody asks any more. The report of an end precedes the end of its trial. If no arbiter answers, a request under which one engine ended runs, one with more is refused for now. In a large fleet the collectors name suspects with several ends to all.

--- a/internal/edge/batches_test.go
+++ b/internal/edge/batches_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,8 +42,8 @@
 	closed  bool
 }
 
-// start starts an engine, at addr if that is not empty.
-func (r *replacedEngines) start(addr string) {
+// startIn starts an engine in a fabric domain, at addr if that is not empty.
+func (r *replacedEngines) startIn(addr, domain string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
@@ -50,22 +51,22 @@
 	}
 	r.started++
 	config := r.config
-	config.ID, config.Addr = fmt.Sprintf("i-%s-%d", config.FabricDomain, r.started), addr
+	config.ID, config.Addr, config.FabricDomain = fmt.Sprintf("i-%d", r.started), addr, domain
 	var e *site.Engine
 	var once sync.Once
-	config.OnDeadly = func() { once.Do(func() { r.replace(e) }) }
+	config.OnDeadly = func() { once.Do(func() { r.replace(e, domain) }) }
 	e = site.StartEngine(r.f.store, config)
 	r.running = append(r.running, e)
 }
 
 // replace ends an engine and replaces it.
-func (r *replacedEngines) replace(e *site.Engine) {
+func (r *replacedEngines) replace(e *site.Engine, domain string) {
 	r.mu.Lock()
 	r.endedAt = append(r.endedAt, time.Now())
 	r.mu.Unlock()
 	e.Crash()
 	time.AfterFunc(entryLife, e.ExpireEntry)
-	time.AfterFunc(r.back, func() { r.start(e.Addr()) })
+	time.AfterFunc(r.back, func() { r.startIn(e.Addr(), domain) })
 }
 
 func (r *replacedEngines) close() {
@@ -91,15 +92,39 @@
 		Deadly: func(body string, _ []string) bool { return body == deadlyBody },
 	}}
 	for range n {
-		r.start("")
+		r.startIn("", "")
 	}
 	f.stops = append(f.stops, r.close)
 	return r
 }
 
+// all returns the engines that were started so far.
+func (r *replacedEngines) all() []*site.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.running)
+}
+
+// sendBatches sends copies of a deadly request at the same moment, again and again, and
+// returns the ids of them all.
+func (f *fixture) sendBatches(batches, copies int, interval time.Duration, send func(id string, copy int)) map[string]bool {
+	ids := map[string]bool{}
+	for range batches {
+		var wg sync.WaitGroup
+		for k := range copies {
+			id := fmt.Sprintf("deadly-%d", lastRequestID.Add(1))
+			ids[id] = true
+			wg.Go(func() { send(id, k) })
+		}
+		time.Sleep(interval)
+		wg.Wait()
+	}
+	return ids
+}
+
 // sendSound sends sound requests to all daemons in turn until stop is called, which
 // returns the number of those that were answered and of those refused as deadly.
-func (f *fixture) sendSound(path string) (stop func() (answered, refused int64)) {
+func (f *fixture) sendSound(path, model string, parts func(n int) []string) (stop func() (answered, refused int64)) {
 	var ok, refused atomic.Int64
 	done := make(chan struct{})
 	var wg sync.WaitGroup
@@ -111,7 +136,7 @@
 			case <-time.After(soundInterval):
 			}
 			wg.Go(func() {
-				switch status, _ := f.post(n%len(f.daemons), path, "", fmt.Sprintf("sound-%d", n)); status {
+				switch status, _ := f.post(n%len(f.daemons), path, model, fmt.Sprintf("sound-%d", n), parts(n)...); status {
 				case http.StatusOK:
 					ok.Add(1)
 				case http.StatusUnprocessableEntity:
@@ -129,13 +154,13 @@
 
 // lateRuns returns the number of requests with the given ids that began to run later than
 // stableWindow after the last of the allowed ends.
-func (f *fixture) lateRuns(isDeadly func(id string) bool, ends []time.Time, allowedEnds int) int {
+func (f *fixture) lateRuns(ids map[string]bool, ends []time.Time, allowedEnds int) int {
 	if len(ends) < allowedEnds {
 		return 0
 	}
 	late := 0
 	for _, x := range f.store.Executions() {
-		if isDeadly(x.RequestID) && x.At.Sub(ends[allowedEnds-1]) > stableWindow {
+		if ids[x.RequestID] && x.At.Sub(ends[allowedEnds-1]) > stableWindow {
 			late++
 		}
 	}
@@ -172,23 +197,11 @@
 			for n := range f.daemons {
 				eventually(t, "the daemon serves", func() bool { status, _ := f.post(n, c.path, "", "sound"); return status == http.StatusOK })
 			}
-			var mu sync.Mutex
-			deadly := map[string]bool{}
-			stopSound := f.sendSound(c.path)
-			for range batches {
-				var wg sync.WaitGroup
-				for k := range c.copies {
-					id := fmt.Sprintf("deadly-%d", lastRequestID.Add(1))
-					mu.Lock()
-					deadly[id] = true
-					mu.Unlock()
-					wg.Go(func() { f.postAs(id, k%c.daemons, c.path, "", deadlyBody) })
-				}
-				time.Sleep(c.interval)
-				wg.Wait()
-			}
+			stopSound := f.sendSound(c.path, "", func(int) []string { return nil })
+			deadly := f.sendBatches(batches, c.copies, c.interval, func(id string, k int) { f.postAs(id, k%c.daemons, c.path, "", deadlyBody) })
 			_, refused := stopSound()
-			late := f.lateRuns(func(id string) bool { return deadly[id] }, engines.ends(), allowedEnds)
+			late := f.lateRuns(deadly, engines.ends(), allowedEnds)
+			t.Logf("%d late runs, %d engines ended", late, len(engines.ends()))
 			must.LessEq(t, allowedLate, late, must.Sprintf("late runs; %d engines ended", len(engines.ends())))
 			must.Eq(t, 0, refused, must.Sprint("sound requests refused for the deadly one"))
 			for n := range f.daemons {
@@ -198,3 +211,55 @@
 		})
 	}
 }
+
+// TestOutagesUnderCopiesOfASoundRequest ends all engines by another cause while they run
+// copies of one request, once and twice. The request must be served afterwards.
+func TestOutagesUnderCopiesOfASoundRequest(t *testing.T) {
+	const copies, outages = 6, 2
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	engines := f.replacedEngines(3, 1200*time.Millisecond)
+	for range copies {
+		f.addDaemon()
+	}
+	f.waitUntilDaemonsHearEachOther()
+	send := func(n int) int {
+		status, _ := f.post(n, site.IdempotentPath, "", "the same sound request")
+		return status
+	}
+	for n := range f.daemons {
+		eventually(t, "the daemon serves", func() bool { return send(n) == http.StatusOK })
+	}
+	for range outages {
+		running := slices.DeleteFunc(engines.all(), (*site.Engine).Ended)
+		arrivals := map[*site.Engine]int{}
+		for _, e := range running {
+			e.DelayAnswers(400 * time.Millisecond)
+			arrivals[e] = e.Arrivals()
+		}
+		var refused atomic.Int64
+		var wg sync.WaitGroup
+		for n := range copies {
+			wg.Go(func() {
+				if send(n) == http.StatusUnprocessableEntity {
+					refused.Add(1)
+				}
+			})
+		}
+		eventually(t, "all engines run a copy", func() bool {
+			return !slices.ContainsFunc(running, func(e *site.Engine) bool { return e.Arrivals() == arrivals[e] })
+		})
+		for _, e := range running {
+			engines.replace(e, "")
+		}
+		wg.Wait()
+		for n := range f.daemons {
+			eventually(t, "the daemon serves the request", func() bool {
+				status := send(n)
+				must.NotEq(t, http.StatusUnprocessableEntity, status)
+				return status == http.StatusOK
+			})
+		}
+		must.Eq(t, 0, refused.Load(), must.Sprint("copies refused as deadly"))
+	}
+}
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -60,7 +60,7 @@
 func (g *meshAdapter) CrashNews() wire.CrashNews {
 	news := g.d.watch.News()
 	now := time.Now()
-	out := wire.CrashNews{Answers: numbers(news.Answers)}
+	out := wire.CrashNews{Answers: numbers(news.Answers), Hints: numbers(news.Hints)}
 	for i := range news.Exposures {
 		e := &news.Exposures[i]
 		out.Exposures = append(out.Exposures, wire.CrashExposure{
@@ -77,7 +77,7 @@
 // HandleCrashNews applies the news of another daemon.
 func (g *meshAdapter) HandleCrashNews(n *wire.CrashNews) {
 	now := time.Now()
-	news := suspect.News{Answers: fingerprints(n.Answers)}
+	news := suspect.News{Answers: fingerprints(n.Answers), Hints: fingerprints(n.Hints)}
 	for i := range n.Exposures {
 		e := &n.Exposures[i]
 		news.Exposures = append(news.Exposures, suspect.Exposure{
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -91,7 +91,10 @@
 	meshAdapter *meshAdapter
 	stats       *stats
 	watch       *suspect.Watch
+	trials      *trialClient
 	undecided   *undecidedBreaks
+	// boot identifies the process.
+	boot string
 }
 
 // New assembles a daemon; Run starts it.
@@ -112,14 +115,15 @@
 		RequestRecords: d.meshAdapter.requestRecords,
 	})
 	d.watch = d.newWatch()
-	boot := ulid.Make().String()
+	d.trials = newTrialClient(d)
+	d.boot = ulid.Make().String()
 	d.mesh = mesh.New(mesh.Options{
-		Node: s.Node, BootID: boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
+		Node: s.Node, BootID: d.boot, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.MeshPort)),
 		BytesPerSecond: s.LinkMbps * bytesPerMbit,
 		Source:         d.meshAdapter, Handler: d.meshAdapter, IsCollector: d.meshAdapter.isStoreReader, IsRanked: d.meshAdapter.isRanked,
 	})
 	d.planner = planner.New(planner.Options{
-		MemberID: s.Node + "/" + boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Peers: d.meshAdapter, Demand: demand,
+		MemberID: s.Node + "/" + d.boot, Directory: d.directory, Lease: p.Lease, Engines: p.EngineClient, Heads: p.Heads, Peers: d.meshAdapter, Demand: demand,
 		FirstStart: s.FirstStart, IsCandidate: d.meshAdapter.isPlannerCandidate,
 		Heartbeat: s.Heartbeat, StallBound: s.StallBound, MinLeaseTTL: s.MinLeaseTTL,
 	})
@@ -139,6 +143,7 @@
 		EngineEnd:   ends.check,
 		OnUndecided: d.undecided.add,
 		Watch:       d.watch,
+		Trials:      d.trials,
 	})
 	d.server = ingress.New(ingress.Options{
 		Addr: s.FrontAddr, ReadyAddr: s.ReadyAddr, Codec: p.Codec, Relay: r,
--- a/internal/edge/rank.go
+++ b/internal/edge/rank.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
+	"github.com/ragwortquay/ragwortquay/internal/mesh"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 )
 
@@ -94,6 +96,26 @@
 	return before < n
 }
 
+// arbiter returns the daemon that arbitrates trials.
+func (g *meshAdapter) arbiter(without map[string]bool) (name string, ok bool) {
+	self := mesh.Peer{Name: g.d.settings.Node, Capacity: g.d.settings.capacity(), Collector: g.isStoreReader()}
+	return chooseArbiter(append(g.d.mesh.LivePeers(), self), without)
+}
+
+// chooseArbiter returns the daemon that ranks first among the collectors, or among all
+// where no collector is known yet, but for those in without.
+func chooseArbiter(daemons []mesh.Peer, without map[string]bool) (name string, ok bool) {
+	anyCollector := slices.ContainsFunc(daemons, func(p mesh.Peer) bool { return p.Collector })
+	var first rankedDaemon
+	for _, p := range daemons {
+		d := rankedDaemon{p.Name, p.Capacity}
+		if p.Collector == anyCollector && !without[p.Name] && (!ok || d.ranksBefore(first)) {
+			first, ok = d, true
+		}
+	}
+	return first.name, ok
+}
+
 // isPlannerCandidate reports whether this daemon should compete for the planner
 // lease. The first plannerCandidates daemons do; all others only after no daemon
 // has planned for maxPlannerAbsence.
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -26,6 +26,7 @@
 	metricEngineWaits   = "engine_waits"
 	metricEnginesEnded  = "engines_ended"
 	metricVerdicts      = "verdict_changes"
+	metricTrials        = "trials"
 	metricStoreCalls    = "store_calls"
 	metricFirstEvent    = "first_event_seconds"
 	metricRequestTime   = "request_seconds"
@@ -84,6 +85,11 @@
 	s.registry.Scope().Tagged(map[string]string{"to": to}).Counter(metricVerdicts).Inc(1)
 }
 
+// recordTrial counts the outcome of a trial of a suspect.
+func (s *stats) recordTrial(outcome string) {
+	s.registry.Scope().Tagged(map[string]string{"outcome": outcome}).Counter(metricTrials).Inc(1)
+}
+
 // recordStoreCall counts a call of the store.
 func (s *stats) recordStoreCall(call, topic string) {
 	s.registry.Scope().Tagged(map[string]string{"call": call, "topic": topic}).Counter(metricStoreCalls).Inc(1)
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -23,6 +23,9 @@
 	// headQueries and headStatements collect what is received.
 	headQueries    chan *wire.HeadQuery
 	headStatements chan *wire.HeadStatement
+	// trials and trialReplies collect what is received of trials.
+	trials       chan *wire.TrialRequest
+	trialReplies chan *wire.TrialReply
 }
 
 func (d *testDaemon) DaemonAddrs() map[string]string       { return d.addrs }
@@ -39,6 +42,15 @@
 		d.headQueries <- q
 	}
 }
+
+func (d *testDaemon) HandleTrialRequest(r *wire.TrialRequest) *wire.TrialReply {
+	d.trials <- r
+	if r.RemainingUS == 0 {
+		return nil
+	}
+	return &wire.TrialReply{BootID: r.BootID, Number: r.Number, Granted: true, Answered: r.Suspects[:1]}
+}
+func (d *testDaemon) HandleTrialReply(r *wire.TrialReply)       { d.trialReplies <- r }
 func (d *testDaemon) HandleHeadStatement(s *wire.HeadStatement) { d.headStatements <- s }
 func (d *testDaemon) HandleRecordRequest(*wire.RecordRequest) []wire.KeyedValue {
 	return nil
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -91,6 +91,11 @@
 	HandleHeadQuery(q *wire.HeadQuery)
 	// HandleHeadStatement handles a peer's answer to such a question.
 	HandleHeadStatement(s *wire.HeadStatement)
+	// HandleTrialRequest returns the answer to a peer that is about to try a request under
+	// which engines have ended, or nil if it states that it has. It must not block.
+	HandleTrialRequest(r *wire.TrialRequest) *wire.TrialReply
+	// HandleTrialReply handles the answer of the arbiter.
+	HandleTrialReply(r *wire.TrialReply)
 	// HandleRecordRequest returns the records that a peer has missed, or none if this
 	// daemon does not have them.
 	HandleRecordRequest(r *wire.RecordRequest) []wire.KeyedValue
@@ -202,6 +207,8 @@
 	PlannerKnown bool
 	// Capacity is the relative capacity of the peer's machine.
 	Capacity float64
+	// Collector is set if the peer is a collector.
+	Collector bool
 }
 
 // LivePeers returns the peers whose last report has not expired.
@@ -210,7 +217,7 @@
 	var out []Peer
 	m.peers.Range(func(name string, p peerState) bool {
 		if now.Before(p.expires) {
-			out = append(out, Peer{Name: name, UpToDate: p.upToDate, Planning: p.planning, PlannerKnown: p.plannerKnown, Capacity: p.capacity})
+			out = append(out, Peer{Name: name, UpToDate: p.upToDate, Planning: p.planning, PlannerKnown: p.plannerKnown, Capacity: p.capacity, Collector: p.isCollector})
 		}
 		return true
 	})
@@ -438,6 +445,10 @@
 			m.opts.Handler.HandleHeadQuery(r)
 		case *wire.HeadStatement:
 			m.opts.Handler.HandleHeadStatement(r)
+		case *wire.TrialRequest:
+			m.answerTrialRequest(r)
+		case *wire.TrialReply:
+			m.opts.Handler.HandleTrialReply(r)
 		}
 	}
 }
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -81,7 +81,7 @@
 	before, after := j.opts.Watch.EngineEnded(x)
 	fields := []any{
 		"engine", x.Engine, "fingerprint", suspect.Text(x.Identity.Request), "counted", len(after.Crashes) > len(before.Crashes),
-		"counted_ends", len(after.Crashes),
+		"counted_ends", len(after.Crashes), "engines", after.Engines(),
 	}
 	if !before.LastCrashAt.IsZero() {
 		fields = append(fields, "sent_after_last_counted_ms", x.SentAt.Sub(before.LastCrashAt).Milliseconds())
@@ -89,12 +89,6 @@
 	j.logDecision("end recorded", fields...)
 }
 
-// begin registers an attempt that is about to be sent; cancel gives it up.
-func (j *job) begin(cancel func()) {
-	j.engineEnded = false
-	j.attempt = j.opts.Watch.Begin(j.identity, cancel)
-}
-
 // quarantined returns the refusal of a request that is in quarantine, or has a part of
 // its prompt there, or nil. ran is set if an engine may have run it.
 func (j *job) quarantined(ran bool) *Refusal {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -34,7 +34,7 @@
 func (j *job) serveBuffered() {
 	var serverError *bufferedResponse
 	for {
-		choice, refusal := j.chooseEngine()
+		choice, refusal := j.chooseForTrial(j.chooseEngine)
 		if refusal != nil {
 			j.deliverOrRefuse(serverError, *refusal)
 			return
@@ -107,7 +107,7 @@
 	ctx, cancel := j.attemptContext(j.attemptDeadline(c))
 	defer cancel()
 	j.begin(cancel)
-	defer j.attempt.End()
+	defer j.end()
 	start := time.Now()
 	resp, err := j.send(ctx, c, "")
 	defer j.opts.Tracker.End(e)
@@ -129,7 +129,7 @@
 	body, err := j.readBody(resp)
 	ok := err == nil && resp.Status() < http.StatusInternalServerError
 	if err == nil && resp.Status() < http.StatusBadRequest {
-		j.attempt.Answered()
+		j.recordAnswer()
 	}
 	j.opts.Tracker.RecordOutcome(e, ok, time.Since(start), resp.Load(), time.Now())
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,16 @@
 	OnUndecided func(e *catalog.Engine, x suspect.Exposure)
 	// Watch remembers under which requests engines have ended.
 	Watch *suspect.Watch
+	// Trials lets one attempt of a request under which engines have ended run at a time.
+	Trials Trials
+}
+
+// Trials arranges the attempts of requests under which engines have ended, over all
+// daemons.
+type Trials interface {
+	// Begin waits until the request may be tried, but not after giveUp, and reports false
+	// if that lasts longer. The trial ends at until, or when release is called.
+	Begin(ctx context.Context, id suspect.Identity, giveUp, until time.Time) (release func(), ok bool)
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -134,6 +144,8 @@
 	// had an answer.
 	attempt     *suspect.Attempt
 	engineEnded bool
+	// releaseTrial, if not nil, ends the trial of the current attempt.
+	releaseTrial func()
 	// mediaType is that of the stream that the client has a part of.
 	mediaType string
 	// bufferedBytes is what the job has taken from the bufferQuota.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,7 +54,7 @@
 	filter.resumeAt(j.req.LastEventID)
 	headerSent := false
 	for {
-		choice, refusal := j.chooseOrWait(headerSent)
+		choice, refusal := j.chooseForTrial(func() (balance.Choice, *Refusal) { return j.chooseOrWait(headerSent) })
 		if refusal != nil {
 			j.abortStream(headerSent, *refusal)
 			return
@@ -153,7 +153,7 @@
 		j.retryReserved = watch.stalled.Load()
 	}()
 	j.begin(cancel)
-	defer j.attempt.End()
+	defer j.end()
 	sent := time.Now()
 	lastEventID := filter.lastID()
 	resp, err := j.send(ctx, c, lastEventID)
@@ -220,7 +220,7 @@
 			out, ok := filter.feed(buf[:n])
 			if filter.progressed {
 				watch.recordProgress(now)
-				j.attempt.Answered()
+				j.recordAnswer()
 				j.opts.Tracker.Progress(e, now)
 			}
 			if first && len(out) > 0 {
--- a/internal/suspect/history.go
+++ b/internal/suspect/history.go
@@ -266,6 +266,10 @@
 	return ends[1:]
 }
 
+// Engines returns the number of incarnations that ended while they ran the request,
+// whether or not they count.
+func (r *History) Engines() int { return len(r.Told) + len(r.Ends) }
+
 func (r *History) neededCrashes(ctx Context) int {
 	switch {
 	case r.OnProbation:
--- a/internal/suspect/history_test.go
+++ b/internal/suspect/history_test.go
@@ -153,7 +153,7 @@
 		}
 		must.Eq(t, c.want, h.Verdict(start.Add(time.Minute)), must.Sprint(c.name))
 		must.Len(t, c.counted, h.Crashes, must.Sprint(c.name))
-		must.Len(t, len(c.ends), h.Ends, must.Sprint(c.name))
+		must.Eq(t, len(c.ends), h.Engines(), must.Sprint(c.name))
 	}
 }
 
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -36,6 +36,9 @@
 	Exposures   []Exposure
 	Answers     []Fingerprint
 	Quarantines []Quarantine
+	// Hints are suspects that were in flight at several engines that ended. A daemon asks
+	// the arbiter before it tries one, whether or not it has heard of the ends.
+	Hints []Fingerprint
 }
 
 // Quarantine is a request in quarantine, with the crashes that led to it.
@@ -53,6 +56,7 @@
 type outbox struct {
 	exposures *shard.Map[queued[Exposure]]
 	answers   *shard.Map[queued[Fingerprint]]
+	hints     *shard.Map[queued[Fingerprint]]
 
 	mu sync.Mutex
 	// quarantinesAt is when the requests in quarantine were last begun to be sent.
@@ -67,7 +71,7 @@
 }
 
 func newOutbox() *outbox {
-	return &outbox{exposures: shard.NewMap[queued[Exposure]](), answers: shard.NewMap[queued[Fingerprint]]()}
+	return &outbox{exposures: shard.NewMap[queued[Exposure]](), answers: shard.NewMap[queued[Fingerprint]](), hints: shard.NewMap[queued[Fingerprint]]()}
 }
 
 // addExposure queues an exposure and reports whether it was not known.
@@ -129,7 +133,8 @@
 // News returns what is to be sent to other daemons.
 func (w *Watch) News() News {
 	now := w.opts.Now()
-	n := News{Exposures: due(w.outbox.exposures, now), Answers: due(w.outbox.answers, now)}
+	n := News{Exposures: due(w.outbox.exposures, now), Answers: due(w.outbox.answers, now), Hints: due(w.outbox.hints, now)}
+	n.Hints = n.Hints[:min(len(n.Hints), maxHints)]
 	if w.outbox.quarantinesDue(now) {
 		n.Quarantines = w.ledger.quarantines(now)
 		if !w.opts.PassesOn() {
@@ -169,9 +174,11 @@
 		}
 	}
 	for _, f := range n.Answers {
+		w.hinted.Delete(Text(f))
 		w.ledger.rememberAnswer(now, f)
 		w.answer(f, false)
 	}
+	w.applyHints(now, n.Hints)
 	for i := range n.Quarantines {
 		w.setTold(now, n.Quarantines[i].Fingerprint)
 		if f := n.Quarantines[i].Fingerprint; w.ledger.answeredLately(now, f) {
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -78,13 +78,21 @@
 	// by the incarnation of their engine.
 	abandoned    *shard.Map[[]Exposure]
 	abandonments counter
+	// hinted holds, by the fingerprint, until when others are asked about a suspect whose
+	// history this daemon does not know.
+	hinted *shard.Map[time.Time]
 	// toldAt holds when another daemon last told of a quarantine, by its fingerprint.
 	toldAt *shard.Map[time.Time]
+	// trials are those that this daemon arbitrates.
+	trials *Trials
 }
 
 // NewWatch returns a Watch without histories.
 func NewWatch(o Options) *Watch {
-	return &Watch{opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox(), abandoned: shard.NewMap[[]Exposure](), toldAt: shard.NewMap[time.Time]()}
+	return &Watch{
+		opts: o, ledger: NewLedger(), attempts: shard.NewMap[*Attempt](), outbox: newOutbox(),
+		abandoned: shard.NewMap[[]Exposure](), hinted: shard.NewMap[time.Time](), toldAt: shard.NewMap[time.Time](), trials: NewTrials(),
+	}
 }
 
 // Ruling is how a request is handled, with the history that decides it.
@@ -221,6 +229,9 @@
 			requestBefore, requestAfter = before, after
 		}
 		w.changed(now, f, before, after)
+		if after.Engines() > before.Engines() && after.Engines() >= strongSuspect && w.opts.PassesOn() {
+			w.outbox.addHint(f, now)
+		}
 	}
 	if isNew {
 		w.exposeAbandoned(e)
@@ -257,9 +268,11 @@
 	w.opts.Publish() // others may be about to refuse it
 }
 
-// isStrong reports whether a request, or a part of its prompt, is a strong suspect.
+// isStrong reports whether a request, or a part of its prompt, is a strong suspect. A part
+// may be in flight at all engines of a domain that is lost.
 func (w *Watch) isStrong(id *Identity) bool {
-	return slices.ContainsFunc(id.fingerprints(), func(f Fingerprint) bool {
+	history, _ := w.ledger.History(id.Request)
+	return history.Engines() >= strongSuspect || slices.ContainsFunc(id.Parts, func(f Fingerprint) bool {
 		history, _ := w.ledger.History(f)
 		return len(history.Crashes) >= strongSuspect
 	})
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -245,7 +245,7 @@
 	}
 	engines := func(daemon int, body string) int {
 		history, _ := f.watches[daemon].ledger.History(request(body).Request)
-		return len(history.Ends)
+		return history.Engines()
 	}
 	abandon("long before")
 	f.now = f.now.Add(abandonedTTL)
@@ -265,3 +265,19 @@
 	_, ok = w.LastAbandoned("i-1", 1)
 	must.False(t, ok)
 }
+
+// TestHintsAreBounded lets the news of a domain that is lost, under parts that nobody has
+// answered, reach the daemons that pass news on.
+func TestHintsAreBounded(t *testing.T) {
+	f := newFleet(2)
+	for k := range 20 * maxHints {
+		for e := range 2 {
+			f.watches[0].EngineEnded(Exposure{Engine: fmt.Sprint("i-", e), StartMS: 1, Identity: request(fmt.Sprint(k), fmt.Sprint("part-", k)), SentAt: f.now.Add(-time.Second), EndedAt: f.now})
+		}
+	}
+	news := f.watches[0].News()
+	must.Len(t, maxHints, news.Hints)
+	f.now = f.now.Add(newsTTL + time.Millisecond)
+	news = f.watches[0].News()
+	must.Len(t, 0, news.Hints)
+}
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -8,6 +8,8 @@
 	Exposures   []CrashExposure
 	Answers     []uint64
 	Quarantines []Quarantine
+	// Hints are fingerprints about which the arbiter is asked.
+	Hints []uint64
 }
 
 // CrashExposure is an attempt that ended with an incarnation of its engine before it
@@ -44,16 +46,27 @@
 }
 
 // Items returns the number of items in the news.
-func (n *CrashNews) Items() int { return len(n.Exposures) + len(n.Answers) + len(n.Quarantines) }
+func (n *CrashNews) Items() int {
+	return len(n.Exposures) + len(n.Answers) + len(n.Quarantines) + len(n.Hints)
+}
 
 // Split divides the items in two halves.
 func (n *CrashNews) Split() (first, second CrashNews) {
-	e, a, q := len(n.Exposures)/2, len(n.Answers)/2, len(n.Quarantines)/2
-	if n.Items() > 1 && e+a+q == 0 {
+	e, a, q, h := len(n.Exposures)/2, len(n.Answers)/2, len(n.Quarantines)/2, len(n.Hints)/2
+	if n.Items() > 1 && e+a+q+h == 0 {
 		// At most one of each kind.
-		return CrashNews{Sender: n.Sender, Exposures: n.Exposures}, CrashNews{Sender: n.Sender, Answers: n.Answers, Quarantines: n.Quarantines}
+		first, second = CrashNews{Sender: n.Sender, Exposures: n.Exposures}, *n
+		second.Exposures = nil
+		if len(n.Exposures) == 0 {
+			first.Answers, second.Answers = n.Answers, nil
+		}
+		if first.Items() == 0 {
+			first.Quarantines, second.Quarantines = n.Quarantines, nil
+		}
+		return first, second
 	}
-	return CrashNews{n.Sender, n.Exposures[:e], n.Answers[:a], n.Quarantines[:q]}, CrashNews{n.Sender, n.Exposures[e:], n.Answers[a:], n.Quarantines[q:]}
+	return CrashNews{n.Sender, n.Exposures[:e], n.Answers[:a], n.Quarantines[:q], n.Hints[:h]},
+		CrashNews{n.Sender, n.Exposures[e:], n.Answers[a:], n.Quarantines[q:], n.Hints[h:]}
 }
 
 // crashNewsV1 and crashExposureV1 are the news of the release before.
--- a/internal/wire/load.go
+++ b/internal/wire/load.go
@@ -86,6 +86,8 @@
 	requestDatagram       = 'Q'
 	headQueryDatagram     = 'H' // HeadQuery
 	headStatementDatagram = 'W' // HeadStatement
+	trialRequestDatagram  = 'T' // TrialRequest
+	trialReplyDatagram    = 'U' // TrialReply
 )
 
 // EncodeLoadReport encodes a report as a datagram.
@@ -100,8 +102,8 @@
 }
 
 // DecodeDatagram decodes a datagram of the mesh: a *LoadReport, a *PushPart, a
-// *DemandReport, a *LoadSums, *LeaveNotices, *CrashNews, a *RecordRequest, a *HeadQuery
-// or a *HeadStatement.
+// *DemandReport, a *LoadSums, *LeaveNotices, *CrashNews, a *RecordRequest, a *HeadQuery,
+// a *HeadStatement, a *TrialRequest or a *TrialReply.
 func DecodeDatagram(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, fault.Invalid("datagram", "send the datagram again", "empty datagram")
@@ -138,6 +140,12 @@
 	case headStatementDatagram:
 		s := &HeadStatement{}
 		return s, Unmarshal(b[1:], s)
+	case trialRequestDatagram:
+		r := &TrialRequest{}
+		return r, Unmarshal(b[1:], r)
+	case trialReplyDatagram:
+		r := &TrialReply{}
+		return r, Unmarshal(b[1:], r)
 	default:
 		return nil, fault.Invalid("datagram", "run one version on all daemons", "datagram of unknown kind %d", b[0])
 	}
