Try requests that have some of the parts that can't be told apart

Sound requests were refused with 422 when they shared two parts with requests that had a deadly third one, and the three had been in flight at each end: a part was refused together with any of its rivals.

A request is refused only if it has all the parts that can't be told apart. One with some of them tells them apart: it is tried alone, and its answer clears them, or its end leaves the others out.

--- a/internal/edge/batches_test.go
+++ b/internal/edge/batches_test.go
@@ -98,6 +98,19 @@
 	return r
 }
 
+// replacedGroups starts n model engines, two of them in each fabric domain.
+func (f *fixture) replacedGroups(n int) *replacedEngines {
+	r := &replacedEngines{f: f, back: 3 * time.Second, config: site.EngineConfig{
+		Service: site.ModelService, Zone: "a", Slots: 8, EventsPerStream: 3, EventInterval: 20 * time.Millisecond,
+		Deadly: func(_ string, parts []string) bool { return slices.Contains(parts, deadlyPart) },
+	}}
+	for k := range n {
+		r.startIn("", fmt.Sprintf("d%d", k/site.SmallGroupSize))
+	}
+	f.stops = append(f.stops, r.close)
+	return r
+}
+
 // all returns the engines that were started so far.
 func (r *replacedEngines) all() []*site.Engine {
 	r.mu.Lock()
@@ -212,6 +225,42 @@
 	}
 }
 
+// TestPartsAtTheSameMomentDoNotEndBatchesOfGroups begins requests, no two alike, with one
+// deadly part at all daemons at the same moment, and again when the engines have been
+// replaced.
+func TestPartsAtTheSameMomentDoNotEndBatchesOfGroups(t *testing.T) {
+	// The rule allows five ends, and three more sends.
+	const allowedEnds, allowedLate, batches = 5, 3, 4
+	const interval = 4500 * time.Millisecond
+	const first, further = "f1:40", "f2:100"
+	cases := []struct{ copies, daemons, engines int }{{6, 6, 16}, {3, 3, 12}}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d copies, %d daemons, %d engines", c.copies, c.daemons, c.engines), func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, goodKey)
+			engines := f.replacedGroups(c.engines)
+			for range c.daemons {
+				f.addDaemon()
+			}
+			f.waitUntilDaemonsHearEachOther()
+			for n := range f.daemons {
+				f.waitUntilServes(n, smallName)
+			}
+			f.waitUntilOpen(engines.all(), c.engines/site.SmallGroupSize)
+			stopSound := f.sendSound(site.StreamPath, smallName, func(n int) []string { return []string{first, further, fmt.Sprintf("%x:300", 1000+n)} })
+			deadly := f.sendBatches(batches, c.copies, interval, func(id string, k int) {
+				f.postAs(id, k%c.daemons, site.StreamPath, smallName, id, first, deadlyPart, further, fmt.Sprintf("%x:300", lastRequestID.Add(1)))
+			})
+			answered, refused := stopSound()
+			late := f.lateRuns(deadly, engines.ends(), allowedEnds)
+			must.LessEq(t, allowedLate, late, must.Sprintf("late runs; %d engines ended", len(engines.ends())))
+			must.Eq(t, 0, refused, must.Sprint("sound requests refused for the deadly part"))
+			must.Positive(t, answered)
+			t.Logf("%d late runs, %d engines ended, %d sound requests answered", late, len(engines.ends()), answered)
+		})
+	}
+}
+
 // TestOutagesUnderCopiesOfASoundRequest ends all engines by another cause while they run
 // copies of one request, once and twice. The request must be served afterwards.
 func TestOutagesUnderCopiesOfASoundRequest(t *testing.T) {
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -165,11 +165,10 @@
 }
 
 // refuses reports whether a request is refused for one of its parts, which is in
-// quarantine. If another part may have caused the crashes as well, only a request that
-// has both is refused: one that has a single one of them shows which it is.
+// quarantine. If other parts may have caused the crashes as well, only a request that
+// has all of them is refused: one that has some shows whether it is one of those.
 func (l *Ledger) refuses(now time.Time, f Fingerprint, h *History, id *Identity) bool {
-	rivals := l.rivals(now, f, h)
-	return len(rivals) == 0 || slices.ContainsFunc(rivals, func(g Fingerprint) bool { return slices.Contains(id.Parts, g) })
+	return !slices.ContainsFunc(l.rivals(now, f, h), func(g Fingerprint) bool { return !slices.Contains(id.Parts, g) })
 }
 
 func incarnationText(c Incarnation) string { return c.Replica + "@" + c.Incarnation }
--- a/internal/suspect/parts_test.go
+++ b/internal/suspect/parts_test.go
@@ -73,6 +73,17 @@
 			"two parts can't be told apart: only requests with both are refused", func(f *fleet) { f.deadlyRequests(3, "f", "p") },
 			map[string]Verdict{"f": Suspected, "p": Suspected, "f p": Refused},
 		},
+		{
+			"three parts can't be told apart: requests with some of them tell", func(f *fleet) { f.deadlyRequests(3, "f", "g", "p") },
+			map[string]Verdict{"f": Suspected, "f g": Suspected, "g p": Suspected, "f g p": Refused, "f g p other": Refused},
+		},
+		{
+			"two of three told apart by an answer to a request with both", func(f *fleet) {
+				f.deadlyRequests(3, "f", "g", "p")
+				f.answer(0, request("sound", "f", "g"))
+			},
+			map[string]Verdict{"f g": Clear, "p": Refused, "f p": Refused},
+		},
 		{
 			"told apart by an answer", func(f *fleet) {
 				f.deadlyRequests(3, "f", "p")
