Name the strongest suspects to all daemons each second

With the requests in quarantine, once a second, the daemons that pass news on name up to 32 suspects under which several engines have ended, those of the latest ends first. As with quarantines, others do if nobody else has for two seconds. In a large fleet whose both collectors have started anew a daemon that starts then does not hear of suspects.

--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -18,16 +18,17 @@
 	answerNewsTTL = 3 * time.Second
 	// newsRetention is how long an item is recognised when it arrives again.
 	newsRetention = 10 * time.Second
-	// quarantineNewsInterval is the interval at which all daemons are told of the
-	// requests in quarantine, for those that have just started or were cut off.
-	quarantineNewsInterval = time.Second
-	// quarantineNewsTTL is how long they are sent each time: a round to all daemons.
-	quarantineNewsTTL = 300 * time.Millisecond
+	// standingInterval is the interval at which all daemons are told of the requests in
+	// quarantine and the strongest suspects, for those that have just started or were cut
+	// off.
+	standingInterval = time.Second
+	// standingTTL is how long they are sent each time: a round to all daemons.
+	standingTTL = 300 * time.Millisecond
 	// maxQuarantineNews bounds the requests in quarantine that are sent.
 	maxQuarantineNews = 64
-	// quarantineSilence is how long nobody must have told of a quarantine until daemons do
-	// that do not pass news on: the others may have lost their memory.
-	quarantineSilence = 2 * quarantineNewsInterval
+	// standingSilence is how long nobody must have told of a quarantine or a suspect until
+	// daemons do that do not pass news on: the others may have lost their memory.
+	standingSilence = 2 * standingInterval
 )
 
 // News is what daemons tell each other: exposures and answers that were seen lately,
@@ -59,8 +60,8 @@
 	hints     *shard.Map[queued[Fingerprint]]
 
 	mu sync.Mutex
-	// quarantinesAt is when the requests in quarantine were last begun to be sent.
-	quarantinesAt time.Time
+	// standingAt is when the requests in quarantine were last begun to be sent.
+	standingAt time.Time
 }
 
 // queued is an item of news with the time at which it was queued, and until when it is
@@ -113,21 +114,21 @@
 	return out
 }
 
-// quarantinesDue reports whether the requests in quarantine are to be sent.
-func (o *outbox) quarantinesDue(now time.Time) bool {
+// standingDue reports whether the requests in quarantine and the strongest suspects are to be sent.
+func (o *outbox) standingDue(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if now.Sub(o.quarantinesAt) >= quarantineNewsInterval {
-		o.quarantinesAt = now
+	if now.Sub(o.standingAt) >= standingInterval {
+		o.standingAt = now
 	}
-	return now.Sub(o.quarantinesAt) <= quarantineNewsTTL
+	return now.Sub(o.standingAt) <= standingTTL
 }
 
-// startQuarantines makes the requests in quarantine be sent from now on.
-func (o *outbox) startQuarantines(now time.Time) {
+// startStanding makes the requests in quarantine and the strongest suspects be sent from now on.
+func (o *outbox) startStanding(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.quarantinesAt = now
+	o.standingAt = now
 }
 
 // News returns what is to be sent to other daemons.
@@ -135,29 +136,32 @@
 	now := w.opts.Now()
 	n := News{Exposures: due(w.outbox.exposures, now), Answers: due(w.outbox.answers, now), Hints: due(w.outbox.hints, now)}
 	n.Hints = n.Hints[:min(len(n.Hints), maxHints)]
-	if w.outbox.quarantinesDue(now) {
+	if w.outbox.standingDue(now) {
 		n.Quarantines = w.ledger.quarantines(now)
+		standing := w.ledger.strongest(now, maxStandingHints)
 		if !w.opts.PassesOn() {
 			n.Quarantines = slices.DeleteFunc(n.Quarantines, func(q Quarantine) bool { return w.isTold(now, q.Fingerprint) })
+			standing = slices.DeleteFunc(standing, func(f Fingerprint) bool { return w.isTold(now, f) })
 		}
+		n.Hints = append(n.Hints, standing...)
 	}
 	return n
 }
 
-// isTold reports whether another daemon has told of a quarantine lately, or this one has
-// just learned of it.
+// isTold reports whether another daemon has told of a quarantine or a suspect lately, or
+// this one has just learned of it.
 func (w *Watch) isTold(now time.Time, f Fingerprint) bool {
 	at, ok := w.toldAt.Get(Text(f))
 	if !ok {
 		w.setTold(now, f)
 		return true
 	}
-	return now.Sub(at) < quarantineSilence
+	return now.Sub(at) < standingSilence
 }
 
 func (w *Watch) setTold(now time.Time, f Fingerprint) {
 	if w.toldAt.Len() >= maxHistories {
-		w.toldAt.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= quarantineSilence })
+		w.toldAt.DeleteFunc(func(_ string, at time.Time) bool { return now.Sub(at) >= standingSilence })
 	}
 	if w.toldAt.Len() < maxHistories {
 		w.toldAt.Set(Text(f), now)
--- a/internal/suspect/trials.go
+++ b/internal/suspect/trials.go
@@ -124,7 +124,7 @@
 		case w.ledger.answeredLately(now, f) || known && len(history.Answered) > 0 && history.Verdict(now) == Clear:
 			r.Answered = append(r.Answered, f)
 		case known && history.Verdict(now) == Refused && len(w.ledger.rivals(now, f, &history)) == 0:
-			w.outbox.startQuarantines(now)
+			w.outbox.startStanding(now)
 			w.opts.Publish()
 			return r
 		default:
--- a/internal/suspect/watch.go
+++ b/internal/suspect/watch.go
@@ -81,7 +81,8 @@
 	// hinted holds, by the fingerprint, until when others are asked about a suspect whose
 	// history this daemon does not know.
 	hinted *shard.Map[time.Time]
-	// toldAt holds when another daemon last told of a quarantine, by its fingerprint.
+	// toldAt holds when another daemon last told of a quarantine or a suspect, by the
+	// fingerprint.
 	toldAt *shard.Map[time.Time]
 	// trials are those that this daemon arbitrates.
 	trials *Trials
@@ -288,7 +289,7 @@
 		return
 	}
 	if w.opts.PassesOn() {
-		w.outbox.startQuarantines(now)
+		w.outbox.startStanding(now)
 		w.opts.Publish()
 	}
 	w.attempts.Range(func(_ string, a *Attempt) bool {
