Let a trial of a strong suspect go on while its engine may run it

If several engines have ended under a request, its attempt is not given up for another engine, and when it ends with neither an answer nor the end of its engine, the trial goes on for a second. Requests under which one engine has ended keep their second attempt. Each trial has a line in the log.

Ruled out by a run: holding the trial until the request's deadline.

--- a/internal/edge/trials.go
+++ b/internal/edge/trials.go
@@ -4,10 +4,14 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/ragwortquay/ragwortquay/internal/pause"
+	"github.com/ragwortquay/ragwortquay/internal/relay"
 	"github.com/ragwortquay/ragwortquay/internal/shard"
 	"github.com/ragwortquay/ragwortquay/internal/suspect"
 	"github.com/ragwortquay/ragwortquay/internal/wire"
@@ -52,21 +56,26 @@
 
 // Begin waits until no other attempt tries one of the request's suspects, over all
 // daemons, but not after giveUp. It reports false if that lasts longer. The trial ends at
-// until, or when release is called.
-func (c *trialClient) Begin(ctx context.Context, id suspect.Identity, giveUp, until time.Time) (release func(), ok bool) {
+// until, or by its Release.
+func (c *trialClient) Begin(ctx context.Context, id suspect.Identity, giveUp, until time.Time) (trial relay.Trial, ok bool) {
+	none := relay.Trial{Release: func() {}, Prolong: func(time.Duration) {}}
 	if s := c.d.watch.Suspects(id); len(s.Fingerprints) == 0 {
-		return func() {}, true
+		return none, true
 	}
 	t := &pendingTrial{client: c, number: c.numbers.Add(1), until: until, reply: make(chan suspect.TrialRuling, 1)}
 	c.replies.Set(t.key(), t.reply)
 	defer c.replies.Delete(t.key())
-	outcome := t.wait(ctx, id, giveUp)
+	begun := time.Now()
+	outcome, exclusive := t.wait(ctx, id, giveUp)
 	c.d.stats.recordTrial(outcome)
+	if len(t.asked) > 0 {
+		klog.InfoS("trial", "fingerprint", suspect.Text(id.Request), "outcome", outcome, "suspects", texts(t.suspects), "exclusive", exclusive, "asked", t.asked, "ms", time.Since(begun).Milliseconds())
+	}
 	if outcome == trialGranted || outcome == trialUnarbitrated {
-		return t.release, true
+		return relay.Trial{Release: sync.OnceFunc(t.release), Prolong: t.prolong, Exclusive: exclusive}, true
 	}
 	t.release()
-	return func() {}, outcome == trialCleared
+	return none, outcome == trialCleared
 }
 
 // handleReply passes the arbiter's answer to the trial that waits for it.
@@ -97,23 +106,25 @@
 
 func (t *pendingTrial) key() string { return strconv.FormatInt(t.number, 10) }
 
-// wait asks until the trial may begin, and returns the outcome.
-func (t *pendingTrial) wait(ctx context.Context, id suspect.Identity, giveUp time.Time) string {
+// wait asks until the trial may begin. It returns the outcome, and whether the request
+// must not run at two engines at the same time.
+func (t *pendingTrial) wait(ctx context.Context, id suspect.Identity, giveUp time.Time) (outcome string, exclusive bool) {
 	watch := t.client.d.watch
 	for {
 		suspects := watch.Suspects(id)
 		if len(suspects.Fingerprints) == 0 || watch.Verdict(id).Verdict == suspect.Refused {
-			return trialCleared
+			return trialCleared, false
 		}
+		exclusive = !suspects.Weak()
 		ruling, answered := t.ask(ctx, suspects.Fingerprints)
 		if answered && ruling.Granted {
-			return trialGranted
+			return trialGranted, exclusive
 		}
-		if !answered && suspects.MayRunUnarbitrated() {
-			return trialUnarbitrated
+		if !answered && !exclusive {
+			return trialUnarbitrated, false
 		}
 		if !time.Now().Add(trialInterval).Before(giveUp) || !pause.For(ctx, trialInterval) {
-			return trialDenied
+			return trialDenied, exclusive
 		}
 	}
 }
@@ -151,7 +162,7 @@
 		t.client.d.watch.ApplyTrialRuling(&ruling)
 		return ruling, true
 	}
-	t.client.d.mesh.SendTrialRequest(arbiter, &wire.TrialRequest{Number: t.number, Suspects: numbers(suspects), RemainingUS: max(1, time.Until(t.until).Microseconds())})
+	t.client.d.mesh.SendTrialRequest(arbiter, &wire.TrialRequest{Number: t.number, Suspects: numbers(suspects), RemainingUS: time.Until(t.until).Microseconds()})
 	timer := time.NewTimer(trialReplyTimeout)
 	defer timer.Stop()
 	select {
@@ -165,15 +176,18 @@
 
 // release ends the trial at all daemons that were asked: the answer of one that seemed
 // silent may have been lost.
-func (t *pendingTrial) release() {
+func (t *pendingTrial) release() { t.prolong(0) }
+
+// prolong lets the trial end after d at all daemons that were asked.
+func (t *pendingTrial) prolong(d time.Duration) {
 	for _, arbiter := range t.asked {
 		if arbiter == t.client.d.settings.Node {
-			t.client.d.watch.EndTrial(t.holder(), t.suspects)
+			t.client.d.watch.ProlongTrial(t.holder(), t.suspects, d)
 			continue
 		}
 		// The arbiter hears of an end before another attempt may begin.
 		t.client.d.mesh.SendCrashNews([]string{arbiter})
-		t.client.d.mesh.SendTrialRequest(arbiter, &wire.TrialRequest{Number: t.number, Suspects: numbers(t.suspects)})
+		t.client.d.mesh.SendTrialRequest(arbiter, &wire.TrialRequest{Number: t.number, Suspects: numbers(t.suspects), RemainingUS: d.Microseconds(), Over: true})
 	}
 }
 
@@ -184,11 +198,12 @@
 func (g *meshAdapter) HandleTrialRequest(r *wire.TrialRequest) *wire.TrialReply {
 	holder := r.Sender + "/" + r.BootID + "/" + strconv.FormatInt(r.Number, 10)
 	suspects := fingerprints(r.Suspects)
-	if r.RemainingUS <= 0 {
-		g.d.watch.EndTrial(holder, suspects)
+	remaining := time.Duration(r.RemainingUS) * time.Microsecond
+	if r.Over {
+		g.d.watch.ProlongTrial(holder, suspects, remaining)
 		return nil
 	}
-	ruling := g.d.watch.BeginTrial(holder, suspects, time.Now().Add(time.Duration(r.RemainingUS)*time.Microsecond))
+	ruling := g.d.watch.BeginTrial(holder, suspects, time.Now().Add(remaining))
 	return &wire.TrialReply{BootID: r.BootID, Number: r.Number, Granted: ruling.Granted, Answered: numbers(ruling.Answered)}
 }
 
--- a/internal/mesh/demand_test.go
+++ b/internal/mesh/demand_test.go
@@ -45,7 +45,7 @@
 
 func (d *testDaemon) HandleTrialRequest(r *wire.TrialRequest) *wire.TrialReply {
 	d.trials <- r
-	if r.RemainingUS == 0 {
+	if r.Over {
 		return nil
 	}
 	return &wire.TrialReply{BootID: r.BootID, Number: r.Number, Granted: true, Answered: r.Suspects[:1]}
--- a/internal/mesh/trial_test.go
+++ b/internal/mesh/trial_test.go
@@ -52,8 +52,8 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("no reply has arrived")
 	}
-	want.RemainingUS = 0
-	meshes["asker"].SendTrialRequest("arbiter", &wire.TrialRequest{Number: 7, Suspects: []uint64{1, 2}})
+	want.Over = true
+	meshes["asker"].SendTrialRequest("arbiter", &wire.TrialRequest{Number: 7, Suspects: []uint64{1, 2}, RemainingUS: 5, Over: true})
 	must.Eq(t, &want, receive())
 	must.Zero(t, len(daemons["asker"].trialReplies), must.Sprint("the end of a trial was answered"))
 
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -36,15 +36,17 @@
 	if j.attempt.HasAnswer() {
 		return
 	}
-	x := suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: time.Now()}
-	switch {
-	case fault.As(err).Outcome == fault.NotRun:
+	if fault.As(err).Outcome == fault.NotRun {
 		j.examineAbandoned(e)
-	case ctx.Err() != nil:
+		return
+	}
+	j.unresolved = true
+	x := suspect.Exposure{Engine: e.ID, StartMS: e.StartUnixMS, Identity: j.identity, SentAt: sentAt, EndedAt: time.Now()}
+	if ctx.Err() != nil {
 		j.opts.Watch.Abandoned(x)
-	default:
-		j.examineEnd(e, x)
+		return
 	}
+	j.examineEnd(e, x)
 }
 
 // examineEnd finds out whether the engine has ended.
@@ -54,7 +56,7 @@
 		"fingerprint", suspect.Text(j.identity.Request), "after_ms", x.EndedAt.Sub(x.SentAt).Milliseconds())
 	switch {
 	case end.Ended:
-		j.engineEnded = true
+		j.engineEnded, j.unresolved = true, false
 		j.summary.EnginesEnded++
 		x.Announced = end.Announced
 		j.recordEnd(x)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -153,7 +153,7 @@
 // attemptDeadline returns the deadline of an attempt: that of the request, or an
 // earlier one if the request may still be sent to another engine.
 func (j *job) attemptDeadline(c balance.Choice) time.Time {
-	if j.route.Kind != catalog.Idempotent || j.possibleRuns+1 >= j.route.MaxAttempts {
+	if j.route.Kind != catalog.Idempotent || j.possibleRuns+1 >= j.route.MaxAttempts || j.trial.Exclusive {
 		return j.deadline
 	}
 	wait := max(time.Duration(attemptTimeoutTargetFraction*float64(j.route.TargetLatency)), attemptTimeoutPredictedFactor*c.Predicted.FirstEvent)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,8 +85,19 @@
 // daemons.
 type Trials interface {
 	// Begin waits until the request may be tried, but not after giveUp, and reports false
-	// if that lasts longer. The trial ends at until, or when release is called.
-	Begin(ctx context.Context, id suspect.Identity, giveUp, until time.Time) (release func(), ok bool)
+	// if that lasts longer. The trial ends at until, or by its Release.
+	Begin(ctx context.Context, id suspect.Identity, giveUp, until time.Time) (t Trial, ok bool)
+}
+
+// Trial is the permission to make one attempt.
+type Trial struct {
+	// Release ends the trial. It may be called more than once.
+	Release func()
+	// Prolong lets the trial end after the given time instead.
+	Prolong func(time.Duration)
+	// Exclusive is set if the request must not run at two engines at the same time:
+	// several have ended under it.
+	Exclusive bool
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -144,8 +155,10 @@
 	// had an answer.
 	attempt     *suspect.Attempt
 	engineEnded bool
-	// releaseTrial, if not nil, ends the trial of the current attempt.
-	releaseTrial func()
+	// trial is that of the current attempt. unresolved is set if the attempt has ended with
+	// neither an answer nor the end of its engine, which may run it on.
+	trial      Trial
+	unresolved bool
 	// mediaType is that of the stream that the client has a part of.
 	mediaType string
 	// bufferedBytes is what the job has taken from the bufferQuota.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -308,7 +308,7 @@
 	maps.Copy(tried, j.triedEngines)
 	w := &watchdog{
 		j: j, engine: c.Candidate.Head, cancel: cancel, startedAt: time.Now(), tried: tried,
-		canRetry:        j.route.Repeatable() && j.possibleRuns+1 < j.route.MaxAttempts,
+		canRetry:        j.route.Repeatable() && j.possibleRuns+1 < j.route.MaxAttempts && !j.trial.Exclusive,
 		firstEventLimit: max(firstEventPredictedFactor*c.Predicted.FirstEvent, time.Duration(firstEventTargetFactor*float64(j.route.TargetLatency))),
 		gapLimit:        max(gapPredictedFactor*c.Predicted.Gap, time.Duration(gapTargetFactor*float64(j.route.MaxEventGap))),
 	}
--- a/internal/suspect/trials.go
+++ b/internal/suspect/trials.go
@@ -12,9 +12,8 @@
 	maxTrial = 10 * time.Second
 	// maxTrials bounds the trials under way. None begins while there are more.
 	maxTrials = 16384
-	// unarbitratedEngines is the number of engines that may have ended under a suspect
-	// that is tried although no daemon arbitrates.
-	unarbitratedEngines = 1
+	// weakEngines is the largest number of engines that have ended under a weak suspect.
+	weakEngines = 1
 )
 
 // Trials lets one attempt of a suspect run at a time: one that ends its engines then
@@ -54,17 +53,22 @@
 			return o, true
 		})
 		if !taken {
-			t.end(holder, suspects[:i])
+			t.end(now, holder, suspects[:i], now)
 			return false
 		}
 	}
 	return true
 }
 
-// end ends the holder's trial of suspects.
-func (t *Trials) end(holder string, suspects []Fingerprint) {
+// end lets the holder's trial of suspects end at until, or now if that has passed.
+func (t *Trials) end(now time.Time, holder string, suspects []Fingerprint, until time.Time) {
 	for _, f := range suspects {
-		t.running.Update(Text(f), func(o trial, known bool) (trial, bool) { return o, known && o.holder != holder })
+		t.running.Update(Text(f), func(o trial, known bool) (trial, bool) {
+			if known && o.holder == holder {
+				o.until = until
+			}
+			return o, known && now.Before(o.until)
+		})
 	}
 }
 
@@ -100,10 +104,11 @@
 	return s
 }
 
-// MayRunUnarbitrated reports whether a request with the suspects may run although no
-// daemon tells whether it is being tried elsewhere. Most requests under which one engine
-// ended are sound; copies of one that ended several must not run together again.
-func (s *Suspects) MayRunUnarbitrated() bool { return s.Engines <= unarbitratedEngines }
+// Weak reports whether a request with the suspects may run although no daemon tells
+// whether it is being tried elsewhere, or another engine may still run it. Most requests
+// under which one engine ended are sound; copies of one that ended several must not run
+// together again.
+func (s *Suspects) Weak() bool { return s.Engines <= weakEngines }
 
 // TrialRuling is the arbiter's answer to a daemon that is about to try suspects.
 type TrialRuling struct {
@@ -135,8 +140,11 @@
 	return r
 }
 
-// EndTrial ends a holder's trial of suspects, as the arbiter.
-func (w *Watch) EndTrial(holder string, suspects []Fingerprint) { w.trials.end(holder, suspects) }
+// ProlongTrial lets a holder's trial of suspects end after d, as the arbiter.
+func (w *Watch) ProlongTrial(holder string, suspects []Fingerprint, d time.Duration) {
+	now := w.opts.Now()
+	w.trials.end(now, holder, suspects, now.Add(d))
+}
 
 // ApplyTrialRuling applies what the arbiter says of suspects.
 func (w *Watch) ApplyTrialRuling(r *TrialRuling) {
--- a/internal/suspect/trials_test.go
+++ b/internal/suspect/trials_test.go
@@ -21,11 +21,17 @@
 	must.False(t, begin(0, "y", time.Second, a))
 	must.False(t, begin(0, "y", time.Second, b, c))
 	must.True(t, begin(0, "z", time.Second, c), must.Sprint("a trial that did not begin holds nothing"))
-	trials.end("y", []Fingerprint{a, b, c})
+	end := func(at time.Duration, holder string, until time.Duration, suspects ...Fingerprint) {
+		trials.end(start.Add(at), holder, suspects, start.Add(until))
+	}
+	end(0, "y", 0, a, b, c)
 	must.False(t, begin(0, "y", time.Second, a), must.Sprint("ended by another holder"))
-	trials.end("x", []Fingerprint{a, b})
+	end(0, "x", 0, a, b)
 	must.True(t, begin(0, "y", time.Second, a, b))
 	must.True(t, begin(time.Second, "x", 2*time.Second, a, b), must.Sprint("its end was not reported"))
+	end(time.Second, "x", 1500*time.Millisecond, a, b)
+	must.False(t, begin(1400*time.Millisecond, "y", 2*time.Second, a), must.Sprint("it goes on"))
+	must.True(t, begin(1500*time.Millisecond, "y", 2*time.Second, a))
 	must.True(t, begin(time.Second, "w", time.Hour, c))
 	must.False(t, begin(time.Second, "v", time.Hour, c))
 	must.True(t, begin(time.Second+maxTrial, "v", time.Hour, c), must.Sprint("a trial is bounded"))
@@ -57,7 +63,7 @@
 		{"tried elsewhere", func(f *fleet) { f.watches[0].BeginTrial("other", fingerprints(request("r")), until(f)) }, TrialRuling{}},
 		{"tried elsewhere, and ended", func(f *fleet) {
 			f.watches[0].BeginTrial("other", fingerprints(request("r")), until(f))
-			f.watches[0].EndTrial("other", fingerprints(request("r")))
+			f.watches[0].ProlongTrial("other", fingerprints(request("r")), 0)
 		}, TrialRuling{Granted: true}},
 		{"the part is tried elsewhere", func(f *fleet) { f.watches[0].BeginTrial("other", request("s", "p").Parts, until(f)) }, TrialRuling{}},
 		{"the part was answered", func(f *fleet) { f.answer(0, request("s", "p")) }, TrialRuling{Granted: true, Answered: request("r", "p").Parts}},
@@ -111,7 +117,7 @@
 					waiting = append(waiting, c)
 					continue
 				}
-				ends = append(ends, func() { f.watches[0].EndTrial(holder, suspects.Fingerprints) })
+				ends = append(ends, func() { f.watches[0].ProlongTrial(holder, suspects.Fingerprints, 0) })
 			}
 			running = append(running, c)
 		}
--- a/internal/suspect/watch_test.go
+++ b/internal/suspect/watch_test.go
@@ -251,7 +251,7 @@
 		return history.Engines()
 	}
 	abandon("long before")
-	f.now = f.now.Add(abandonedTTL)
+	f.now = f.now.Add(AbandonedTTL)
 	abandon("deadly")
 	f.now = f.now.Add(10 * time.Millisecond)
 	must.Eq(t, 0, engines(0, "deadly"))
@@ -316,7 +316,7 @@
 		for i, w := range f.watches {
 			suspects := w.Suspects(request("deadly"))
 			must.Len(t, 1, suspects.Fingerprints, must.Sprintf("daemon %d of %d", i, c.daemons))
-			must.False(t, suspects.MayRunUnarbitrated(), must.Sprintf("daemon %d of %d", i, c.daemons))
+			must.False(t, suspects.Weak(), must.Sprintf("daemon %d of %d", i, c.daemons))
 		}
 	}
 }
--- a/internal/wire/trial.go
+++ b/internal/wire/trial.go
@@ -10,11 +10,13 @@
 	Number int64
 	// Suspects are the fingerprints that are tried.
 	Suspects []uint64
-	// RemainingUS is how long the trial lasts at most, in microseconds; 0 ends it.
+	// RemainingUS is how long the trial lasts at most, in microseconds.
 	RemainingUS int64
+	// Over is set if the attempt is over. The arbiter does not answer.
+	Over bool
 }
 
-// TrialReply is the answer to a TrialRequest that does not end a trial. The order of the
+// TrialReply is the answer to a TrialRequest whose attempt is not over. The order of the
 // fields is the encoding.
 type TrialReply struct {
 	BootID string
