--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/standin/site"
@@ -16,6 +18,11 @@
 	// deadlyPart is a part of prompts that does so whatever else they hold.
 	deadlyBody = "deadly"
 	deadlyPart = "dead01:100"
+	// batchBody and batchPart are the same for requests in batches.
+	batchBody = "deadly in batches"
+	batchPart = "dead02:100"
+	// copiesPerDaemon is the number of requests of each cause in a batch at each daemon.
+	copiesPerDaemon = 3
 	// firstPart begins the prompts with deadlyPart, and those of sound requests.
 	firstPart = "f1:40"
 	// endsByRequest and endsByPart are the numbers of ends after which a deadly request,
@@ -44,8 +51,46 @@
 
 // isDeadly reports whether a request with the given body and parts of a prompt ends the
 // engine that runs it.
-func isDeadly(body string, parts []string) bool {
-	return body == deadlyBody || slices.Contains(parts, deadlyPart)
+func isDeadly(body string, parts []string) bool { return deadlyCause(body, parts) != "" }
+
+// deadlyCause returns what ends the engines that run a request, or "".
+func deadlyCause(body string, parts []string) string {
+	switch {
+	case body == deadlyBody:
+		return "request"
+	case body == batchBody:
+		return "request in batches"
+	case slices.Contains(parts, deadlyPart):
+		return "part"
+	case slices.Contains(parts, batchPart):
+		return "part in batches"
+	default:
+		return ""
+	}
+}
+
+// sendBatch sends copies of a deadly request, and requests with a deadly part, to all
+// daemons at the same moment, and waits for their answers.
+func (c *clientPool) sendBatch(daemons []*daemon, seed int) {
+	rng := rand.New(rand.NewPCG(uint64(seed), 0))
+	var wg sync.WaitGroup
+	for _, d := range daemons {
+		for range copiesPerDaemon {
+			base := site.Request{APIKey: c.keys.current(), Method: http.MethodPost}
+			byBody, byPart := base, base
+			byBody.Path, byBody.Body = site.IdempotentPath, batchBody
+			byPart.Path, byPart.Model, byPart.Body = site.StreamPath, site.SmallModel, ownPart(rng)
+			byPart.Parts = []string{firstPart, batchPart, ownPart(rng)}
+			for _, request := range []site.Request{byBody, byPart} {
+				request.ID = fmt.Sprintf("request-%d", c.requestSeq.Add(1))
+				wg.Go(func() {
+					client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+					c.send(client, d, request)
+				})
+			}
+		}
+	}
+	wg.Wait()
 }
 
 // makeDeadly returns a request that ends engines: the same one each time, or one of
@@ -65,16 +110,7 @@
 func ownPart(rng *rand.Rand) string { return fmt.Sprintf("%x:200", rng.Uint64()) }
 
 // deadlyKind returns what makes a request deadly, or "".
-func deadlyKind(r *site.Request) string {
-	switch {
-	case !isDeadly(r.Body, r.Parts):
-		return ""
-	case r.Body == deadlyBody:
-		return "request"
-	default:
-		return "part"
-	}
-}
+func deadlyKind(r *site.Request) string { return deadlyCause(r.Body, r.Parts) }
 
 // checkDeadly returns the violations of the limits for deadly requests, and the sound
 // requests that were refused as such.
@@ -95,7 +131,11 @@
 			runs[kind] = append(runs[kind], r)
 		}
 	}
-	for kind, ends := range map[string]int{"request": endsByRequest, "part": endsByPart} {
+	for _, kind := range slices.Sorted(maps.Keys(runs)) {
+		ends := endsByRequest
+		if strings.HasPrefix(kind, "part") {
+			ends = endsByPart
+		}
 		if late := e.lateDeadlyRuns(runs[kind], ends, observations); len(late) > lateDeadlySends {
 			violations = append(violations, fmt.Sprintf("deadly %s ran %d times more than %s after it had ended %d engines: %s",
 				kind, len(late), deadlyBound, ends, strings.Join(late, ", ")))
@@ -105,20 +145,25 @@
 }
 
 // lateDeadlyRuns returns the ids of the requests among runs, ordered by time, that were
-// sent by an undisturbed daemon later than deadlyBound after the given number of ends.
-// The count begins anew when no daemon has kept its memory.
+// sent by an undisturbed daemon later than deadlyBound after the given number of engines
+// had run them. The count begins anew when no daemon has kept its memory.
 func (e *Evidence) lateDeadlyRuns(runs []site.Execution, ends int, observations map[string]*Observation) []string {
 	var late []string
-	var counted []time.Time
+	// firstRuns holds the time of the first run at each engine, in order.
+	var firstRuns []time.Time
+	engines := map[string]bool{}
 	for _, r := range runs {
-		if lost, ok := e.memoryLostAt(r.At); ok && len(counted) > 0 && counted[0].Before(lost) {
-			counted, late = nil, nil
+		if lost, ok := e.memoryLostAt(r.At); ok && len(firstRuns) > 0 && firstRuns[0].Before(lost) {
+			firstRuns, late, engines = nil, nil, map[string]bool{}
 		}
 		process := &e.Processes[observations[r.RequestID].Daemon]
-		if len(counted) >= ends && r.At.Sub(counted[ends-1]) > deadlyBound && process.undisturbed(r.At) {
+		if len(firstRuns) >= ends && r.At.Sub(firstRuns[ends-1]) > deadlyBound && process.undisturbed(r.At) {
 			late = append(late, r.RequestID)
 		}
-		counted = append(counted, r.At)
+		if !engines[r.EngineID] {
+			engines[r.EngineID] = true
+			firstRuns = append(firstRuns, r.At)
+		}
 	}
 	return late
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,7 @@
 	log     func(format string, args ...any)
 	wg      sync.WaitGroup
 	keys    *apiKeys
+	clients *clientPool
 	mu      sync.Mutex
 	stops   []GracefulStop
 }
@@ -94,6 +95,8 @@
 		})
 		pause.For(ctx, minFaultDuration)
 		inj.keys.rotate(inj.cluster.store)
+	case DeadlyBatch:
+		inj.clients.sendBatch(inj.cluster.daemons, f.Target)
 	case KeyRevoke:
 		inj.keys.rotate(inj.cluster.store)
 	default:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,6 +33,7 @@
 	EngineDelay         Kind = "engine_delay"
 	EngineDropResponses Kind = "engine_loses"   // requests are executed, their responses are discarded
 	EngineEndless       Kind = "engine_endless" // requests are executed, their responses do not end
+	DeadlyBatch         Kind = "deadly_batch"   // requests that end engines, at all daemons at the same moment
 )
 
 // weightedKinds are the kinds that a schedule draws from. A kind that is listed twice is
@@ -52,12 +53,23 @@
 	// than the lease time (1.2 s) to more than the bound for revoked keys.
 	minFaultDuration = 150 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
-	// seriesCount is the number of independent series of faults of weightedKinds. One
-	// more series has answers without end only, so that the schedules of seeds that
-	// have found faults stay as they were.
+	// seriesCount is the number of independent series of faults of weightedKinds. Each of
+	// singleKinds has one more, so that the schedules of seeds that have found faults stay
+	// as they were.
 	seriesCount = 2
 )
 
+// singleKinds are the kinds that have a series of their own, with the bounds of the time
+// between the starts of two of its faults. Batches of deadly requests follow each other
+// after deadlyBound, within which all daemons learn of the one before.
+var singleKinds = []struct {
+	kind           Kind
+	minGap, maxGap time.Duration
+}{
+	{EngineEndless, minGap, maxGap},
+	{DeadlyBatch, deadlyBound + minGap, deadlyBound + time.Second},
+}
+
 // Fault is one entry of a schedule.
 type Fault struct {
 	At   time.Duration
@@ -71,12 +83,13 @@
 // Schedule returns the faults of a seed, ordered by time.
 func Schedule(seed uint64, length time.Duration) []Fault {
 	var out []Fault
-	for i := range uint64(seriesCount + 1) {
-		rng, kinds := rand.New(rand.NewPCG(seed, i)), weightedKinds
-		if i == seriesCount {
-			kinds = []Kind{EngineEndless}
+	for i := range seriesCount + len(singleKinds) {
+		rng, kinds, shortest, longest := rand.New(rand.NewPCG(seed, uint64(i))), weightedKinds, minGap, maxGap
+		if i >= seriesCount {
+			single := singleKinds[i-seriesCount]
+			kinds, shortest, longest = []Kind{single.kind}, single.minGap, single.maxGap
 		}
-		for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, minGap, maxGap) {
+		for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, shortest, longest) {
 			out = append(out, Fault{
 				At: at, Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 16), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
 			})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,7 +68,7 @@
 		clients.startClients(clientCtx, o.Seed, d)
 	}
 	faults := Schedule(o.Seed, o.FaultsFor)
-	inj := &injector{cluster: c, log: o.Log, keys: keys}
+	inj := &injector{cluster: c, log: o.Log, keys: keys, clients: clients}
 	inj.run(ctx, faults)
 	recoveryErr := waitUntilAllServing(ctx, clients, c, recoveryTimeout)
 	stopClients()
