Review case 7: a reader of the store pushes changes before it applies them

Cause: followTopic sends the records that it has read to all peers, paced to a part of the machine's link, before it commits them. On machines with 14 Mbit/s a change of a large configuration takes about 3 s to push to 90 peers, and changes in quick succession add up.

Nothing of the product is changed.

--- a/review/bed/backlog.go
+++ b/review/bed/backlog.go
@@ -42,7 +42,7 @@
 		}
 		defer e.close()
 	}
-	d, err := newDaemon(b.dir, b.binary, b.ip(1), "z1", 1, g.addr())
+	d, err := newDaemon(b.dir, b.binary, b.ip(1), "z1", 1, g.addr(), smallMachine)
 	if err != nil || d.start() != nil {
 		return notRun
 	}
--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -11,8 +11,8 @@
 
 // sent is one request of a client, and its answer.
 type sent struct {
-	id, key string
-	at, end time.Time
+	id, key, daemon string
+	at, end         time.Time
 	// status is 0 if there was no answer.
 	status int
 }
@@ -31,7 +31,7 @@
 
 // send sends one request with a key to a daemon.
 func (c *client) send(d *daemon, key string) sent {
-	x := sent{id: fmt.Sprintf("r%06d", c.seq.Add(1)), key: key, at: time.Now()}
+	x := sent{id: fmt.Sprintf("r%06d", c.seq.Add(1)), key: key, daemon: d.name, at: time.Now()}
 	req, err := http.NewRequest(http.MethodGet, "http://"+d.front()+prefix+x.id, http.NoBody)
 	if err == nil {
 		req.Host = host
--- a/review/bed/daemon.go
+++ b/review/bed/daemon.go
@@ -25,8 +25,23 @@
 	done                       chan struct{}
 }
 
+// machine is what the settings say of a machine and its bounds.
+type machine struct {
+	cores         float64
+	memoryMB      int
+	linkMbps      float64
+	configApplyMS int
+}
+
+// The machines of the small sites, and the small and the large ones of the grown sites.
+var (
+	smallMachine      = machine{0.272, 206, 700, 2000}
+	grownMachine      = machine{0.134, 136, 14, 3000}
+	largeGrownMachine = machine{0.8, 536, 200, 3000}
+)
+
 // newDaemon writes the settings of a daemon, which reaches the store at storeAddr.
-func newDaemon(dir, binary, ip, zone string, number int, storeAddr string) (*daemon, error) {
+func newDaemon(dir, binary, ip, zone string, number int, storeAddr string, o machine) (*daemon, error) {
 	d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, number), ip: ip, binary: binary}
 	d.settings = filepath.Join(dir, d.name+".yaml")
 	text := fmt.Sprintf(`node_name: %q
@@ -41,12 +56,12 @@
 internal_ports: [%d, %d]
 seeds: []
 first_start: true
-limits: {cpu_share: 0.272, cpu_cores: 1, memory_mb: 206, max_fds: 2870, link_mbps: 700.0, disk_mb: 0}
+limits: {cpu_share: %g, cpu_cores: 1, memory_mb: %d, max_fds: 2870, link_mbps: %g, disk_mb: 0}
 data_dir: null
 heartbeat_ms: 1200
-bounds: {stable_window_ms: 3000, drain_ms: 2000, grace_s: %d, config_apply_ms: 2000, strict_revoke: true, revoke_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 283, evacuate_ms: 5000, stall_ms: 5000, fence_checked: true}
+bounds: {stable_window_ms: 3000, drain_ms: 2000, grace_s: %d, config_apply_ms: %d, strict_revoke: true, revoke_ms: 5000, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 283, evacuate_ms: 5000, stall_ms: 5000, fence_checked: true}
 platform: {address: %q, form: "log", writes_per_s: 400, reads_per_s: 2000, parts: 12, keep_s: 300, min_ttl_ms: 1000}
-`, d.name, ip, zone, zone, ip, frontPort, ip, readyPort, meshPort, meshPort+15, graceS, storeAddr)
+`, d.name, ip, zone, zone, ip, frontPort, ip, readyPort, meshPort, meshPort+15, o.cores, o.memoryMB, o.linkMbps, graceS, o.configApplyMS, storeAddr)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -41,10 +41,10 @@
 // ip returns a loopback address that no other run uses.
 func (b *bench) ip(number int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>14&63, pid>>6&255, 1+pid&63<<2|number&3)
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, 1+number)
 }
 
-var cases = map[string]func(*bench) outcome{"backlog": runBacklog}
+var cases = map[string]func(*bench) outcome{"backlog": runBacklog, "storm": runStorm}
 
 func main() { os.Exit(int(runCase())) }
 
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -32,7 +32,6 @@
 
 	mu         sync.Mutex
 	topics     map[string]*topic
-	slow       time.Duration
 	generation int64
 	members    []string
 	renewed    map[string]time.Time
@@ -73,20 +72,10 @@
 
 func (s *store) close() { _ = s.server.Close() }
 
-// setSlow makes each answer take longer.
-func (s *store) setSlow(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.slow = d
-}
-
 // pauseBeforeAnswer waits as long as an answer takes.
-func (s *store) pauseBeforeAnswer(ctx context.Context) {
-	s.mu.Lock()
-	d := answerTime + s.slow
-	s.mu.Unlock()
+func (*store) pauseBeforeAnswer(ctx context.Context) {
 	select {
-	case <-time.After(d):
+	case <-time.After(answerTime):
 	case <-ctx.Done():
 	}
 }
