--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 type client struct {
 	http http.Client
 	seq  atomic.Int64
+	// post makes requests POST ones with a body.
+	post bool
 	mu   sync.Mutex
 	list []sent
 }
@@ -32,7 +35,11 @@
 // send sends one request with a key to a daemon.
 func (c *client) send(d *daemon, key string) sent {
 	x := sent{id: fmt.Sprintf("r%06d", c.seq.Add(1)), key: key, daemon: d.name, at: time.Now()}
-	req, err := http.NewRequest(http.MethodGet, "http://"+d.front()+prefix+x.id, http.NoBody)
+	method, body := http.MethodGet, ""
+	if c.post {
+		method, body = http.MethodPost, "order "+x.id
+	}
+	req, err := http.NewRequest(method, "http://"+d.front()+prefix+x.id, strings.NewReader(body))
 	if err == nil {
 		req.Host = host
 		req.Header.Set("Request-Id", x.id)
--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -52,27 +52,36 @@
 }
 
 func startEngine(s *store, r *runs, id, service, zone string, work time.Duration) (*engine, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startEngineAt("127.0.0.1:0", time.Now(), s, r, id, service, zone, work)
+}
+
+// startEngineAt starts an engine at an address. clock is the time of day on its machine.
+func startEngineAt(addr string, clock time.Time, s *store, r *runs, id, service, zone string, work time.Duration) (*engine, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, service: service, zone: zone, born: time.Now().UnixMilli(), store: s, runs: r, addr: l.Addr().String(), work: work}
+	e := &engine{id: id, service: service, zone: zone, born: clock.UnixMilli(), store: s, runs: r, addr: l.Addr().String(), work: work}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(l) }()
 	e.announce("ready")
 	return e, nil
 }
 
+// close ends the engine and what it runs.
 func (e *engine) close() { _ = e.server.Close() }
 
-// announce writes the engine's entry.
-func (e *engine) announce(state string) {
+// removeEntry removes the engine's entry and returns when the store has acknowledged it.
+func (e *engine) removeEntry() time.Time { return e.store.put(wireName("engines"), e.id, nil) }
+
+// announce writes the engine's entry and returns when the store has acknowledged it.
+func (e *engine) announce(state string) time.Time {
 	e.seq++
 	entry, _ := json.Marshal(map[string]any{
 		"service": e.service, "address": e.addr, "zone": e.zone, "version": 1, "slots": 64, "state": state,
 		wireName("cold"): 0, "seq": e.seq, "born": e.born,
 	})
-	e.store.put(wireName("engines"), e.id, entry)
+	return e.store.put(wireName("engines"), e.id, entry)
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -44,7 +44,7 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&127, pid&255, 1+number)
 }
 
-var cases = map[string]func(*bench) outcome{"backlog": runBacklog, "storm": runStorm}
+var cases = map[string]func(*bench) outcome{"backlog": runBacklog, "storm": runStorm, "clock": runClock}
 
 func main() { os.Exit(int(runCase())) }
 
--- a/review/bed/operator.go
+++ b/review/bed/operator.go
@@ -22,6 +22,8 @@
 	target string
 	// public is set if the route in use needs no key.
 	public bool
+	// kind is that of the route in use, idempotent by default.
+	kind string
 }
 
 const (
@@ -46,6 +48,9 @@
 	}
 	used := route("orders", host, prefix)
 	used["public"] = c.public
+	if c.kind != "" {
+		used["kind"] = c.kind
+	}
 	routes := []any{used}
 	for i := range c.idle {
 		routes = append(routes, route("r-"+word(3*i, 7), word(3*i+1, 6)+".example", "/"+word(3*i+2, 7)+"/"+word(3*i+2, 4)+"/"))
