Show how long records wait between the read, the application and the sending

Metrics and log lines now give the time from the answer of a read to the application and to the sending of its records, and for how long a daemon has known of records that it lacks.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -113,6 +113,9 @@
 	// OnReadLatest is called on its own goroutine with the newest records of a topic that
 	// this daemon has read after a restore of the store. It may be nil.
 	OnReadLatest func(t Topic, end Position, records []Record)
+	// OnApplied is called with the time from the answer of a read until its records were
+	// applied. It may be nil.
+	OnApplied func(t Topic, took time.Duration)
 	// RequestRecords asks a peer for the records of a topic from position next on, and
 	// reports whether one was asked. It may be nil.
 	RequestRecords func(t Topic, next Position) bool
@@ -200,6 +203,9 @@
 	if o.OnRead == nil {
 		o.OnRead = func(Topic, Position, []Record) {}
 	}
+	if o.OnApplied == nil {
+		o.OnApplied = func(Topic, time.Duration) {}
+	}
 	if o.OnReadLatest == nil {
 		o.OnReadLatest = func(Topic, Position, []Record) {}
 	}
--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -102,7 +102,7 @@
 	wasRead := t.cursor.Known || t.cursor.ConfirmedAt > 0
 	// The state was current at ConfirmedAt, whatever happens to the store after that.
 	t.cursor = Cursor{Era: era, ConfirmedAt: t.cursor.ConfirmedAt}
-	t.maxEnd = 0
+	t.maxEnd, t.ends = 0, nil
 	if wasRead {
 		t.readAt, t.graceUntil = readAt, now+restoreGrace
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -113,6 +113,9 @@
 				go d.opts.OnReadLatest(t, next, records)
 			}
 		})
+		if len(records) > 0 {
+			d.recordApplied(t, len(records), boottime.Now()-answered)
+		}
 		pause.For(ctx, topicTimings[t].minReadInterval-time.Since(began))
 	}
 	return nil
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -104,7 +104,8 @@
 	}
 }
 
-// tick notes at short intervals that this process runs, until ctx ends.
+// tick notes at short intervals that this process runs, and logs topics that are late,
+// until ctx ends.
 func (d *Directory) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -118,6 +119,7 @@
 			}
 		}
 		d.lastTick.Store(int64(now))
+		d.logLateTopics(now)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -84,6 +84,10 @@
 	cursor Cursor
 	// maxEnd is the highest end of the topic that a peer has reported.
 	maxEnd uint64
+	// ends holds the ends of the topic beyond the cursor, in ascending order. reportedLate
+	// is set while this daemon has been behind them for long.
+	ends         []knownEnd
+	reportedLate bool
 	// readAt is the boot time from which this daemon reads the topic after a restore, if
 	// it does not read for others. graceUntil is that until which what a restored store
 	// lacks counts as not written again yet.
@@ -125,6 +129,7 @@
 	}
 	apply(records)
 	t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, at)
+	t.forgetReachedEnds()
 }
 
 // withLock calls fn with the position's lock held.
@@ -151,6 +156,7 @@
 		return
 	}
 	t.maxEnd = max(t.maxEnd, end.Offset)
+	t.learnEnd(end.Offset, boottime.Now())
 	if t.cursor.Known && end.Offset == t.cursor.Next {
 		t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, at)
 	}
@@ -184,6 +190,7 @@
 	}
 	apply(records[t.cursor.Next-from.Offset:])
 	t.cursor.Next = next
+	t.forgetReachedEnds()
 }
 
 // Cursor returns the position in a topic.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -131,6 +131,7 @@
 	d.directory = directory.New(directory.Options{
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		Fleet: d.meshAdapter.fleet, OnCall: d.stats.setReadCause, OnRead: d.meshAdapter.pushRecords, OnReadLatest: d.meshAdapter.pushLatest,
+		OnApplied:      d.stats.recordApplied,
 		RequestRecords: d.meshAdapter.requestRecords,
 		RereadPhase:    d.rereadPhase, OnRestore: d.onRestore,
 	})
--- a/internal/edge/mesh.go
+++ b/internal/edge/mesh.go
@@ -293,7 +293,9 @@
 		return
 	}
 	g.history[t].Add(from.Era, records)
+	readAt := boottime.Now()
 	g.d.mesh.Push(&wire.RecordPush{Era: from.Era, Topic: int(t), FirstOffset: from.Offset, Records: keyedValues(records)})
+	g.d.stats.recordSent(t, from.Offset+uint64(len(records)), boottime.Now()-readAt)
 	g.d.mesh.SendNow()
 }
 
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -45,6 +45,9 @@
 	metricConfigVersion = "config_version"
 	metricConfigAge     = "config_age_seconds"
 	metricEnginesAge    = "engines_age_seconds"
+	metricBehind        = "topic_behind_seconds"
+	metricApplied       = "records_applied_seconds"
+	metricSent          = "records_sent_seconds"
 	metricStoreEra      = "store_era"
 	metricDaemons       = "daemons"
 	metricPlanning      = "planning"
@@ -75,6 +78,10 @@
 
 const readCallPrefix = "read"
 
+// slowSend is the time from a read until its records were sent to all peers above which it
+// is logged.
+const slowSend = 500 * time.Millisecond
+
 // stats counts requests and exports the daemon's metrics.
 type stats struct {
 	registry *metrics.Registry
@@ -151,6 +158,20 @@
 	s.readCauses[t].Store(uint32(cause))
 }
 
+// recordApplied records the time from the answer of a read until its records were applied.
+func (s *stats) recordApplied(t directory.Topic, took time.Duration) {
+	s.registry.Scope().Tagged(map[string]string{"topic": topicLabels[t]}).Histogram(metricApplied, latencyBuckets).RecordDuration(took)
+}
+
+// recordSent records the time from the answer of a read until its records, the last of which
+// was next's predecessor, were sent to all peers.
+func (s *stats) recordSent(t directory.Topic, next uint64, took time.Duration) {
+	s.registry.Scope().Tagged(map[string]string{"topic": topicLabels[t]}).Histogram(metricSent, latencyBuckets).RecordDuration(took)
+	if took >= slowSend {
+		klog.InfoS("records sent late", "topic", topicLabels[t], "next", next, "ms_after_read", took.Milliseconds())
+	}
+}
+
 // recordStoreCall counts a call of the store, with its cause if it reads a topic.
 func (s *stats) recordStoreCall(call, topic string) {
 	cause := call
@@ -277,6 +298,9 @@
 	scope.Gauge(metricConfigVersion).Update(float64(cfg.Version))
 	scope.Gauge(metricConfigAge).Update(min(d.directory.ConfigAge(), boottime.Now()).Seconds())
 	scope.Gauge(metricEnginesAge).Update(min(d.directory.EnginesAge(), boottime.Now()).Seconds())
+	for _, t := range topics {
+		scope.Tagged(map[string]string{"topic": topicLabels[t]}).Gauge(metricBehind).Update(d.directory.Behind(t).Seconds())
+	}
 	scope.Gauge(metricStoreEra).Update(float64(d.directory.Era()))
 	scope.Gauge(metricDaemons).Update(float64(1 + len(d.mesh.LivePeers())))
 	planning := 0.0
