Spread the reads of daemons that miss the same records

A daemon that knew of records that nobody had sent asked a peer and read the store after 240 ms. When a push is lost on its way to a part of a fleet of 90 or 350, they all turn to the store at the same moment, whose rate they share.

They now leave it to their peers for 5 ms a daemon, at most a sixth of the bound on configurations, and for up to as long again at random; a fleet of 15 reads after 240 ms as before, one of 350 within 1 s of a bound of 3 s. Meanwhile they ask collectors, which pass requests on to those that have read. While parts of a relayed push arrive they wait for half of the bound. A daemon that hears no peer reads at once.

TestMissingRecordsAreReadOneAfterTheOther fails on the code before (all at once).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -123,6 +123,8 @@
 	// RequestRecords asks a peer for the records of a topic from position next on, and
 	// reports whether one was asked. It may be nil.
 	RequestRecords func(t Topic, next Position) bool
+	// IsArriving reports whether a peer is sending records of a topic. It may be nil.
+	IsArriving func(t Topic) bool
 	// RereadPhase returns this daemon's random part, from 0 to 1, of the period over
 	// which the fleet reads the store anew after a restore. If nil, it is 0.
 	RereadPhase func() float64
@@ -207,6 +209,9 @@
 	if o.RequestRecords == nil {
 		o.RequestRecords = func(Topic, Position) bool { return false }
 	}
+	if o.IsArriving == nil {
+		o.IsArriving = func(Topic) bool { return false }
+	}
 	if o.OnRead == nil {
 		o.OnRead = func(Topic, Position, Position) {}
 	}
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +121,8 @@
 	case next.Era != t.cursor.Era, !full && !t.cursor.Known, full && t.cursor.Known && next.Offset < t.cursor.Next:
 		return
 	case full:
+		// Ends heard of before a read of the whole state are of another history.
+		t.ends = slices.DeleteFunc(t.ends, func(e knownEnd) bool { return e.heardAt <= at })
 		t.cursor = Cursor{Era: next.Era, Known: true, Next: next.Offset, ConfirmedAt: t.cursor.ConfirmedAt}
 	default:
 		for len(records) > 0 && records[0].Offset < t.cursor.Next {
@@ -251,9 +254,12 @@
 			pos.waitForPeer(ctx, min(wait, peerWait))
 			continue
 		}
+		behind := d.Behind(t)
+		// A push that is arriving is waited for, within half of the bound.
+		waits := behind < d.opts.ConfigBound/2 && d.opts.IsArriving(t)
 		verdict := d.pacer.Begin(&storepace.Evidence{
 			Now: now, Bound: d.opts.ConfigBound, Known: c.Known, ConfirmedAt: c.ConfirmedAt, TrustedAge: d.trustedAge(t),
-			Unread: missing && pos.hasUnread(), Fleet: fleet,
+			Unread: missing && pos.hasUnread() && !waits, UnreadSince: now - behind, Fleet: fleet,
 		}, rand.Float64())
 		if verdict.Call {
 			return verdict, true
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -132,8 +132,8 @@
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		Fleet: d.meshAdapter.fleet, OnCall: d.stats.setReadCause, OnRead: d.meshAdapter.pushRecords, OnReadLatest: d.meshAdapter.pushLatest,
 		OnApplied: d.stats.recordApplied, OnSuperseded: d.stats.recordSuperseded,
-		RequestRecords: d.meshAdapter.requestRecords,
-		RereadPhase:    d.rereadPhase, OnRestore: d.onRestore,
+		RequestRecords: d.meshAdapter.requestRecords, IsArriving: func(t directory.Topic) bool { return d.mesh.IsArriving(int(t)) },
+		RereadPhase: d.rereadPhase, OnRestore: d.onRestore,
 	})
 	if p.ObserveEras != nil {
 		p.ObserveEras(d.directory.ObserveEra)
@@ -293,10 +293,7 @@
 
 // isReady reports whether the balancer may send new requests to this daemon.
 func (d *Daemon) isReady() bool {
-	if !d.directory.Loaded() {
-		return false
-	}
-	return !d.settings.StrictRevoke || d.directory.ConfigAge() < time.Duration(readyFraction*float64(d.settings.RevokeBound))
+	return d.directory.Loaded() && d.settings.readyWith(d.directory.ConfigAge(), d.directory.Behind(directory.OperatorTopic))
 }
 
 // maxBodyBytes returns the configured limit of request bodies, or 0 before a
--- a/internal/mesh/push.go
+++ b/internal/mesh/push.go
@@ -57,11 +57,14 @@
 	return sum
 }
 
+// IsArriving reports whether a relayed push of a topic is arriving.
+func (m *Mesh) IsArriving(topic int) bool { return m.relays.arriving(topic, time.Now()) }
+
 // RequestRecords asks one of the collectors for the records of a topic from an offset of
 // an era on, unless a push of the topic is arriving. It reports false if no collector is
 // known.
 func (m *Mesh) RequestRecords(topic int, era, next uint64) bool {
-	if m.relays.arriving(topic, time.Now()) {
+	if m.IsArriving(topic) {
 		return true
 	}
 	var collectors []string
--- a/internal/storepace/pace.go
+++ b/internal/storepace/pace.go
@@ -44,6 +44,11 @@
 	// that are no longer served report it within 0.75 s of the others.
 	soloFraction = 1.0 / 3
 	soloSpread   = 1.0 / 10
+	// gapWaitPerDaemon times the number of daemons, but at most gapFraction of the bound, is
+	// the least time for which a daemon leaves it to its peers to send records that exist;
+	// the most is twice that. It covers the way of a push through a large fleet.
+	gapWaitPerDaemon = 5 * time.Millisecond
+	gapFraction      = 1.0 / 6
 	// aloneAfter is how long no peer must have been heard before a daemon calls the
 	// store by itself. It covers a change of the daemons that report to all.
 	aloneAfter = 500 * time.Millisecond
@@ -125,9 +130,11 @@
 	Known       bool
 	ConfirmedAt time.Duration
 	TrustedAge  time.Duration
-	// Unread is set if the topic has records that no peer has sent in time.
-	Unread bool
-	Fleet  Fleet
+	// Unread is set if the topic has records that no peer has sent in time. UnreadSince is
+	// when this daemon learned of them.
+	Unread      bool
+	UnreadSince time.Duration
+	Fleet       Fleet
 }
 
 // Verdict says when the store may be called next.
@@ -161,8 +168,10 @@
 		if alone {
 			v.Cause = Alone
 		}
-	case e.Unread && (path.Failures == 0 || alone):
+	case e.Unread && alone:
 		v.Cause, v.At, v.Probe = Gap, retryAt(e.Now, path), path.Failures > 0
+	case e.Unread && path.Failures == 0:
+		v.Cause, v.At = Gap, max(e.Now, e.UnreadSince+gapWait(e, phase))
 	case e.Unread:
 		v.Cause, v.At, v.Probe = Gap, turnAt(e, staleAt, path, phase), true
 	case e.Fleet.Role == Probing:
@@ -182,6 +191,14 @@
 	return v
 }
 
+// gapWait returns for how long a daemon leaves it to its peers to send records that exist.
+// It addresses a push that is lost on its way to a large part of the fleet: those that ask
+// the store first can send the records to the others.
+func gapWait(e *Evidence, phase float64) time.Duration {
+	least := min(time.Duration(e.Fleet.Size)*gapWaitPerDaemon, time.Duration(gapFraction*float64(e.Bound)))
+	return least + time.Duration(phase*float64(least))
+}
+
 // retryAt returns when a daemon that calls by itself does so next.
 func retryAt(now time.Duration, path *Path) time.Duration {
 	if path.Failures == 0 {
--- a/internal/storepace/pace_test.go
+++ b/internal/storepace/pace_test.go
@@ -142,3 +142,39 @@
 		must.LessEq(t, maxPlannerAbsence+renewal, firstOther)
 	}
 }
+
+// TestMissingRecordsAreReadOneAfterTheOther lets all daemons of a fleet miss the same push.
+// It guards against a large fleet that turns to the store at once, and against a daemon
+// that waits for its peers until the bound on configurations has passed.
+func TestMissingRecordsAreReadOneAfterTheOther(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	for _, c := range []struct {
+		size        int
+		bound       time.Duration
+		first, last time.Duration
+	}{
+		{15, 2 * s, 75 * ms, 150 * ms},
+		{107, 3 * s, 500 * ms, s},
+		{350, 2 * s, 333 * ms, 667 * ms},
+		{350, 3 * s, 500 * ms, s},
+	} {
+		e := Evidence{
+			Now: 100 * s, Bound: c.bound, Known: true, ConfirmedAt: 100 * s, TrustedAge: TrustedAge(c.bound), Unread: true, UnreadSince: 100 * s,
+			Fleet: Fleet{Size: c.size, PeersHeardAt: 100 * s},
+		}
+		perTenth := map[time.Duration]int{}
+		for i := range c.size {
+			v := Decide(&e, &Path{}, float64(i)/float64(c.size))
+			wait := (v.At - e.UnreadSince).Round(ms)
+			must.Between(t, c.first, wait, c.last, must.Sprint(c))
+			perTenth[wait/(100*ms)]++
+		}
+		if c.size > 40 {
+			for _, n := range perTenth {
+				must.LessEq(t, c.size/3, n, must.Sprint(c))
+			}
+		}
+		e.Fleet.PeersHeardAt = 0
+		must.True(t, Decide(&e, &Path{}, 1).Call, must.Sprint("a daemon that hears no peer waits for one"))
+	}
+}
