Take no new connections while a known configuration is missing; log the version

A daemon that hears of a change from its peers and can't get it serves public routes by the configuration that it has, since those need no recent confirmation. It is not ready for the balancer any more once it has known of the change for the bound on configurations. Requests on open connections are served as before.

The log lines about a request name the version by which it was handled, so that explain shows it. TestReadiness lists the cases.

--- a/internal/edge/rank_test.go
+++ b/internal/edge/rank_test.go
@@ -44,3 +44,14 @@
 	must.GreaterEq(t, 3*500*time.Millisecond, candidateDelay(295))
 	must.LessEq(t, 2500*time.Millisecond, candidateDelay(350))
 }
+
+// TestReadiness guards against a daemon that keeps taking requests while it knows of a
+// configuration that it can't get.
+func TestReadiness(t *testing.T) {
+	strict := Settings{ConfigBound: 2 * time.Second, StrictRevoke: true, RevokeBound: 5 * time.Second}
+	lax := Settings{ConfigBound: 2 * time.Second, RevokeBound: 5 * time.Second}
+	must.True(t, strict.readyWith(2*time.Second, 0))
+	must.False(t, strict.readyWith(4*time.Second, 0))
+	must.True(t, lax.readyWith(time.Hour, time.Second))
+	must.False(t, lax.readyWith(0, 2*time.Second))
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -66,6 +66,17 @@
 // requests has some twenty.
 const minMaxFDs = 64
 
+// readyWith reports whether a daemon may be sent new requests whose configuration was
+// confirmed an age ago, and that has known for a time of changes that it has not applied.
+// It addresses a daemon that hears of a change and can't get it: public routes need no
+// recent confirmation, so it would serve them by the old configuration.
+func (s *Settings) readyWith(age, behind time.Duration) bool {
+	if behind >= s.ConfigBound {
+		return false
+	}
+	return !s.StrictRevoke || age < time.Duration(readyFraction*float64(s.RevokeBound))
+}
+
 // capacity is the measure by which machines are ranked for work on behalf of all
 // daemons. It is a product, so that a machine short of either CPU time or bandwidth
 // ranks low.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,14 +148,17 @@
 // job is the state of one request while it is being served.
 type job struct {
 	*Relay
-	ctx      context.Context
-	req      *Request
-	w        Writer
-	route    *catalog.Route
-	tenant   string
-	priority int
-	standing admission.Standing
-	share    admission.Share
+	ctx context.Context
+	req *Request
+	w   Writer
+	// configVersion is that of the configuration by which the request was admitted or
+	// refused.
+	configVersion int64
+	route         *catalog.Route
+	tenant        string
+	priority      int
+	standing      admission.Standing
+	share         admission.Share
 	// lateWaiting is set while the Tracker counts the request as a late one without a
 	// first event.
 	lateWaiting bool
@@ -229,6 +232,7 @@
 	if cfg == nil || !j.opts.Directory.Loaded() {
 		return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "no configuration loaded yet"}
 	}
+	j.configVersion = cfg.Version
 	fresh := j.opts.Directory.ConfigAge() < time.Duration(configFreshFraction*float64(j.opts.ConfigBound))
 	route, ok := cfg.Route(j.req.Host, j.req.Path)
 	if !ok {
@@ -544,6 +548,6 @@
 // logDecision logs a decision about the request. event is the event name of the log
 // line.
 func (j *job) logDecision(event string, fields ...any) {
-	all := append([]any{"request", j.req.ID, "service", j.service, "sends", j.sends, "ms", time.Since(j.req.Arrived).Milliseconds()}, fields...)
+	all := append([]any{"request", j.req.ID, "service", j.service, "config_version", j.configVersion, "sends", j.sends, "ms", time.Since(j.req.Arrived).Milliseconds()}, fields...)
 	klog.InfoS(event, all...)
 }
