Confirm a position only by an end that the answer proves

Cause: a read that returned records was taken for a read up to the end of the topic. The store returns at most 1 MB, and states the true end beside it, which was not looked at. After a longer backlog the daemon applied the first part and dated its confirmation to the start of that read, so that its configuration, 12 s old, looked current until the next read was applied.

Change: one pure decision, storeAnswer.provenEnd, says which end of the topic an answer proves and for what time: from the offset asked for, the records, the stated end and the times. An empty answer before the long poll was over proves less than one after it. Ends that the store or a peer states are kept with their times until the position reaches them, by reads or pushes; only that sets the time of confirmation. What rests on the age (keys, readiness, roles, planning, 401 and 404 instead of 503) needs no change: it now stays old.

Tests: TestKeyTakenAwayInALargeBacklogIsRefused got 200 for 503 on the code before. TestProvenEnd, TestPartOfABacklogConfirmsNothing and TestBacklogsAreReadToTheirEnds list the orders of events; TestAnswersAreLimited guards the stand-in. The tests of package directory pass a whole read to commitRead where they passed its parts.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -51,6 +51,11 @@
 	return Record{Offset: offset, Key: key, Value: []byte(value)}
 }
 
+// wholeRead returns a read of all records up to the end of the topic at boot time at.
+func wholeRead(records []Record, next Position, full bool, at time.Duration) *topicRead {
+	return &topicRead{records: records, next: next, full: full, end: next.Offset, at: at}
+}
+
 func knownEngines(d *Directory) string {
 	list := []string{}
 	for _, id := range []string{"a", "b", "c"} {
@@ -113,15 +118,15 @@
 	d.ApplyPushed(EnginesTopic, Position{Offset: 0}, []Record{rec(0, "a", "engine 1 1")})
 	must.Eq(t, "", knownEngines(d), must.Sprint("a push is ignored while the position is unknown"))
 
-	pos.commitRead([]Record{rec(4, "a", "engine 1 1")}, Position{Offset: 5}, true, 1, apply)
+	pos.commitRead(wholeRead([]Record{rec(4, "a", "engine 1 1")}, Position{Offset: 5}, true, 1), apply)
 	d.ApplyPushed(EnginesTopic, Position{Offset: 7}, []Record{rec(7, "b", "engine 1 1")})
 	must.Eq(t, "a", knownEngines(d), must.Sprint("a push that starts after the position is ignored"))
 	d.ApplyPushed(EnginesTopic, Position{Offset: 4}, []Record{rec(4, "a", "engine 1 1"), rec(5, "a", ""), rec(6, "b", "engine 1 1")})
 	must.Eq(t, "b", knownEngines(d))
 	must.Eq(t, 7, d.Cursor(EnginesTopic).Next)
-	pos.commitRead([]Record{rec(5, "a", "")}, Position{Offset: 6}, false, 2, apply)
+	pos.commitRead(wholeRead([]Record{rec(5, "a", "")}, Position{Offset: 6}, false, 2), apply)
 	must.Eq(t, 7, d.Cursor(EnginesTopic).Next)
-	pos.commitRead([]Record{rec(5, "a", ""), rec(6, "b", "engine 1 1"), rec(7, "a", "engine 2 1")}, Position{Offset: 8}, false, 2, apply)
+	pos.commitRead(wholeRead([]Record{rec(5, "a", ""), rec(6, "b", "engine 1 1"), rec(7, "a", "engine 2 1")}, Position{Offset: 8}, false, 2), apply)
 	must.Eq(t, "ab", knownEngines(d))
 }
 
@@ -129,7 +134,7 @@
 	d := newDirectory()
 	must.Greater(t, time.Hour, d.ConfigAge())
 	now := boottime.Now()
-	d.positions[OperatorTopic].commitRead(nil, Position{Offset: 5}, true, now-10*time.Second, func([]Record) {})
+	d.positions[OperatorTopic].commitRead(wholeRead(nil, Position{Offset: 5}, true, now-10*time.Second), func([]Record) {})
 	must.GreaterEq(t, 10*time.Second, d.ConfigAge())
 	d.ConfirmEnd(OperatorTopic, Position{Offset: 4}, now-time.Second)
 	must.GreaterEq(t, 10*time.Second, d.ConfigAge(), must.Sprint("an end before the position is ignored"))
@@ -144,7 +149,7 @@
 
 func TestApplyPushedConfig(t *testing.T) {
 	d := newDirectory()
-	d.positions[OperatorTopic].commitRead(nil, Position{Offset: 3}, true, 0, func([]Record) {})
+	d.positions[OperatorTopic].commitRead(wholeRead(nil, Position{Offset: 3}, true, 0), func([]Record) {})
 	d.ApplyPushed(OperatorTopic, Position{Offset: 3}, []Record{rec(3, "config", "config 2")})
 	must.Eq(t, 2, d.Config().Version)
 	d.ApplyPushed(OperatorTopic, Position{Offset: 5}, []Record{rec(5, "config", "config 4")})
--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -102,7 +102,7 @@
 	wasRead := t.cursor.Known || t.cursor.ConfirmedAt > 0
 	// The state was current at ConfirmedAt, whatever happens to the store after that.
 	t.cursor = Cursor{Era: era, ConfirmedAt: t.cursor.ConfirmedAt}
-	t.maxEnd, t.ends = 0, nil
+	t.ends = nil
 	if wasRead {
 		t.readAt, t.graceUntil = readAt, now+restoreGrace
 	}
@@ -140,6 +140,7 @@
 	}
 	t.cursor.Known, t.cursor.Next = true, end.Offset
 	apply()
+	t.confirmReachedEnds()
 	t.signal()
 }
 
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -82,12 +82,12 @@
 // step reads all topics once, as followTopic does, and reports whether a read failed.
 func step(d *Directory) (failed bool) {
 	for t := range topicCount {
-		records, next, full, at, err := d.readNext(t, topicTimings[t].longPoll)
+		r, err := d.readNext(t, topicTimings[t].longPoll, false)
 		if err != nil {
 			failed = true
 			continue
 		}
-		d.positions[t].commitRead(records, next, full, at, func(fresh []Record) { d.apply(t, next.Era, fresh, full) })
+		d.positions[t].commitRead(r, func(fresh []Record) { d.apply(t, r.next.Era, fresh, r.full) })
 	}
 	return failed
 }
@@ -198,7 +198,7 @@
 		l.put("engines", "a", "engine 3 1")
 		l.put("engines", "c", "engine 1 1")
 	}
-	_, _, _, _, err := d.readNext(EnginesTopic, topicTimings[EnginesTopic].longPoll)
+	_, err := d.readNext(EnginesTopic, topicTimings[EnginesTopic].longPoll, false)
 	must.ErrorIs(t, err, errRestored)
 	must.Eq(t, "ab", knownEngines(d))
 	step(d)
@@ -278,7 +278,7 @@
 	must.Len(t, 0, restored, must.Sprint("nothing was read in an earlier era"))
 	old := boottime.Now() - time.Minute
 	for topic := range topicCount {
-		d.positions[topic].commitRead(nil, Position{3, 5}, true, old, func([]Record) {})
+		d.positions[topic].commitRead(wholeRead(nil, Position{3, 5}, true, old), func([]Record) {})
 	}
 	now := boottime.Now()
 	d.ConfirmEnd(OperatorTopic, Position{2, 5}, now)
@@ -301,8 +301,8 @@
 	must.Eq(t, "bc", knownEngines(d))
 	d.ApplyLatest(EnginesTopic, Position{4, 2}, nil)
 	must.Eq(t, 3, d.Cursor(EnginesTopic).Next, must.Sprint("the newest records of before a push"))
-	d.positions[EnginesTopic].commitRead(nil, Position{4, 2}, true, now, func([]Record) { t.Error("a read of before a push is applied") })
-	d.positions[EnginesTopic].commitRead(nil, Position{3, 9}, false, now, func([]Record) { t.Error("a read of an earlier era is applied") })
+	d.positions[EnginesTopic].commitRead(wholeRead(nil, Position{4, 2}, true, now), func([]Record) { t.Error("a read of before a push is applied") })
+	d.positions[EnginesTopic].commitRead(wholeRead(nil, Position{3, 9}, false, now), func([]Record) { t.Error("a read of an earlier era is applied") })
 }
 
 // TestAnswersOfAnEndedEraFail guards against a replica of the store that lags behind.
@@ -346,7 +346,7 @@
 				return f
 			},
 		})
-		d.positions[EnginesTopic].commitRead(nil, Position{0, 5}, true, boottime.Now()-time.Minute, func([]Record) {})
+		d.positions[EnginesTopic].commitRead(wholeRead(nil, Position{0, 5}, true, boottime.Now()-time.Minute), func([]Record) {})
 		must.LessEq(t, 0, d.positions[EnginesTopic].untilReread(boottime.Now()))
 		begun := time.Now()
 		d.ObserveEra(1)
@@ -357,7 +357,7 @@
 			d.ConfirmEnd(EnginesTopic, Position{1, 2}, boottime.Now())
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
-		_, _ = d.awaitTurn(ctx, EnginesTopic)
+		_, _ = d.awaitTurn(ctx, EnginesTopic, false)
 		cancel()
 		must.Between(t, c.least, time.Since(begun).Round(time.Millisecond), c.most, must.Sprint(c.name))
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -19,73 +19,81 @@
 	// first reads; the others are paced by package storepace.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// maxPartialReads is the number of answers in a row with a part of the records after
+	// which a daemon reads the newest record of each key instead, so that a backlog that
+	// grows faster than it is read comes to an end.
+	maxPartialReads = 2
 )
 
 // readNext reads the records of a topic after its position, and waits for them for up to
-// wait. If full is set, the records are the newest of each key, and keys without a record
-// do not exist. next is the position of the next read; it was the end of the topic at
-// boot time at or later. The caller advances the position when it applies the records.
-func (d *Directory) readNext(t Topic, wait time.Duration) (records []Record, next Position, full bool, at time.Duration, err error) {
+// wait. If the position is unknown or restart is set, it reads the newest record of each
+// key. The caller advances the position when it applies the records.
+func (d *Directory) readNext(t Topic, wait time.Duration, restart bool) (*topicRead, error) {
 	begun := boottime.Now()
 	name := d.opts.Topics.name(t)
 	c := d.positions[t].snapshot()
-	if !c.Known {
-		records, next, err = d.readLatest(t)
-		return records, next, true, begun, err
-	}
-	if d.positions[t].hasUnread() {
-		wait = 0
+	if !c.Known || restart {
+		return d.readLatest(t, begun)
 	}
 	records, end, err := d.opts.Log.Read(name, c.Next, wait)
+	answer := storeAnswer{from: c.Next, records: len(records), end: end.Offset, begun: begun, answered: boottime.Now(), wait: wait}
 	var truncated *TruncatedError
 	if errors.As(err, &truncated) {
 		end.Era = truncated.Era
 	}
 	if d.ObserveEra(end.Era); d.positions[t].snapshot().Era != c.Era && (err == nil || truncated != nil) {
-		return nil, Position{}, false, begun, errRestored
+		return nil, errRestored
 	}
 	if err == nil && end.Era < c.Era {
-		return nil, Position{}, false, begun, errEarlierEra
+		return nil, errEarlierEra
 	}
-	if truncated != nil {
+	if truncated != nil || err == nil && answer.isTruncated() {
 		klog.InfoS("topic was truncated; reading the newest records", "topic", name, "offset", c.Next)
 		d.positions[t].invalidate()
-		records, next, err = d.readLatest(t)
-		return records, next, true, begun, err
+		return d.readLatest(t, begun)
 	}
-	if n := len(records); n > 0 {
-		return records, Position{c.Era, records[n-1].Offset + 1}, false, begun, err
+	if err != nil {
+		return nil, err
 	}
-	// An empty answer proves that there was no record for the whole long poll.
-	return nil, c.Position(), false, min(begun+wait, boottime.Now()), err
+	r := &topicRead{records: records, next: Position{c.Era, c.Next + uint64(len(records))}}
+	r.end, r.at = answer.provenEnd()
+	return r, nil
 }
 
 // readLatest reads the newest record of each key of a topic.
-func (d *Directory) readLatest(t Topic) (records []Record, next Position, err error) {
-	records, next, err = d.opts.Log.ReadLatest(d.opts.Topics.name(t))
+func (d *Directory) readLatest(t Topic, begun time.Duration) (*topicRead, error) {
+	records, next, err := d.opts.Log.ReadLatest(d.opts.Topics.name(t))
 	d.ObserveEra(next.Era)
 	if err == nil && next.Era < d.Era() {
-		return nil, Position{}, errEarlierEra
+		err = errEarlierEra
+	}
+	if err != nil {
+		return nil, err
 	}
-	return records, next, err
+	answer := storeAnswer{records: len(records), end: next.Offset, full: true, begun: begun, answered: boottime.Now()}
+	r := &topicRead{records: records, next: next, full: true}
+	r.end, r.at = answer.provenEnd()
+	return r, nil
 }
 
 // followTopic reads a topic and applies its records until ctx ends. It does not
 // read while peers read the topic for this daemon, or while the pacer keeps it from that.
 func (d *Directory) followTopic(ctx context.Context, t Topic) error {
 	retryDelay := minRetryDelay
+	// partialReads is the number of answers in a row that held a part of the records.
+	partialReads := 0
 	for ctx.Err() == nil {
-		verdict, ok := d.awaitTurn(ctx, t)
+		verdict, ok := d.awaitTurn(ctx, t, partialReads > 0)
 		if !ok {
 			return nil
 		}
 		wait := topicTimings[t].longPoll
-		if verdict.NoWait {
+		if verdict.NoWait || d.positions[t].hasUnread() {
 			wait = 0
 		}
 		began, begunAt := time.Now(), boottime.Now()
 		d.opts.OnCall(t, verdict.Cause)
-		records, next, full, at, err := d.readNext(t, wait)
+		r, err := d.readNext(t, wait, partialReads >= maxPartialReads)
 		answered, restored := boottime.Now(), errors.Is(err, errRestored)
 		d.pacer.End(verdict, answered, answered-begunAt-wait, err == nil || restored, rand.Float64())
 		d.wakeFollowers()
@@ -101,20 +109,30 @@
 			continue
 		}
 		retryDelay = minRetryDelay
-		d.positions[t].commitRead(records, next, full, at, func(fresh []Record) {
+		d.positions[t].commitRead(r, func(fresh []Record) {
 			d.recordServed(t, begunAt, boottime.Now())
-			d.apply(t, next.Era, fresh, full)
-			if full && d.positions[t].inGrace(boottime.Now()) {
-				go d.opts.OnReadLatest(t, next, records)
+			d.apply(t, r.next.Era, fresh, r.full)
+			if r.full && d.positions[t].inGrace(boottime.Now()) {
+				go d.opts.OnReadLatest(t, r.next, r.records)
 			}
 		})
-		if len(records) > 0 {
-			d.recordApplied(t, len(records), boottime.Now()-answered)
+		if len(r.records) > 0 {
+			d.recordApplied(t, len(r.records), boottime.Now()-answered)
+		}
+		if !r.full && len(r.records) > 0 {
+			d.opts.OnRead(t, Position{r.next.Era, r.records[0].Offset}, r.next)
+		}
+		if !r.isPartial() {
+			partialReads = 0
+			pause.For(ctx, topicTimings[t].minReadInterval-time.Since(began))
+			continue
 		}
-		if !full && len(records) > 0 {
-			d.opts.OnRead(t, Position{next.Era, records[0].Offset}, next)
+		partialReads++
+		klog.InfoS("a read returned a part of the records", "topic", d.opts.Topics.name(t), "next", r.next.Offset, "end", r.end,
+			"confirmed_ms_ago", (answered - d.Cursor(t).ConfirmedAt).Milliseconds())
+		if len(r.records) == 0 {
+			pause.For(ctx, minRetryDelay) // the next answer may be as empty
 		}
-		pause.For(ctx, topicTimings[t].minReadInterval-time.Since(began))
 	}
 	return nil
 }
--- a/internal/directory/history_test.go
+++ b/internal/directory/history_test.go
@@ -191,7 +191,7 @@
 func TestNewestRecordsCatchAPeerUp(t *testing.T) {
 	reader, peer := newDirectory(), newDirectory()
 	for _, d := range []*Directory{reader, peer} {
-		d.positions[OperatorTopic].commitRead(nil, Position{Offset: 3}, true, 0, func([]Record) {})
+		d.positions[OperatorTopic].commitRead(wholeRead(nil, Position{Offset: 3}, true, 0), func([]Record) {})
 	}
 	reader.ApplyPushed(OperatorTopic, Position{Offset: 3}, []Record{
 		rec(3, "config", "config 5"), rec(4, "zone/x", "out"), rec(5, "config", "config 6"), rec(6, "zone/x", ""), rec(7, "zone/y", "out"),
@@ -212,7 +212,7 @@
 	must.Eq(t, reader.Cursor(OperatorTopic).Next, peer.Cursor(OperatorTopic).Next)
 
 	// Announcements are ordered by more than their offsets, so all of them are sent.
-	reader.positions[EnginesTopic].commitRead(nil, Position{}, true, 0, func([]Record) {})
+	reader.positions[EnginesTopic].commitRead(wholeRead(nil, Position{}, true, 0), func([]Record) {})
 	records := []Record{rec(0, "a", "engine 2 1"), rec(1, "a", ""), rec(2, "a", "engine 1 9")}
 	reader.ApplyPushed(EnginesTopic, Position{}, records)
 	must.Eq(t, records, reader.RecordsToSend(EnginesTopic, Position{}))
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -83,10 +83,9 @@
 type topicPosition struct {
 	mu     sync.Mutex
 	cursor Cursor
-	// maxEnd is the highest end of the topic that a peer has reported.
-	maxEnd uint64
-	// ends holds the ends of the topic beyond the cursor, in ascending order. reportedLate
-	// is set while this daemon has been behind them for long.
+	// ends holds the ends of the topic beyond the cursor that the store or a peer has
+	// stated, in ascending order. reportedLate is set while this daemon has been behind them
+	// for long.
 	ends         []knownEnd
 	reportedLate bool
 	// readAt is the boot time from which this daemon reads the topic after a restore, if
@@ -109,20 +108,20 @@
 	return t.cursor
 }
 
-// commitRead applies the records returned by a read and advances the cursor to
-// next, which was the end of the topic at boot time at. Records that a peer has
-// pushed in the meantime are skipped, since an older record must not overwrite a
-// newer one, and so is a read of an era that has ended. apply is called with the
-// position's lock held.
-func (t *topicPosition) commitRead(records []Record, next Position, full bool, at time.Duration, apply func([]Record)) {
+// commitRead applies the records returned by a read and advances the cursor. Records
+// that a peer has pushed in the meantime are skipped, since an older record must not
+// overwrite a newer one, and so is a read of an era that has ended. apply is called with
+// the position's lock held.
+func (t *topicPosition) commitRead(r *topicRead, apply func([]Record)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	records, next := r.records, r.next
 	switch {
-	case next.Era != t.cursor.Era, !full && !t.cursor.Known, full && t.cursor.Known && next.Offset < t.cursor.Next:
+	case next.Era != t.cursor.Era, !r.full && !t.cursor.Known, r.full && t.cursor.Known && next.Offset < t.cursor.Next:
 		return
-	case full:
-		// Ends heard of before a read of the whole state are of another history.
-		t.ends = slices.DeleteFunc(t.ends, func(e knownEnd) bool { return e.heardAt <= at })
+	case r.full:
+		// The topic may have been truncated to less than ends that were stated before.
+		t.ends = slices.DeleteFunc(t.ends, func(e knownEnd) bool { return e.heardAt <= r.at })
 		t.cursor = Cursor{Era: next.Era, Known: true, Next: next.Offset, ConfirmedAt: t.cursor.ConfirmedAt}
 	default:
 		for len(records) > 0 && records[0].Offset < t.cursor.Next {
@@ -131,8 +130,7 @@
 		t.cursor.Next = max(t.cursor.Next, next.Offset)
 	}
 	apply(records)
-	t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, at)
-	t.forgetReachedEnds()
+	t.learnEnd(r.end, r.at, boottime.Now())
 }
 
 // withLock calls fn with the position's lock held.
@@ -151,17 +149,15 @@
 }
 
 // confirmEnd records a peer's observation that the topic ended at end at boot
-// time at, unless it is of another era.
+// time at, unless it is of another era or before the cursor.
 func (t *topicPosition) confirmEnd(end Position, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if end.Era != t.cursor.Era {
 		return
 	}
-	t.maxEnd = max(t.maxEnd, end.Offset)
-	t.learnEnd(end.Offset, boottime.Now())
-	if t.cursor.Known && end.Offset == t.cursor.Next {
-		t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, at)
+	if end.Offset >= t.cursor.Next {
+		t.learnEnd(end.Offset, at, boottime.Now())
 	}
 	t.signal()
 }
@@ -178,7 +174,7 @@
 func (t *topicPosition) hasUnread() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.maxEnd > t.cursor.Next
+	return len(t.ends) > 0 && t.ends[len(t.ends)-1].end > t.cursor.Next
 }
 
 // applyPushed applies the records pushed by a peer that lie after the cursor. It
@@ -193,7 +189,7 @@
 	}
 	apply(records[t.cursor.Next-from.Offset:])
 	t.cursor.Next = next
-	t.forgetReachedEnds()
+	t.confirmReachedEnds()
 }
 
 // Cursor returns the position in a topic.
@@ -243,7 +239,8 @@
 // awaitTurn blocks until this daemon may call the store for the topic, as package storepace
 // decides, and returns the verdict; the caller reports the call's outcome to the pacer. It
 // reports false if ctx has ended.
-func (d *Directory) awaitTurn(ctx context.Context, t Topic) (storepace.Verdict, bool) {
+// If readOn is set, the store has just answered with a part of the topic's records.
+func (d *Directory) awaitTurn(ctx context.Context, t Topic, readOn bool) (storepace.Verdict, bool) {
 	pos := d.positions[t]
 	missing := false
 	for ctx.Err() == nil {
@@ -259,7 +256,7 @@
 		waits := behind < d.opts.ConfigBound/2 && d.opts.IsArriving(t)
 		verdict := d.pacer.Begin(&storepace.Evidence{
 			Now: now, Bound: d.opts.ConfigBound, Known: c.Known, ConfirmedAt: c.ConfirmedAt, TrustedAge: d.trustedAge(t),
-			Unread: missing && pos.hasUnread() && !waits, UnreadSince: now - behind, Fleet: fleet,
+			Unread: missing && pos.hasUnread() && !waits, UnreadSince: now - behind, ReadOn: readOn && pos.hasUnread(), Fleet: fleet,
 		}, rand.Float64())
 		if verdict.Call {
 			return verdict, true
--- a/internal/directory/progress.go
+++ b/internal/directory/progress.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,31 +22,38 @@
 	lateFraction = 0.5
 )
 
-// knownEnd is an end of a topic beyond the cursor.
+// knownEnd is an end of a topic that the store or a peer has stated.
 type knownEnd struct {
 	end uint64
-	// heardAt is the boot time at which this daemon learned of it.
-	heardAt time.Duration
+	// at is the latest boot time at which the topic is known to have had no record at end
+	// or after it. heardAt is when this daemon first learned of the end.
+	at, heardAt time.Duration
 }
 
-// learnEnd records an end of the topic that this daemon has learned of. The caller holds
-// the lock.
-func (t *topicPosition) learnEnd(end uint64, now time.Duration) {
-	n := len(t.ends)
-	if !t.cursor.Known || end <= t.cursor.Next || n > 0 && end <= t.ends[n-1].end {
-		return
-	}
-	if n == maxKnownEnds {
-		t.ends = t.ends[:n-1]
+// learnEnd records that the topic had no record at end or after it at boot time at. Once
+// the cursor has reached the end, that confirms it. The caller holds the lock.
+func (t *topicPosition) learnEnd(end uint64, at, now time.Duration) {
+	i, known := slices.BinarySearchFunc(t.ends, end, func(e knownEnd, end uint64) int { return cmp.Compare(e.end, end) })
+	switch {
+	case known:
+		t.ends[i].at = max(t.ends[i].at, at)
+	case len(t.ends) < maxKnownEnds:
+		t.ends = slices.Insert(t.ends, i, knownEnd{end, at, now})
+	case i == len(t.ends):
+		t.ends[i-1] = knownEnd{end, at, now}
 	}
-	t.ends = append(t.ends, knownEnd{end, now})
+	t.confirmReachedEnds()
 }
 
-// forgetReachedEnds removes the ends that the cursor has reached. The caller holds the
-// lock.
-func (t *topicPosition) forgetReachedEnds() {
+// confirmReachedEnds removes the ends that a known cursor has reached, which confirm it:
+// all records that existed at their times are applied. The caller holds the lock.
+func (t *topicPosition) confirmReachedEnds() {
+	if !t.cursor.Known {
+		return
+	}
 	reached := 0
 	for reached < len(t.ends) && t.ends[reached].end <= t.cursor.Next {
+		t.cursor.ConfirmedAt = max(t.cursor.ConfirmedAt, t.ends[reached].at)
 		reached++
 	}
 	t.ends = t.ends[reached:]
@@ -53,7 +62,7 @@
 // behind returns for how long this daemon has known of records of the topic that it has
 // not applied. The caller holds the lock.
 func (t *topicPosition) behind(now time.Duration) time.Duration {
-	if len(t.ends) == 0 {
+	if !t.cursor.Known || len(t.ends) == 0 {
 		return 0
 	}
 	return max(now-t.ends[0].heardAt, 0)
--- a/internal/edge/session_test.go
+++ b/internal/edge/session_test.go
@@ -259,6 +259,36 @@
 	eventually(t, "the daemon serves again", func() bool { return f.status(0, http.MethodPost, nonIdempotentPath, goodKey, "") == http.StatusOK })
 }
 
+// TestKeyTakenAwayInALargeBacklogIsRefused lets a daemon return to the store after a dozen
+// changes of a large configuration, the last of which takes a key away, and read a part of
+// them. It guards against a part of a backlog that counts as a confirmation of all of it.
+func TestKeyTakenAwayInALargeBacklogIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, goodKey)
+	f.addEngines("d0", 8, 3, time.Millisecond)
+	f.addDaemon()
+	f.waitUntilServes(0, smallName)
+	status := func() int { return f.status(0, http.MethodPost, streamPath, goodKey, smallName) }
+	f.store.SetDown(true)
+	eventually(t, "the key is not trusted any more", func() bool { return status() == http.StatusServiceUnavailable })
+	bytes := 0
+	for version := 2; version <= 13; version++ {
+		bytes += f.store.PublishLargeConfig(version, 500, goodKey)
+	}
+	f.store.PublishLargeConfig(14, 500, "another-key")
+	must.Greater(t, 1<<20, bytes, must.Sprint("the backlog fits in one read"))
+	f.store.RefuseReadsAfter("keyed.op", 1)
+	f.store.SetDown(false)
+	version := func() float64 { return f.metricSum(0, "ragwortquay_config_version") }
+	eventually(t, "a part of the backlog is read", func() bool { return version() > 1 })
+	must.Less(t, 14, version())
+	for range 20 {
+		must.Eq(t, http.StatusServiceUnavailable, status())
+	}
+	f.store.RefuseReadsAfter("keyed.op", 1000)
+	eventually(t, "the key is refused", func() bool { return status() == http.StatusUnauthorized })
+}
+
 func TestFollowsTruncatedTopics(t *testing.T) {
 	f := newFixture(t)
 	f.publish(1, goodKey)
--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -36,14 +36,27 @@
 // PublishConfig writes a configuration with the given version and API keys to the
 // store.
 func (s *Store) PublishConfig(version int, apiKeys ...string) {
+	s.PublishLargeConfig(version, 0, apiKeys...)
+}
+
+// PublishLargeConfig is like PublishConfig, with a number of routes that are not used; 500
+// of them take about 120 KB. It returns the size of the record.
+func (s *Store) PublishLargeConfig(version, unusedRoutes int, apiKeys ...string) int {
 	s.mu.Lock()
 	maxBody := cmp.Or(s.maxBodyBytes, defaultMaxBodyBytes)
 	s.mu.Unlock()
-	raw, err := json.Marshal(buildConfig(version, apiKeys, maxBody))
+	config := buildConfig(version, apiKeys, maxBody)
+	routes, _ := config["routes"].([]any)
+	for i := range unusedRoutes {
+		routes = append(routes, route(fmt.Sprintf("unused-%d", i), fmt.Sprintf("/unused-%d/", i), "idempotent", PlainService, 5000, 3))
+	}
+	config["routes"] = routes
+	raw, err := json.Marshal(config)
 	if err != nil {
 		panic(err) // can't happen: the configuration consists of basic types
 	}
 	s.Put("keyed.op", "config", raw)
+	return len(raw)
 }
 
 // SetMaxBodyBytes sets the limit of request bodies in the configurations that are
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -19,8 +19,21 @@
 	"time"
 )
 
-// partitions is the number of partitions of a topic.
-const partitions = 12
+const (
+	// partitions is the number of partitions of a topic.
+	partitions = 12
+	// defaultReadKB is the most that an answer to a read holds, unless the call names
+	// another limit, and maxWaitMS the longest wait for a record.
+	defaultReadKB = 1024
+	maxWaitMS     = 30_000
+	// pageItems and pageBytes bound a page of the newest records of each key.
+	pageItems = 500
+	pageBytes = 1 << 20
+	// maxRecordBytes is the maximum size of a record.
+	maxRecordBytes = 262_144
+	// readHeaderBytes is the size of the end and the first offset before the records.
+	readHeaderBytes = 16
+)
 
 // Store is the metadata store. Its zero value is not usable; call NewStore.
 type Store struct {
@@ -34,6 +47,9 @@
 	appendResponsesToDrop int
 	maxBodyBytes          int // of published configurations; 0 for the default
 	journal               journal
+	// readsLeft is the number of reads by offset of a topic until they are refused, by
+	// topic. Topics that are not in it have no such limit.
+	readsLeft map[string]int
 	// era is sent in the header Store-Era of all answers, unless it is 0.
 	era uint64
 	// restored is closed and replaced at each restore.
@@ -63,7 +79,7 @@
 
 // NewStore starts a store; Close stops it.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*topic{}, groups: map[string]*consumerGroup{}, restored: make(chan struct{}), journal: journal{engines: map[string]*Engine{}}}
+	s := &Store{topics: map[string]*topic{}, readsLeft: map[string]int{}, groups: map[string]*consumerGroup{}, restored: make(chan struct{}), journal: journal{engines: map[string]*Engine{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/log-read", s.handleRead)
 	mux.HandleFunc("/log-newest", s.handleNewest)
@@ -93,6 +109,25 @@
 	s.down = down
 }
 
+// RefuseReadsAfter makes the store refuse reads by offset of a topic, with status 503, after
+// the next n.
+func (s *Store) RefuseReadsAfter(topic string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readsLeft[topic] = n
+}
+
+// mayRead counts a read by offset and reports whether it is served.
+func (s *Store) mayRead(topic string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left, limited := s.readsLeft[topic]
+	if limited && left > 0 {
+		s.readsLeft[topic]--
+	}
+	return !limited || left > 0
+}
+
 // DropAppendResponses makes the next n appends take effect without a response.
 func (s *Store) DropAppendResponses(n int) {
 	s.mu.Lock()
@@ -184,19 +219,27 @@
 	q := r.URL.Query()
 	from, errFrom := strconv.ParseUint(q.Get("from"), 10, 64)
 	wait, errWait := strconv.Atoi(q.Get("wait_ms"))
-	if errFrom != nil || errWait != nil {
+	maxKB, errMax := defaultReadKB, error(nil)
+	if text := q.Get("max_kb"); text != "" {
+		maxKB, errMax = strconv.Atoi(text)
+	}
+	if errFrom != nil || errWait != nil || errMax != nil || maxKB <= 0 || wait < 0 || wait > maxWaitMS {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !s.mayRead(q.Get("topic")) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		body, missing, appended, restored := s.readFrom(w, q.Get("topic"), from)
+		body, missing, appended, restored := s.readFrom(w, q.Get("topic"), from, maxKB<<10)
 		if missing {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(body) > 16 { // more than the two offsets: there are records
+		if len(body) > readHeaderBytes {
 			writeBody(w, body)
 			return
 		}
@@ -212,11 +255,12 @@
 	}
 }
 
-// readFrom returns the response body with all records from an offset on: the end
-// of the log and its first offset, then each record after its length. missing is set
+// readFrom returns the response body with the records from an offset on, at least one if
+// there are any and no more than fit in limit bytes: the end of the log and its first
+// offset, then each record after its length. missing is set
 // if the log does not have the offset. appended is closed at the next append, restored
 // at the next restore.
-func (s *Store) readFrom(w http.ResponseWriter, name string, from uint64) (body []byte, missing bool, appended, restored <-chan struct{}) {
+func (s *Store) readFrom(w http.ResponseWriter, name string, from uint64, limit int) (body []byte, missing bool, appended, restored <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stampEra(w)
@@ -229,6 +273,9 @@
 	body = binary.BigEndian.AppendUint64(body, t.firstOffset)
 	for offset := from; offset < end; offset++ {
 		record := t.records[offset-t.firstOffset]
+		if offset > from && len(body)-readHeaderBytes+4+len(record) > limit {
+			break
+		}
 		body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
 		body = append(body, record...)
 	}
@@ -244,13 +291,21 @@
 	s.mu.Lock()
 	s.stampEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
-	items := []item{}
-	for key, n := range t.newestByKey {
-		items = append(items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
+	items, size, more := []item{}, 0, false
+	for _, key := range slices.Sorted(maps.Keys(t.newestByKey)) {
+		n := t.newestByKey[key]
+		switch {
+		case key <= r.URL.Query().Get("after") && r.URL.Query().Has("after"):
+		case len(items) == pageItems || len(items) > 0 && size+len(n.value) > pageBytes:
+			more = true
+		case !more:
+			items = append(items, item{key, base64.StdEncoding.EncodeToString(n.value), n.offset})
+			size += len(n.value)
+		}
 	}
 	end := t.firstOffset + uint64(len(t.records))
 	s.mu.Unlock()
-	writeJSON(w, map[string]any{"items": items, "more": false, "end": end})
+	writeJSON(w, map[string]any{"items": items, "more": more, "end": end})
 }
 
 func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
@@ -259,6 +314,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if len(body)-4 > maxRecordBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	name := r.URL.Query().Get("topic")
 	if name == "keyed.op" || name == "keyed.servers" {
 		w.WriteHeader(http.StatusForbidden)
--- a/internal/standin/site/store_test.go
+++ b/internal/standin/site/store_test.go
@@ -1,6 +1,10 @@
 package site
 
 import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -56,3 +60,38 @@
 		must.Eq(t, 1, s.topics["t"].newestByKey["c"].offset)
 	}
 }
+
+// TestAnswersAreLimited guards the stand-in against answers that hold more than the
+// platform's: a read of a part of the records states the true end, and the newest records
+// come in pages.
+func TestAnswersAreLimited(t *testing.T) {
+	s := NewStore()
+	defer s.Close()
+	get := func(path string) []byte {
+		resp, err := http.Get("http://" + s.Addr() + path)
+		must.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		return body
+	}
+	for i := range pageItems + 1 {
+		s.Put("t", fmt.Sprintf("%04d", i), make([]byte, 1000))
+	}
+	body := get("/log-read?topic=t&wait_ms=0&from=1&max_kb=2")
+	must.Eq(t, pageItems+1, binary.BigEndian.Uint64(body))
+	must.Eq(t, readHeaderBytes+2*(4+1+4+1000), len(body))
+	body = get("/log-read?topic=t&wait_ms=0&from=1&max_kb=1")
+	must.Eq(t, readHeaderBytes+4+1+4+1000, len(body), must.Sprint("a read returns at least one record"))
+	var page struct {
+		Items []struct{ Key string }
+		More  bool
+	}
+	must.NoError(t, json.Unmarshal(get("/log-newest?topic=t"), &page))
+	must.Len(t, pageItems, page.Items)
+	must.True(t, page.More)
+	must.NoError(t, json.Unmarshal(get("/log-newest?topic=t&after="+page.Items[pageItems-1].Key), &page))
+	must.Len(t, 1, page.Items)
+	must.False(t, page.More)
+}
--- a/internal/storepace/pace.go
+++ b/internal/storepace/pace.go
@@ -134,7 +134,9 @@
 	// when this daemon learned of them.
 	Unread      bool
 	UnreadSince time.Duration
-	Fleet       Fleet
+	// ReadOn is set if the store has just answered with a part of the records.
+	ReadOn bool
+	Fleet  Fleet
 }
 
 // Verdict says when the store may be called next.
@@ -168,6 +170,8 @@
 		if alone {
 			v.Cause = Alone
 		}
+	case e.ReadOn && path.Failures == 0:
+		v.Cause = Gap
 	case e.Unread && alone:
 		v.Cause, v.At, v.Probe = Gap, retryAt(e.Now, path), path.Failures > 0
 	case e.Unread && path.Failures == 0:
