Judge a key by the configuration whose age is judged

Cause: a request took the configuration first, and the age of the confirmation after that. The age was read under the lock of the topic's position, which is held while records are applied: requests that came while a dozen configurations were decoded waited there, with the old configuration in hand, until the new one was applied and confirmed, and then trusted the old one by the age of the new. The check just before a send looked at the age alone, too.

Change: Directory.Current returns both. The age is published when the lock is released, and is read without it, before the configuration; a configuration is stored before its confirmation, so it is at least as new as the one that the age is of. Before its first send a request's key is looked up again if the configuration has changed; one that was taken away gets 401, or 503 where the configuration is not fresh. The same pairing made a 401 or 404 by an old configuration look certain.

Tests: TestAgeIsThatOfTheConfiguration waits for the application on the code before, and then sees the new age beside the old version. TestKeyIsCheckedByTheConfigurationOfTheSend lists the cases of the second check, which was not there.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -265,6 +265,16 @@
 	return g.Wait()
 }
 
+// Current returns the current configuration, or nil if none has been read, and the time
+// since it was last known to be the newest one. Decisions that rest on both take them from
+// one call. It never waits for records to be applied.
+func (d *Directory) Current() (*catalog.Config, time.Duration) {
+	// A configuration is stored before its confirmation, so one that is loaded after the age
+	// is at least as new as the one that was confirmed.
+	age := d.ConfigAge()
+	return d.config.Load(), age
+}
+
 // Config returns the current configuration, or nil if none has been read.
 func (d *Directory) Config() *catalog.Config { return d.config.Load() }
 
@@ -281,11 +291,11 @@
 func (d *Directory) EnginesAge() time.Duration { return d.age(EnginesTopic) }
 
 func (d *Directory) age(t Topic) time.Duration {
-	c := d.positions[t].snapshot()
-	if c.ConfirmedAt == 0 || !c.Known && c.Era == 0 {
+	at := time.Duration(d.positions[t].confirmedAt.Load())
+	if at == 0 {
 		return time.Duration(1<<63 - 1)
 	}
-	return boottime.Now() - c.ConfirmedAt
+	return boottime.Now() - at
 }
 
 // Loaded reports whether the configuration and the engines' topic have been read.
--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -134,7 +134,7 @@
 // applyLatest moves an unknown cursor to end. apply is called with the lock held.
 func (t *topicPosition) applyLatest(end Position, apply func()) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	if t.cursor.Known || end.Era != t.cursor.Era {
 		return
 	}
--- a/internal/directory/position.go
+++ b/internal/directory/position.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
@@ -96,12 +97,26 @@
 	contact storeContact
 	// wake receives a value when a peer has reported the end of the topic.
 	wake chan struct{}
+	// confirmedAt is the cursor's ConfirmedAt in nanoseconds as of the last release of the
+	// lock, 0 if nothing is known. Requests read it without the lock, which is held while
+	// records are applied.
+	confirmedAt atomic.Int64
 }
 
 func newTopicPosition() *topicPosition {
 	return &topicPosition{wake: make(chan struct{}, 1), contact: storeContact{servedAt: boottime.Now()}}
 }
 
+// unlock publishes the time of confirmation and releases the lock.
+func (t *topicPosition) unlock() {
+	at := t.cursor.ConfirmedAt
+	if !t.cursor.Known && t.cursor.Era == 0 {
+		at = 0
+	}
+	t.confirmedAt.Store(int64(at))
+	t.mu.Unlock()
+}
+
 func (t *topicPosition) snapshot() Cursor {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,7 +129,7 @@
 // the position's lock held.
 func (t *topicPosition) commitRead(r *topicRead, apply func([]Record)) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	records, next := r.records, r.next
 	switch {
 	case next.Era != t.cursor.Era, !r.full && !t.cursor.Known, r.full && t.cursor.Known && next.Offset < t.cursor.Next:
@@ -136,7 +151,7 @@
 // withLock calls fn with the position's lock held.
 func (t *topicPosition) withLock(fn func()) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	fn()
 }
 
@@ -144,7 +159,7 @@
 // key.
 func (t *topicPosition) invalidate() {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	t.cursor.Known = false
 }
 
@@ -152,7 +167,7 @@
 // time at, unless it is of another era or before the cursor.
 func (t *topicPosition) confirmEnd(end Position, at time.Duration) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	if end.Era != t.cursor.Era {
 		return
 	}
@@ -182,7 +197,7 @@
 // apply is called with the position's lock held.
 func (t *topicPosition) applyPushed(from Position, records []Record, apply func([]Record)) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	next := from.Offset + uint64(len(records))
 	if !t.cursor.Known || from.Era != t.cursor.Era || from.Offset > t.cursor.Next || next <= t.cursor.Next {
 		return
--- a/internal/directory/read_test.go
+++ b/internal/directory/read_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/ragwortquay/ragwortquay/internal/boottime"
@@ -164,3 +165,51 @@
 		}
 	}
 }
+
+// slowDecoder blocks while it decodes a configuration of version 9.
+type slowDecoder struct {
+	textDecoder
+	decoding, release chan struct{}
+}
+
+func (s slowDecoder) Operator(r Record) (*OperatorRecord, error) {
+	if string(r.Value) == "config 9" {
+		close(s.decoding)
+		<-s.release
+	}
+	return s.textDecoder.Operator(r)
+}
+
+// TestAgeIsThatOfTheConfiguration asks for the configuration while the next one is applied.
+// It guards against an old configuration with the confirmation of a later one, by which a
+// key that was taken away is trusted, and against requests that wait for the application.
+func TestAgeIsThatOfTheConfiguration(t *testing.T) {
+	s := slowDecoder{decoding: make(chan struct{}), release: make(chan struct{})}
+	d := New(Options{Decoder: s, ConfigBound: 2 * time.Second})
+	apply := func(records []Record) { d.apply(OperatorTopic, 0, records, false) }
+	pos, now := d.positions[OperatorTopic], boottime.Now()
+	pos.commitRead(wholeRead([]Record{rec(0, "config", "config 8")}, Position{Offset: 1}, true, now-time.Minute), apply)
+	applied := make(chan struct{})
+	go func() {
+		pos.commitRead(wholeRead([]Record{rec(1, "config", "config 9")}, Position{Offset: 2}, false, now), apply)
+		close(applied)
+	}()
+	<-s.decoding
+	seen := make(chan struct{})
+	go func() {
+		cfg, age := d.Current()
+		test.Eq(t, 8, cfg.Version)
+		test.GreaterEq(t, time.Minute, age)
+		close(seen)
+	}()
+	select {
+	case <-seen:
+	case <-time.After(20 * time.Second):
+		t.Error("a request waits while a configuration is applied")
+	}
+	close(s.release)
+	<-applied
+	cfg, age := d.Current()
+	must.Eq(t, 9, cfg.Version)
+	must.Less(t, time.Minute, age)
+}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -78,7 +78,7 @@
 	j.opts.Observer.RecordRequest(j.summary)
 	notable := j.summary.Outcome != "answered" || j.summary.Late || j.summary.Retries > 0
 	if notable || shard.Hash(j.req.ID)%logSampleInterval == 0 {
-		klog.InfoS("request", "request", j.req.ID, "config_version", j.configVersion, "outcome", j.summary.Outcome, "kind", j.summary.Kind, "engine", j.summary.Engine,
+		klog.InfoS("request", "request", j.req.ID, "config_version", j.configVersion(), "outcome", j.summary.Outcome, "kind", j.summary.Kind, "engine", j.summary.Engine,
 			"sends", j.sends, "resumes", j.summary.Resumes, "late", j.summary.Late, "standing", j.summary.Standing,
 			"predicted_ms", j.summary.PredictedFirstEvent.Milliseconds(), "engine_load", j.summary.EngineLoad, "crossing", j.summary.Crossing,
 			"first_ms", j.summary.TimeToFirst.Milliseconds(), "total_ms", j.summary.TotalTime.Milliseconds())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,14 +151,14 @@
 	ctx context.Context
 	req *Request
 	w   Writer
-	// configVersion is that of the configuration by which the request was admitted or
-	// refused.
-	configVersion int64
-	route         *catalog.Route
-	tenant        string
-	priority      int
-	standing      admission.Standing
-	share         admission.Share
+	// config is the configuration by which the request was admitted or refused; it may be
+	// nil.
+	config   *catalog.Config
+	route    *catalog.Route
+	tenant   string
+	priority int
+	standing admission.Standing
+	share    admission.Share
 	// lateWaiting is set while the Tracker counts the request as a late one without a
 	// first event.
 	lateWaiting bool
@@ -219,24 +219,23 @@
 // w and returns false. Serve decides again, since the configuration may change.
 func (r *Relay) CheckHead(ctx context.Context, req *Request, w Writer) (deadline time.Time, ok bool) {
 	j := &job{Relay: r, ctx: ctx, req: req, w: w}
-	if refusal := j.checkHead(r.opts.Directory.Config()); refusal != nil {
+	if refusal := j.checkHead(r.opts.Directory.Current()); refusal != nil {
 		j.refuse(*refusal)
 		return time.Time{}, false
 	}
 	return j.deadline, true
 }
 
-// checkHead sets the route, tenant, priority and deadline of the request, or returns a
-// refusal.
-func (j *job) checkHead(cfg *catalog.Config) *Refusal {
+// checkHead sets the route, tenant, priority and deadline of the request by a configuration
+// that was known to be the newest one an age ago, or returns a refusal.
+func (j *job) checkHead(cfg *catalog.Config, age time.Duration) *Refusal {
+	j.config = cfg
 	if cfg == nil || !j.opts.Directory.Loaded() {
 		return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "no configuration loaded yet"}
 	}
-	j.configVersion = cfg.Version
-	fresh := j.opts.Directory.ConfigAge() < time.Duration(configFreshFraction*float64(j.opts.ConfigBound))
 	route, ok := cfg.Route(j.req.Host, j.req.Path)
 	if !ok {
-		return j.refuseByConfig(fresh, NoRoute, "no route matches")
+		return j.refuseByConfig(age, NoRoute, "no route matches")
 	}
 	j.route = route
 	timeout := j.req.ClientTimeout
@@ -251,24 +250,41 @@
 	if cfg.NeedsKey(route) {
 		t, ok := cfg.Tenant(j.req.APIKey)
 		if !ok {
-			return j.refuseByConfig(fresh, UnknownKey, "no tenant has this key")
+			return j.refuseByConfig(age, UnknownKey, "no tenant has this key")
 		}
 		j.tenant = t.Name
 		if t.HasPriority {
 			j.priority = t.Priority
 		}
 	}
-	if !j.keyTrusted() {
+	if !j.keyTrusted(age) {
 		return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "configuration too old to trust the key"}
 	}
 	return nil
 }
 
+// checkKey returns a refusal if a configuration that was known to be the newest one an age
+// ago does not entitle the request to be sent, or nil. It is called just before a send: since
+// the request was admitted, time has passed, and the key may have been taken away. Further
+// attempts of a request that was sent need no valid key, only a recent configuration.
+func (j *job) checkKey(cfg *catalog.Config, age, remaining time.Duration) *Refusal {
+	if !j.keyTrusted(age) {
+		return &Refusal{Cause: NotReady, RetryAfter: j.retryAfter(remaining), Reason: "configuration too old to trust the key"}
+	}
+	if cfg == j.config || j.tenant == "" || j.sends > 0 {
+		return nil
+	}
+	if t, ok := cfg.Tenant(j.req.APIKey); !ok || t.Name != j.tenant {
+		return j.refuseByConfig(age, UnknownKey, "the key was taken away from its tenant")
+	}
+	return nil
+}
+
 // admit sets the route, tenant, priority, deadline and service of the request, or
 // returns a refusal.
 func (j *job) admit() *Refusal {
-	cfg := j.opts.Directory.Config()
-	if refusal := j.checkHead(cfg); refusal != nil {
+	cfg, age := j.opts.Directory.Current()
+	if refusal := j.checkHead(cfg, age); refusal != nil {
 		return refusal
 	}
 	j.classify()
@@ -298,22 +314,23 @@
 	return j.tenant
 }
 
-// refuseByConfig returns a refusal with the given cause if the configuration is
-// fresh. A stale one may lack a new route or key, so the cause is then NotReady.
-func (j *job) refuseByConfig(fresh bool, cause Cause, reason string) *Refusal {
-	if fresh {
+// refuseByConfig returns a refusal with the given cause if the configuration, which was
+// known to be the newest one an age ago, is fresh. A stale one may lack a new route or key,
+// so the cause is then NotReady.
+func (j *job) refuseByConfig(age time.Duration, cause Cause, reason string) *Refusal {
+	if age < time.Duration(configFreshFraction*float64(j.opts.ConfigBound)) {
 		return &Refusal{Cause: cause, Reason: reason}
 	}
 	return &Refusal{Cause: NotReady, RetryAfter: maxRetryAfter, Reason: "configuration not confirmed as current: " + reason}
 }
 
-// keyTrusted reports whether the configuration is recent enough to trust that the
-// request's key has not been revoked.
-func (j *job) keyTrusted() bool {
+// keyTrusted reports whether a configuration that was known to be the newest one an age ago
+// is recent enough to trust that the request's key has not been revoked.
+func (j *job) keyTrusted(age time.Duration) bool {
 	if !j.opts.StrictRevoke || j.tenant == "" {
 		return true
 	}
-	return j.opts.Directory.ConfigAge() < time.Duration(keyTrustFraction*float64(j.opts.RevokeBound))
+	return age < time.Duration(keyTrustFraction*float64(j.opts.RevokeBound))
 }
 
 // candidates returns the engines that may serve the request and are not among the
@@ -379,10 +396,8 @@
 	if verdict := j.judge(choice, remaining); !verdict.Admitted {
 		return choice, j.refuseForCapacity(verdict.Reason, now)
 	}
-	if !j.keyTrusted() {
-		return choice, &Refusal{Cause: NotReady, RetryAfter: j.retryAfter(remaining), Reason: "configuration too old to trust the key"}
-	}
-	return choice, nil
+	cfg, age := j.opts.Directory.Current()
+	return choice, j.checkKey(cfg, age, remaining)
 }
 
 // stopping returns the refusal of a request for which there is no time before the
@@ -545,9 +560,18 @@
 	j.report()
 }
 
+// configVersion returns the version of the configuration by which the request was admitted
+// or refused, or 0.
+func (j *job) configVersion() int64 {
+	if j.config == nil {
+		return 0
+	}
+	return j.config.Version
+}
+
 // logDecision logs a decision about the request. event is the event name of the log
 // line.
 func (j *job) logDecision(event string, fields ...any) {
-	all := append([]any{"request", j.req.ID, "service", j.service, "config_version", j.configVersion, "sends", j.sends, "ms", time.Since(j.req.Arrived).Milliseconds()}, fields...)
+	all := append([]any{"request", j.req.ID, "service", j.service, "config_version", j.configVersion(), "sends", j.sends, "ms", time.Since(j.req.Arrived).Milliseconds()}, fields...)
 	klog.InfoS(event, all...)
 }
