Soak: keys taken away after a backlog beyond one read of the store

The soak published small configurations one at a time, so no daemon met an answer with a part of the records. The series of the other kinds are unchanged.

Partial reads are counted by topic: their log line may be left out under load.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -120,6 +120,9 @@
 	// OnApplied is called with the time from the answer of a read until its records were
 	// applied. It may be nil.
 	OnApplied func(t Topic, took time.Duration)
+	// OnPartialRead is called when an answer of the store held a part of the records. It may
+	// be nil.
+	OnPartialRead func(t Topic)
 	// RequestRecords asks a peer for the records of a topic from position next on, and
 	// reports whether one was asked. It may be nil.
 	RequestRecords func(t Topic, next Position) bool
@@ -221,6 +224,9 @@
 	if o.OnApplied == nil {
 		o.OnApplied = func(Topic, time.Duration) {}
 	}
+	if o.OnPartialRead == nil {
+		o.OnPartialRead = func(Topic) {}
+	}
 	if o.OnReadLatest == nil {
 		o.OnReadLatest = func(Topic, Position, []Record) {}
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -128,6 +128,7 @@
 			continue
 		}
 		partialReads++
+		d.opts.OnPartialRead(t)
 		klog.InfoS("a read returned a part of the records", "topic", d.opts.Topics.name(t), "next", r.next.Offset, "end", r.end,
 			"confirmed_ms_ago", (answered - d.Cursor(t).ConfirmedAt).Milliseconds())
 		if len(r.records) == 0 {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -131,7 +131,7 @@
 	d.directory = directory.New(directory.Options{
 		Log: p.Log, Decoder: p.Decoder, Topics: p.Topics, ConfigBound: s.ConfigBound,
 		Fleet: d.meshAdapter.fleet, OnCall: d.stats.setReadCause, OnRead: d.meshAdapter.pushRecords, OnReadLatest: d.meshAdapter.pushLatest,
-		OnApplied: d.stats.recordApplied, OnSuperseded: d.stats.recordSuperseded,
+		OnApplied: d.stats.recordApplied, OnSuperseded: d.stats.recordSuperseded, OnPartialRead: d.stats.recordPartialRead,
 		RequestRecords: d.meshAdapter.requestRecords, IsArriving: func(t directory.Topic) bool { return d.mesh.IsArriving(int(t)) },
 		RereadPhase: d.rereadPhase, OnRestore: d.onRestore,
 	})
--- a/internal/edge/page_test.go
+++ b/internal/edge/page_test.go
@@ -14,7 +14,7 @@
 	for _, name := range []string{
 		metricRequests, metricRetries, metricResumes, metricLate, metricFirstEvent, metricRequestTime, metricConfigVersion,
 		metricConfigAge, metricEnginesAge, metricDaemons, metricPlanning, metricGroupsServing, metricEnginesEnded, metricVerdicts,
-		metricBehind, metricApplied, metricSent, metricPushQueue, metricDropped, metricSuperseded,
+		metricBehind, metricApplied, metricSent, metricPushQueue, metricDropped, metricSuperseded, metricPartialReads,
 	} {
 		must.True(t, strings.Contains(string(page), "`"+name+"`"), must.Sprintf("docs/OPERATIONS.md does not name %s", name))
 	}
--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -51,6 +51,7 @@
 	metricPushQueue     = "push_queue_bytes"
 	metricDropped       = "records_dropped"
 	metricSuperseded    = "records_superseded"
+	metricPartialReads  = "partial_reads"
 	metricStoreEra      = "store_era"
 	metricDaemons       = "daemons"
 	metricPlanning      = "planning"
@@ -181,6 +182,11 @@
 	s.registry.Scope().Tagged(map[string]string{"topic": topicLabels[topic]}).Counter(metricDropped).Inc(int64(records))
 }
 
+// recordPartialRead counts an answer of the store with a part of the records.
+func (s *stats) recordPartialRead(t directory.Topic) {
+	s.registry.Scope().Tagged(map[string]string{"topic": topicLabels[t]}).Counter(metricPartialReads).Inc(1)
+}
+
 // recordSuperseded counts records that peers need no more since later ones of their keys
 // were applied.
 func (s *stats) recordSuperseded(t directory.Topic, records int) {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -68,14 +68,37 @@
 	return keyName(k.version - 1)
 }
 
+const (
+	// configsPerKey is the number of versions of the configuration from one key to the next.
+	configsPerKey = 100
+	// backlogConfigs is the number of large configurations in a backlog, and backlogRoutes
+	// that of their unused routes. Together they are larger than an answer of the store.
+	backlogConfigs = 12
+	backlogRoutes  = 500
+)
+
 // rotate publishes a configuration with the next key and records when the old one was
 // revoked.
 func (k *apiKeys) rotate(store *site.Store) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.rotateLocked(store, 0)
+}
+
+// rotateAfterBacklog is like rotate, after large configurations with the current key.
+func (k *apiKeys) rotateAfterBacklog(store *site.Store) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range backlogConfigs {
+		store.PublishLargeConfig(k.version*configsPerKey+1+i, backlogRoutes, k.currentLocked())
+	}
+	k.rotateLocked(store, backlogRoutes)
+}
+
+func (k *apiKeys) rotateLocked(store *site.Store, unusedRoutes int) {
 	old := k.currentLocked()
 	k.version++
-	store.PublishConfig(k.version, k.currentLocked())
+	store.PublishLargeConfig(k.version*configsPerKey, unusedRoutes, k.currentLocked())
 	k.revokedAt[old] = time.Now()
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,6 +29,9 @@
 	// revoked. It is twice the revocation bound, so that clients use the key after a
 	// daemon must have stopped trusting it.
 	revokeUnseenFor = 2 * revokeMS * time.Millisecond
+	// backlogOutage is how long the store is down when a key is revoked after a backlog of
+	// changes: longer than the bound for revoked keys.
+	backlogOutage = (revokeMS + 500) * time.Millisecond
 	// restartDelay is the time between the end of a daemon's process and its next
 	// start.
 	restartDelay = 300 * time.Millisecond
@@ -95,6 +98,11 @@
 		})
 		pause.For(ctx, minFaultDuration)
 		inj.keys.rotate(inj.cluster.store)
+	case KeyRevokeBacklog:
+		inj.cluster.store.SetDown(true)
+		inj.keys.rotateAfterBacklog(inj.cluster.store)
+		pause.For(ctx, backlogOutage)
+		inj.cluster.store.SetDown(false)
 	case DeadlyBatch:
 		inj.clients.sendBatch(inj.cluster.daemons, f.Target)
 	case KeyRevoke:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -20,11 +20,12 @@
 	StoreHoldResponses  Kind = "store_noanswer" // requests reach the store, responses are held back
 	StoreBlackHole      Kind = "store_silent"   // no data passes between one daemon and the store
 	StoreDelay          Kind = "store_delay"
-	StoreDown           Kind = "store_down"     // the store is down for all daemons
-	StoreDropResponses  Kind = "store_loses"    // appends are carried out, but not acknowledged
-	StoreTruncate       Kind = "store_truncate" // the store deletes the records of all topics, except the newest of each key
-	KeyRevoke           Kind = "key_revoke"     // the API key is replaced by the next one
-	KeyRevokeUnseen     Kind = "key_revoke_cut" // as KeyRevoke, while one daemon is cut off from the store
+	StoreDown           Kind = "store_down"         // the store is down for all daemons
+	StoreDropResponses  Kind = "store_loses"        // appends are carried out, but not acknowledged
+	StoreTruncate       Kind = "store_truncate"     // the store deletes the records of all topics, except the newest of each key
+	KeyRevoke           Kind = "key_revoke"         // the API key is replaced by the next one
+	KeyRevokeUnseen     Kind = "key_revoke_cut"     // as KeyRevoke, while one daemon is cut off from the store
+	KeyRevokeBacklog    Kind = "key_revoke_backlog" // as KeyRevoke, after changes beyond one read, while the store is down for all daemons
 	EngineCrash         Kind = "engine_crash"
 	EngineDrain         Kind = "engine_drain" // the engine drains while a replacement starts, then ends
 	EngineReset         Kind = "engine_reset"
@@ -59,15 +60,18 @@
 	seriesCount = 2
 )
 
-// singleKinds are the kinds that have a series of their own, with the bounds of the time
-// between the starts of two of its faults. Batches of deadly requests follow each other
-// after deadlyBound, within which all daemons learn of the one before.
+// singleKinds are the kinds that have a series of their own, with the latest time of its
+// first fault and the bounds of the time between the starts of two. Batches of deadly
+// requests follow each other after deadlyBound, within which all daemons learn of the one
+// before. The outages of KeyRevokeBacklog are rare, since they hide other faults of the
+// store.
 var singleKinds = []struct {
-	kind           Kind
-	minGap, maxGap time.Duration
+	kind                     Kind
+	maxFirst, minGap, maxGap time.Duration
 }{
-	{EngineEndless, minGap, maxGap},
-	{DeadlyBatch, deadlyBound + minGap, deadlyBound + time.Second},
+	{EngineEndless, maxGap, minGap, maxGap},
+	{DeadlyBatch, maxGap, deadlyBound + minGap, deadlyBound + time.Second},
+	{KeyRevokeBacklog, 20 * time.Second, 15 * time.Second, 25 * time.Second},
 }
 
 // Fault is one entry of a schedule.
@@ -84,12 +88,12 @@
 func Schedule(seed uint64, length time.Duration) []Fault {
 	var out []Fault
 	for i := range seriesCount + len(singleKinds) {
-		rng, kinds, shortest, longest := rand.New(rand.NewPCG(seed, uint64(i))), weightedKinds, minGap, maxGap
+		rng, kinds, latestFirst, shortest, longest := rand.New(rand.NewPCG(seed, uint64(i))), weightedKinds, maxGap, minGap, maxGap
 		if i >= seriesCount {
 			single := singleKinds[i-seriesCount]
-			kinds, shortest, longest = []Kind{single.kind}, single.minGap, single.maxGap
+			kinds, latestFirst, shortest, longest = []Kind{single.kind}, single.maxFirst, single.minGap, single.maxGap
 		}
-		for at := randomDuration(rng, minGap, maxGap); at < length; at += randomDuration(rng, shortest, longest) {
+		for at := randomDuration(rng, minGap, latestFirst); at < length; at += randomDuration(rng, shortest, longest) {
 			out = append(out, Fault{
 				At: at, Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1 << 16), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
 			})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,7 +27,7 @@
 			seen[f.Kind] = true
 		}
 	}
-	for _, k := range append([]Kind{EngineEndless}, weightedKinds...) {
+	for _, k := range append([]Kind{EngineEndless, KeyRevokeBacklog}, weightedKinds...) {
 		must.True(t, seen[k], must.Sprintf("20 seeds never draw %s", k))
 	}
 }
