--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -175,12 +175,16 @@
 	{4004, regressionFaultsFor, "a stream sent 0.3 s after its key was withdrawn was resumed 4 s later; the check counted the resumption"},
 	{2, batchFaultsFor, "copies of a deadly request at the same moment ended all engines that had one, in each of three batches"},
 	{5, batchFaultsFor, "a request that all clients send was refused when deadly ones had ended three engines that ran it"},
+	{105, backlogFaultsFor, "requests with a revoked key ran when the first part of a backlog had been read"},
 }
 
 // regressionFaultsFor is how long faults are injected for each seed. Runs of new seeds
 // by hand use longer times.
 const regressionFaultsFor = 6 * time.Second
 
+// backlogFaultsFor has room for a backlog and the outage in which it is written.
+const backlogFaultsFor = 13 * time.Second
+
 // batchFaultsFor has room for four batches of deadly requests.
 const batchFaultsFor = 14 * time.Second
 
