Name the daemons of a branch once in a while, not in each part

Each part of a relayed push named the daemons to pass it on to, at most 80 of them, so 350 daemons needed five branches at the first sender: a record of 256 KiB that does not compress took over 3 s from a link of 14 Mbit/s. A list of up to 305 daemons now goes in a datagram of its own, before the first part, each 16 parts and with the last one, unless the part has room for it. What came before the list is passed on when it comes.

--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -27,6 +27,9 @@
 	// repairsByParent to the first sender.
 	maxRepairs      = 6
 	repairsByParent = 2
+	// listInterval is the number of parts after which the list of the daemons to pass a push
+	// on to is sent again, where the parts have no room for it.
+	listInterval = 16
 	// relayLifetime is how long the parts of a push are kept for those that miss some.
 	relayLifetime = 3 * time.Second
 )
@@ -43,6 +46,29 @@
 	rest []uint32
 }
 
+// datagrams calls send with a part, and before it or after it with a list of the rest of
+// the branch if the part has no room for that. n is the number of parts that were sent
+// before. The list is sent at intervals and with the last part, so that a lost one does not
+// cut the branch off.
+func (b *branch) datagrams(part *wire.RelayPart, n int, send func(part *wire.RelayPart)) {
+	named := *part
+	if part.HasRoomFor(len(b.rest)) {
+		named.SetForward(b.rest)
+		send(&named)
+		return
+	}
+	list := &wire.RelayPart{Sender: part.Sender, Seq: part.Seq, Topic: part.Topic, Index: wire.ListIndex, Count: part.Count, HasEra: part.HasEra}
+	list.SetForward(b.rest)
+	if n%listInterval == 0 {
+		send(list)
+	}
+	named.Forward = nil
+	send(&named)
+	if n == part.Count-1 {
+		send(list)
+	}
+}
+
 // relayedPush is the newest push of a stream, while its parts arrive and shortly after.
 type relayedPush struct {
 	seq    int64
@@ -51,8 +77,10 @@
 	// data holds the parts that have arrived, and missing the number of others.
 	data    [][]byte
 	missing int
-	// branches are the daemons that this one passes parts on to.
-	branches []branch
+	// branches are the daemons that this one passes parts on to, and forwarded the number of
+	// parts that it has passed on.
+	branches  []branch
+	forwarded int
 	// from is the address that the last part came from, and arrivedAt when it did.
 	from      string
 	arrivedAt time.Time
@@ -86,34 +114,53 @@
 	return false
 }
 
-// add adds a part. It returns the push, nil if the part is not new, and the data of all
-// parts if it is the last one. branches is called for the first part of a push that names
+// add adds a part. It returns the parts to be passed on now, the daemons to pass them on to
+// and the number of parts that were passed on before, and the data of all parts if this is
+// the last one that was missing. branches is called for the first part of a push that names
 // daemons to pass it on to.
-func (r *relays) add(part *wire.RelayPart, from string, now time.Time, branches func() []branch) (p *relayedPush, complete [][]byte) {
+func (r *relays) add(part *wire.RelayPart, from string, now time.Time, branches func() []branch) (forward []*wire.RelayPart, to []branch, before int, complete [][]byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p = r.streams[part.Sender]
+	p := r.streams[part.Sender]
 	switch {
 	case p == nil || part.Seq > p.seq:
 		if p == nil && len(r.streams) >= maxPushSenders {
 			clear(r.streams)
 		}
-		p = &relayedPush{seq: part.Seq, topic: part.Topic, hasEra: part.HasEra, data: make([][]byte, part.Count), missing: part.Count}
+		p = &relayedPush{seq: part.Seq, topic: part.Topic, hasEra: part.HasEra, data: make([][]byte, part.Count), missing: part.Count, from: from, arrivedAt: now}
 		r.streams[part.Sender] = p
 		r.wakeLoop()
-	case part.Seq < p.seq || len(p.data) != part.Count || p.data[part.Index] != nil:
-		return nil, nil
+	case part.Seq < p.seq || len(p.data) != part.Count:
+		return nil, nil, 0, nil
+	}
+	fresh := part.Index != wire.ListIndex && p.data[part.Index] == nil
+	if fresh {
+		p.data[part.Index] = part.Data
+		p.missing--
+		p.from, p.arrivedAt, p.asked = from, now, 0
+		if p.missing == 0 {
+			complete = p.data
+		}
 	}
-	if p.branches == nil && len(part.Forward) > 0 {
+	switch {
+	case p.branches == nil && len(part.Forward) > 0:
 		p.branches = branches()
+		for i := range p.data {
+			if p.data[i] != nil {
+				forward = append(forward, p.part(part.Sender, i))
+			}
+		}
+	case p.branches != nil && fresh:
+		forward = append(forward, part)
 	}
-	p.data[part.Index] = part.Data
-	p.missing--
-	p.from, p.arrivedAt, p.asked = from, now, 0
-	if p.missing == 0 {
-		complete = p.data
-	}
-	return p, complete
+	before = p.forwarded
+	p.forwarded += len(forward)
+	return forward, p.branches, before, complete
+}
+
+// part returns a part that has arrived.
+func (p *relayedPush) part(sender string, i int) *wire.RelayPart {
+	return &wire.RelayPart{Sender: sender, Seq: p.seq, Topic: p.topic, Index: i, Count: len(p.data), HasEra: p.hasEra, Data: p.data[i]}
 }
 
 // addOwn keeps the parts of a push of this daemon for those that miss some.
@@ -149,7 +196,7 @@
 	}
 	for _, i := range q.Indexes() {
 		if i < len(p.data) && p.data[i] != nil {
-			parts = append(parts, &wire.RelayPart{Sender: q.Sender, Seq: p.seq, Topic: p.topic, Index: i, Count: len(p.data), HasEra: p.hasEra, Data: p.data[i]})
+			parts = append(parts, p.part(q.Sender, i))
 		}
 	}
 	return parts
@@ -216,27 +263,36 @@
 		return err
 	}
 	s.m.relays.addOwn(parts, time.Now())
-	rest := make([][]uint32, len(branches))
+	to := make([]branch, len(branches))
 	for i, b := range branches {
+		to[i].addr = b[0].addr
 		for _, r := range b[1:] {
-			rest[i] = append(rest[i], wire.DaemonHash(r.name))
+			to[i].rest = append(to[i].rest, wire.DaemonHash(r.name))
 		}
 	}
-	for _, part := range parts {
-		for i, b := range branches {
-			part.SetForward(rest[i])
-			datagram, err := wire.EncodeRelayPart(part)
-			if err != nil {
-				return err
-			}
-			s.write(ctx, datagram, b[0].addr)
+	for n, part := range parts {
+		for i := range to {
+			to[i].datagrams(part, n, func(part *wire.RelayPart) {
+				if datagram, ok := encodeRelayPart(part); ok {
+					s.write(ctx, datagram, to[i].addr)
+				}
+			})
 		}
 	}
 	return nil
 }
 
-// handleRelayPart passes a part of a relayed push on, and applies the push if it is the
-// last part.
+// encodeRelayPart encodes a part, and logs and reports a failure.
+func encodeRelayPart(part *wire.RelayPart) ([]byte, bool) {
+	b, err := wire.EncodeRelayPart(part)
+	if err != nil {
+		klog.ErrorS(err, "part of a push not sent", "sender", part.Sender)
+	}
+	return b, err == nil
+}
+
+// handleRelayPart passes a part of a relayed push on, and applies the push if no other part
+// is missing.
 func (m *Mesh) handleRelayPart(part *wire.RelayPart, from string, now time.Time) {
 	if err := part.Check(); err != nil {
 		klog.V(1).ErrorS(err, "invalid record push of a peer ignored", "sender", part.Sender)
@@ -245,11 +301,12 @@
 	if part.Topic < 0 || part.Topic >= topics || strings.HasPrefix(part.Sender, m.opts.Node+"/") {
 		return
 	}
-	p, complete := m.relays.add(part, from, now, func() []branch { return m.branchesOf(part) })
-	if p == nil {
-		return
+	forward, to, before, complete := m.relays.add(part, from, now, func() []branch { return m.branchesOf(part) })
+	for n, p := range forward {
+		for i := range to {
+			to[i].datagrams(p, before+n, func(p *wire.RelayPart) { m.enqueue(p, to[i].addr) })
+		}
 	}
-	m.forward(part, p.branches)
 	if complete == nil {
 		return
 	}
@@ -285,20 +342,11 @@
 	return out
 }
 
-// forward queues a part for the first daemons of branches.
-func (m *Mesh) forward(part *wire.RelayPart, branches []branch) {
-	for _, b := range branches {
-		part.SetForward(b.rest)
-		m.enqueue(part, b.addr)
-	}
-}
-
 // enqueue queues a part for the daemon at an address. If the queue is full, the part is
 // dropped; the daemon asks for it.
 func (m *Mesh) enqueue(part *wire.RelayPart, addr string) {
-	datagram, err := wire.EncodeRelayPart(part)
-	if err != nil {
-		klog.ErrorS(err, "part of a push not passed on", "sender", part.Sender)
+	datagram, ok := encodeRelayPart(part)
+	if !ok {
 		return
 	}
 	select {
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -8,15 +8,20 @@
 )
 
 const (
-	// RelayPartBytes is the maximum payload of a RelayPart, so that the part with its
-	// framing and MaxForward hashes fits in one packet of 1400 bytes.
-	RelayPartBytes = 900
-	// MaxForward is the maximum number of daemons to which a receiver of a RelayPart passes
-	// it on.
-	MaxForward = 80
+	// maxRelayPayload is the maximum number of bytes of data and hashes in a RelayPart, so
+	// that it fits in one packet of 1400 bytes with its framing.
+	maxRelayPayload = 1220
+	// RelayPartBytes is the maximum number of bytes of data in a RelayPart. It leaves room
+	// for a few hashes.
+	RelayPartBytes = 1150
+	// MaxForward is the maximum number of daemons to which a receiver passes a push on.
+	MaxForward = maxRelayPayload / hashBytes
+	// ListIndex is the Index of a RelayPart without data, which names the daemons to pass
+	// the others on to.
+	ListIndex = -1
 	// maxRelayParts is the maximum number of parts of a relayed push. It covers the largest
 	// record of the platform, 256 KiB, where it does not compress.
-	maxRelayParts = 320
+	maxRelayParts = 256
 	// maxRequestedParts is the maximum number of parts in a PartRequest, so that it fits in
 	// one packet.
 	maxRequestedParts = 400
@@ -36,16 +41,22 @@
 	Seq    int64
 	// Topic is that of the push.
 	Topic int
-	// Index is the index of this part out of Count parts.
+	// Index is the index of this part out of Count parts, or ListIndex.
 	Index, Count int
 	// HasEra is set if the parts together are an eraPush.
 	HasEra bool
 	Data   []byte
-	// Forward holds the hashes of the daemons to pass the part on to.
+	// Forward holds the hashes of the daemons to pass the push on to. It is empty where a
+	// part with ListIndex names them.
 	Forward []byte
 }
 
-// SetForward sets the daemons to pass the part on to.
+// HasRoomFor reports whether the part can name so many daemons beside its data.
+func (p *RelayPart) HasRoomFor(daemons int) bool {
+	return len(p.Data)+daemons*hashBytes <= maxRelayPayload
+}
+
+// SetForward sets the daemons to pass the push on to.
 func (p *RelayPart) SetForward(hashes []uint32) {
 	p.Forward = make([]byte, 0, len(hashes)*hashBytes)
 	for _, h := range hashes {
@@ -53,7 +64,7 @@
 	}
 }
 
-// ForwardTo returns the hashes of the daemons to pass the part on to.
+// ForwardTo returns the hashes of the daemons to pass the push on to.
 func (p *RelayPart) ForwardTo() []uint32 {
 	out := make([]uint32, 0, len(p.Forward)/hashBytes)
 	for rest := p.Forward; len(rest) >= hashBytes; rest = rest[hashBytes:] {
@@ -67,7 +78,8 @@
 
 // Check returns an error of kind Invalid if the part can't belong to a push.
 func (p *RelayPart) Check() error {
-	if p.Sender == "" || p.Count < 1 || p.Count > maxRelayParts || p.Index < 0 || p.Index >= p.Count || len(p.Forward) > MaxForward*hashBytes {
+	if p.Sender == "" || p.Count < 1 || p.Count > maxRelayParts || p.Index < ListIndex || p.Index >= p.Count ||
+		p.Index == ListIndex && len(p.Forward) == 0 || len(p.Forward) > MaxForward*hashBytes {
 		return fault.Invalid("push", "run one version on all daemons", "invalid relayed part: index %d, count %d, %d bytes of hashes", p.Index, p.Count, len(p.Forward))
 	}
 	return nil
