Fail a read whose answer is older than what was read

Within an era the store loses nothing, so the answer is stale and counts as a failed read, as one of an earlier era does.

--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -31,6 +31,8 @@
 	errRestored = errors.New("the store was restored from an older copy during the read")
 	// errEarlierEra reports an answer of an era that has ended.
 	errEarlierEra = errors.New("the answer of the store is of an era that has ended")
+	// errStaleAnswer reports an answer that states an end before records that were read.
+	errStaleAnswer = errors.New("the answer of the store is older than what was read")
 )
 
 // rereadDelay returns the time after the notice of a new era at which a daemon that does
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -47,7 +47,10 @@
 	if err == nil && end.Era < c.Era {
 		return nil, errEarlierEra
 	}
-	if truncated != nil || err == nil && answer.isTruncated() {
+	if err == nil && answer.isStale() {
+		return nil, errStaleAnswer
+	}
+	if truncated != nil {
 		klog.InfoS("topic was truncated; reading the newest records", "topic", name, "offset", c.Next)
 		d.positions[t].invalidate()
 		return d.readLatest(t, begun)
--- a/internal/directory/read.go
+++ b/internal/directory/read.go
@@ -34,9 +34,9 @@
 	return a.end, a.begun
 }
 
-// isTruncated reports whether the topic ends before the offset that was asked for, so that
-// offsets do not mean what they did.
-func (a *storeAnswer) isTruncated() bool { return !a.full && a.end < a.from }
+// isStale reports whether the topic ends before the offset that was asked for, where records
+// have been read. In one era the store loses none, so the answer is of an earlier time.
+func (a *storeAnswer) isStale() bool { return !a.full && a.end < a.from }
 
 // topicRead is the result of a read of a topic.
 type topicRead struct {
--- a/internal/directory/read_test.go
+++ b/internal/directory/read_test.go
@@ -19,11 +19,11 @@
 func TestProvenEnd(t *testing.T) {
 	const s = time.Second
 	for _, c := range []struct {
-		name      string
-		answer    storeAnswer
-		at        time.Duration
-		partial   bool
-		truncated bool
+		name    string
+		answer  storeAnswer
+		at      time.Duration
+		partial bool
+		stale   bool
 	}{
 		{"all records", storeAnswer{from: 5, records: 3, end: 8, begun: 10 * s, answered: 11 * s, wait: s}, 10 * s, false, false},
 		{"a part of the records", storeAnswer{from: 5, records: 3, end: 9, begun: 10 * s, answered: 11 * s, wait: s}, 10 * s, true, false},
@@ -38,7 +38,7 @@
 		end, at := c.answer.provenEnd()
 		must.Eq(t, c.answer.end, end, must.Sprint(c.name))
 		must.Eq(t, c.at, at, must.Sprint(c.name))
-		must.Eq(t, c.truncated, c.answer.isTruncated(), must.Sprint(c.name))
+		must.Eq(t, c.stale, c.answer.isStale(), must.Sprint(c.name))
 		next := c.answer.from + uint64(c.answer.records)
 		if c.answer.full {
 			next = c.answer.end
