Keep the relayed pushes of each topic under a lock of its own

As the queues and histories are: a part of a large configuration takes no lock that announcements wait for. No change of behaviour; the tests of the package pass.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -181,8 +181,8 @@
 	// bytes of all pushes.
 	pushes      [topics]*pushQueue
 	pushLimiter *rate.Limiter
-	// relays holds the relayed pushes, and forwards the queues of forwardLoop by topic.
-	relays   *relays
+	// relays holds the relayed pushes, and forwards the queues of forwardLoop, by topic.
+	relays   [topics]*relays
 	forwards [topics]chan outgoing
 	// lateRounds is the number of further rounds in which late loads are sent. Only
 	// sendLoop uses it.
@@ -232,11 +232,11 @@
 	m := &Mesh{
 		opts: o, peers: shard.NewMap[peerState](), zones: shard.NewMap[zoneState](), sendNow: make(chan struct{}, 1), assemblies: map[string]*wire.Assembly{},
 		sessions: shard.NewMap[session](), named: map[string]namedEngines{}, senders: newSenderNames(),
-		requests: make(chan receivedRequest, maxPushSenders), relays: newRelays(),
+		requests:    make(chan receivedRequest, maxPushSenders),
 		pushLimiter: newPushLimiter(o.BytesPerSecond),
 	}
 	for topic := range m.pushes {
-		m.pushes[topic], m.forwards[topic] = newPushQueue(), make(chan outgoing, maxForwards)
+		m.pushes[topic], m.relays[topic], m.forwards[topic] = newPushQueue(), newRelays(), make(chan outgoing, maxForwards)
 	}
 	m.transmit = m.transmitUDP
 	return m
@@ -259,9 +259,9 @@
 	for topic := range m.pushes {
 		g.Go(func() error { return m.pushLoop(ctx, topic) })
 		g.Go(func() error { return m.forwardLoop(ctx, topic) })
+		g.Go(func() error { return m.repairLoop(ctx, topic) })
 	}
 	g.Go(func() error { return m.requestLoop(ctx) })
-	g.Go(func() error { return m.repairLoop(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		return conn.Close()
--- a/internal/mesh/push.go
+++ b/internal/mesh/push.go
@@ -58,7 +58,9 @@
 }
 
 // IsArriving reports whether a relayed push of a topic is arriving.
-func (m *Mesh) IsArriving(topic int) bool { return m.relays.arriving(topic, time.Now()) }
+func (m *Mesh) IsArriving(topic int) bool {
+	return topic >= 0 && topic < topics && m.relays[topic].arriving(time.Now())
+}
 
 // RequestRecords asks one of the collectors for the records of a topic from an offset of
 // an era on, unless a push of the topic is arriving. It reports false if no collector is
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -46,11 +46,11 @@
 	rest []uint32
 }
 
-// datagrams calls send with a part, and before it or after it with a list of the rest of
+// eachDatagram calls send with a part, and before it or after it with a list of the rest of
 // the branch if the part has no room for that. n is the number of parts that were sent
 // before. The list is sent at intervals and with the last part, so that a lost one does not
 // cut the branch off.
-func (b *branch) datagrams(part *wire.RelayPart, n int, send func(part *wire.RelayPart)) {
+func (b *branch) eachDatagram(part *wire.RelayPart, n int, send func(part *wire.RelayPart)) {
 	named := *part
 	if part.HasRoomFor(len(b.rest)) {
 		named.SetForward(b.rest)
@@ -89,8 +89,8 @@
 	askedAt time.Time
 }
 
-// relays holds the relayed pushes by stream, those of this daemon included. It is safe for
-// concurrent use.
+// relays holds the relayed pushes of a topic by stream, those of this daemon included. It is
+// safe for concurrent use.
 type relays struct {
 	mu      sync.Mutex
 	streams map[string]*relayedPush
@@ -102,12 +102,12 @@
 	return &relays{streams: map[string]*relayedPush{}, wake: make(chan struct{}, 1)}
 }
 
-// arriving reports whether a push of a topic is arriving.
-func (r *relays) arriving(topic int, now time.Time) bool {
+// arriving reports whether a push is arriving.
+func (r *relays) arriving(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.streams {
-		if p.topic == topic && p.missing > 0 && now.Sub(p.arrivedAt) < tailDelay {
+		if p.missing > 0 && now.Sub(p.arrivedAt) < tailDelay {
 			return true
 		}
 	}
@@ -262,7 +262,7 @@
 	if err != nil {
 		return err
 	}
-	s.m.relays.addOwn(parts, time.Now())
+	s.m.relays[p.Topic].addOwn(parts, time.Now())
 	to := make([]branch, len(branches))
 	for i, b := range branches {
 		to[i].addr = b[0].addr
@@ -272,7 +272,7 @@
 	}
 	for n, part := range parts {
 		for i := range to {
-			to[i].datagrams(part, n, func(part *wire.RelayPart) {
+			to[i].eachDatagram(part, n, func(part *wire.RelayPart) {
 				if datagram, ok := encodeRelayPart(part); ok {
 					s.write(ctx, datagram, to[i].addr)
 				}
@@ -301,10 +301,10 @@
 	if part.Topic < 0 || part.Topic >= topics || strings.HasPrefix(part.Sender, m.opts.Node+"/") {
 		return
 	}
-	forward, to, before, complete := m.relays.add(part, from, now, func() []branch { return m.branchesOf(part) })
+	forward, to, before, complete := m.relays[part.Topic].add(part, from, now, func() []branch { return m.branchesOf(part) })
 	for n, p := range forward {
 		for i := range to {
-			to[i].datagrams(p, before+n, func(p *wire.RelayPart) { m.enqueue(p, to[i].addr) })
+			to[i].eachDatagram(p, before+n, func(p *wire.RelayPart) { m.enqueue(p, to[i].addr) })
 		}
 	}
 	if complete == nil {
@@ -369,18 +369,19 @@
 	}
 }
 
-// repairLoop asks for missing parts of pushes until ctx ends.
-func (m *Mesh) repairLoop(ctx context.Context) error {
+// repairLoop asks for missing parts of pushes of a topic until ctx ends.
+func (m *Mesh) repairLoop(ctx context.Context, topic int) error {
+	pushes := m.relays[topic]
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
-		case <-m.relays.wake:
+		case <-pushes.wake:
 		case <-timer.C:
 		case <-ctx.Done():
 			return nil
 		}
-		repairs, wait := m.relays.due(time.Now())
+		repairs, wait := pushes.due(time.Now())
 		for _, r := range repairs {
 			m.requestParts(r)
 		}
@@ -409,7 +410,9 @@
 // handlePartRequest sends a peer the parts that it has asked for, as far as this daemon has
 // them.
 func (m *Mesh) handlePartRequest(q *wire.PartRequest, from string) {
-	for _, part := range m.relays.requested(q) {
-		m.enqueue(part, from)
+	for _, pushes := range m.relays {
+		for _, part := range pushes.requested(q) {
+			m.enqueue(part, from)
+		}
 	}
 }
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -231,7 +231,7 @@
 	must.Eq(t, []*wire.RelayPart{parts[4]}, forward)
 	forward, _ = add(parts[4], 2*time.Millisecond)
 	must.Len(t, 0, forward)
-	must.True(t, relays.arriving(0, now.Add(10*time.Millisecond)))
+	must.True(t, relays.arriving(now.Add(10*time.Millisecond)))
 
 	must.Len(t, 0, due(holeDelay), must.Sprint("a gap may be parts that overtake each other"))
 	must.Eq(t, []repair{{"root/b/0", 7, []int{1, 2}, "parent"}}, due(holeDelay+2*time.Millisecond))
@@ -254,7 +254,7 @@
 
 	sent, naming := map[int]int{}, []int{}
 	for n, part := range parts {
-		to[0].datagrams(part, n, func(p *wire.RelayPart) {
+		to[0].eachDatagram(part, n, func(p *wire.RelayPart) {
 			sent[p.Index]++
 			if len(p.Forward) > 0 {
 				naming = append(naming, p.Index)
