Soak: begin no replacement of an engine once the cluster closes

It is in the soak's own code and older than this work. The addition and a flag that close sets are under the cluster's lock now, so that either close waits for the replacement or it does not begin.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -85,8 +85,10 @@
 	mu        sync.Mutex
 	engines   []*engine
 	engineSeq int
-	// replacements counts the engines that are being replaced.
+	// replacements counts the engines that are being replaced. None begins once closing is
+	// set.
 	replacements sync.WaitGroup
+	closing      bool
 }
 
 func newCluster(binary, dir string) (*cluster, error) {
@@ -242,10 +244,9 @@
 // connections, and starts another one when the store no longer lists it. It does nothing
 // if the engine was ended before.
 func (c *cluster) endEngine(e *engine) {
-	if !c.removeEngine(e) {
+	if !c.beginReplacement(e) {
 		return
 	}
-	c.replacements.Add(1)
 	defer c.replacements.Done()
 	e.link.Close()
 	e.Crash()
@@ -271,11 +272,27 @@
 	return candidates[target/3%len(candidates)]
 }
 
+// beginReplacement removes e from the live engines and counts its replacement, for which
+// close waits. It returns false if e was removed before, or close has begun.
+func (c *cluster) beginReplacement(e *engine) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || !c.removeEngineLocked(e) {
+		return false
+	}
+	c.replacements.Add(1)
+	return true
+}
+
 // removeEngine removes e from the live engines. It returns false if e was removed
 // before.
 func (c *cluster) removeEngine(e *engine) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.removeEngineLocked(e)
+}
+
+func (c *cluster) removeEngineLocked(e *engine) bool {
 	for i, other := range c.engines {
 		if other == e {
 			c.engines = append(c.engines[:i], c.engines[i+1:]...)
@@ -288,6 +305,10 @@
 // close ends all processes and stand-ins of the cluster. It continues paused daemons
 // before it kills them.
 func (c *cluster) close() {
+	// A request may end an engine until the daemons are killed.
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
 	c.replacements.Wait()
 	for _, d := range c.daemons {
 		d.mu.Lock()
