Let members of a head that nobody reaches leave its group before they join another

Callers saw: engines in two groups. Streams of a group whose head came back stood still for stall_ms and were broken, since two of its members served another group (TWO).

Cause: a head that was not listed and that no daemon reached for stall_ms + 0.4 s counted as certainly stopped (HeadSilent), and its members were joined elsewhere. The silence of the front tells nothing of the fabric between engines: a head that has lost its paths to the store and to all daemons, but not to its members, is open all the while. The same belief stood behind an unknown head after 20 s, and behind states that a head had reported (left, broken, ready after a close), which an order that is executed late can change.

Change: JudgeHead still says when a group may be given up, but only four verdicts are final (replaced, restarted, joined a later group, never opened) and free the members. After the others JudgeMember asks for a proof by the member itself: it is ordered to leave the group, which takes effect at once, and is used once it has answered. Members are ordered to leave only where that allows a further group, and engines that are free go first. A leave and, outside the first start, each join depend on the number of orders that the engine has begun (precondition), so that an order of this or an earlier planner that is executed late between the observation and the order makes the engine refuse it. An engine that left announces no model; the planner remembers that of its last group, which it joins again without a load.

Why it works: no belief about the head is left on the path. A member that answered is in no group, and a late join that makes it a member again changes its order count.

The stand-in of TestMembersStayReservedUntilTheyAnnounceTheirGroup reports the engine's start, as engines do.

--- a/internal/edge/witness_test.go
+++ b/internal/edge/witness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -127,3 +128,52 @@
 		})
 	}
 }
+
+// TestMembersOfAHeadThatNobodyReachesLeaveItsGroup guards against engines in two groups: the
+// head of an open group was reached by no daemon and not by the store, but by its members,
+// and these were joined to another group while it was open (TWO).
+func TestMembersOfAHeadThatNobodyReachesLeaveItsGroup(t *testing.T) {
+	f := newFixture(t)
+	var paths []*lossyEngines
+	f.wrapEngines = func(_ int, c planner.EngineClient) planner.EngineClient {
+		paths = append(paths, &lossyEngines{EngineClient: c})
+		return paths[len(paths)-1]
+	}
+	f.publish(1, goodKey)
+	engines := f.addEngines("d0", 3, 1, time.Millisecond)
+	f.addDaemon()
+	f.addDaemon()
+	f.waitUntilDaemonsHearEachOther()
+	serving := func() *site.Engine {
+		i := slices.IndexFunc(f.engines, func(e *site.Engine) bool {
+			_, state := e.GroupState()
+			return state == "open"
+		})
+		if i < 0 {
+			return nil
+		}
+		return f.engines[i]
+	}
+	eventually(t, "a group serves", func() bool { return serving() != nil })
+	head := serving()
+	group, _ := head.GroupState()
+	f.addEngines("d0", 1, 1, time.Millisecond) // the members and this one can form a group
+	for _, p := range paths {
+		p.lost.Store(fmt.Sprintf("i-%d", slices.Index(f.engines, head)))
+	}
+	head.ExpireEntry()
+	eventually(t, "another group serves", func() bool {
+		return slices.ContainsFunc(f.engines, func(e *site.Engine) bool {
+			_, state := e.GroupState()
+			return e != head && state == "open"
+		})
+	})
+	must.SliceEmpty(t, f.store.DisruptiveJoins())
+	name, state := head.GroupState()
+	must.Eq(t, group+" open", name+" "+state, must.Sprint("the case needs a head that is open all the while"))
+	left := 0
+	for _, e := range engines {
+		left += int(min(site.FirstOrderSeq(e, "leave "+group), 1))
+	}
+	must.Positive(t, left)
+}
--- a/internal/placement/form.go
+++ b/internal/placement/form.go
@@ -7,8 +7,9 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
-// formAndStage forms groups of free engines, domain by domain, and stages models on
-// the engines that remain. The claimed domain, if any, forms no groups here.
+// formAndStage forms groups of free engines, domain by domain, then orders members of
+// abandoned groups to leave where that allows a further group, and stages models on the
+// engines that remain. The claimed domain, if any, forms no groups here.
 func (s *Snapshot) formAndStage(alloc *allocation, claim *domainClaim) []Step {
 	var steps []Step
 	left := maps.Clone(alloc.free)
@@ -26,11 +27,34 @@
 			steps = append(steps, Step{Form: &f})
 		}
 	}
+	steps = append(steps, s.leaveAbandoned(left, alloc, claim)...)
 	loads := s.LoadBudget
 	steps = append(steps, s.stageFree(left, alloc.counts, &loads)...)
 	return append(steps, s.stageSecondModels(&loads)...)
 }
 
+// leaveAbandoned returns the orders to leave by which more groups can be formed. It adds
+// the members of abandoned groups to the free engines, without those of the groups that it
+// plans. A member that no group needs stays: its group is whole again if the head returns.
+func (s *Snapshot) leaveAbandoned(free map[string][]*catalog.Engine, alloc *allocation, claim *domainClaim) []Step {
+	var steps []Step
+	for _, domain := range slices.Sorted(maps.Keys(alloc.leavable)) {
+		leavable := alloc.leavable[domain]
+		free[domain] = slices.Concat(free[domain], leavable)
+		for claim == nil || domain != claim.domain {
+			f, ok := s.bestForm(free[domain], alloc.counts, s.Starting)
+			leaving := slices.DeleteFunc(slices.Clone(f.Members), func(e *catalog.Engine) bool { return !slices.Contains(leavable, e) })
+			if !ok || len(leaving) == 0 {
+				break
+			}
+			alloc.counts[f.Model.Name]++
+			free[domain] = without(free[domain], f.Members)
+			steps = append(steps, Step{Leave: &Leave{Members: leaving, Partners: without(f.Members, leaving)}})
+		}
+	}
+	return steps
+}
+
 // formPacked forms groups of engines without weights as pack divides them, and
 // removes their members from free.
 func (s *Snapshot) formPacked(free map[string][]*catalog.Engine, counts map[string]int) []Step {
@@ -140,7 +164,7 @@
 
 // Load distances: how far an engine is from serving a model.
 const (
-	loaded   = 0 // in the engine's memory
+	loaded   = 0 // in the engine's memory, or the model of its last group
 	staged   = 1 // on the engine's host
 	staging  = 2 // being loaded onto the engine's host
 	unstaged = 3 // in the weight store only
@@ -149,7 +173,7 @@
 // loadDistance returns the engine's load distance for the model.
 func (s *Snapshot) loadDistance(m catalog.Model, e *catalog.Engine) int {
 	switch {
-	case e.Model == m.Name:
+	case s.lastModel(e) == m.Name:
 		return loaded
 	case e.HasStaged(m.Name):
 		return staged
@@ -160,6 +184,14 @@
 	}
 }
 
+// lastModel returns the model of the engine's group or last group, or an empty name.
+func (s *Snapshot) lastModel(e *catalog.Engine) string {
+	if e.Model != "" {
+		return e.Model
+	}
+	return s.LastModels[e.ID]
+}
+
 // without returns the engines that are not in taken.
 func without(engines, taken []*catalog.Engine) []*catalog.Engine {
 	return slices.DeleteFunc(slices.Clone(engines), func(e *catalog.Engine) bool { return slices.Contains(taken, e) })
--- a/internal/placement/head.go
+++ b/internal/placement/head.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
@@ -33,25 +34,33 @@
 	// NeverOpened means that the planner that formed the group still plans and has sent
 	// no order to open it.
 	NeverOpened
+	// Unrecorded means that between Since and At neither the store nor this daemon knew
+	// which engine leads the group.
+	Unrecorded
+	// LeaveAccepted means that the engine, a member, had answered an order to leave the
+	// group at At.
+	LeaveAccepted
 )
 
-var evidenceNames = [...]string{"silent", "answered", "reported", "replaced", "announced", "removed", "close accepted", "never opened"}
+var evidenceNames = [...]string{
+	"silent", "answered", "reported", "replaced", "announced", "removed", "close accepted", "never opened", "unrecorded", "leave accepted",
+}
 
 // String returns the name of the kind as it appears in logs.
 func (k EvidenceKind) String() string { return evidenceNames[k] }
 
-// Evidence is one observation of the engine that leads a group.
+// Evidence is one observation of an engine of a group.
 type Evidence struct {
 	Kind EvidenceKind
 	// FromPeer is set if another daemon made the observation.
 	FromPeer bool
 	// StartUnixMS is the start of the observed incarnation, in Unix milliseconds. It is
-	// set for Reported and Announced.
+	// set for Reported, Announced and LeaveAccepted.
 	StartUnixMS int64
-	// Membership is set for Reported and Announced.
+	// Membership is set for Reported and Announced. For LeaveAccepted it names the group.
 	Membership catalog.Membership
-	// Since and At are the first and the last time of the observation. Only Silent has
-	// a Since.
+	// Since and At are the first and the last time of the observation. Only Silent and
+	// Unrecorded have a Since.
 	Since, At time.Time
 }
 
@@ -66,7 +75,7 @@
 	HasPeers bool
 	// StallBound is the time after which a head that is cut off from its members is
 	// broken. UnwitnessedBound applies in its place while no other daemon has stated
-	// that it does not reach the head either.
+	// that it does not reach the head either, and to a head that is unknown.
 	StallBound, UnwitnessedBound time.Duration
 	Now                          time.Time
 }
@@ -74,9 +83,10 @@
 // HeadVerdict is the answer to a HeadQuestion.
 type HeadVerdict uint8
 
-// The verdicts. All but HeadMayServe mean that the head serves no more.
+// The verdicts. Those that are final prove that the head serves the group no more; see
+// IsFinal. The others only permit to end the group by its members; see JudgeMember.
 const (
-	// HeadMayServe means that nothing proves the contrary.
+	// HeadMayServe means that nothing tells the contrary.
 	HeadMayServe HeadVerdict = iota
 	// HeadReplaced means that another engine has the head's address.
 	HeadReplaced
@@ -94,15 +104,31 @@
 	// HeadNeverOpened means that the group has never been ordered to serve.
 	HeadNeverOpened
 	// HeadSilent means that nobody has heard of the head for longer than it may stand
-	// still without being broken.
+	// still without being broken. It may serve nevertheless: the daemons observe nothing
+	// of the fabric between the head and its members.
 	HeadSilent
+	// HeadUnknown means that no engine is known to lead the group.
+	HeadUnknown
 )
 
-var headVerdictNames = [...]string{"may serve", "replaced", "restarted", "joined a later group", "left", "broken", "closed", "never opened", "silent"}
+var headVerdictNames = [...]string{"may serve", "replaced", "restarted", "joined a later group", "left", "broken", "closed", "never opened", "silent", "unknown"}
 
 // String returns the name of the verdict as it appears in logs.
 func (v HeadVerdict) String() string { return headVerdictNames[v] }
 
+// IsFinal reports whether no later event can make the head serve the group: the
+// incarnation that led it has ended, has accepted a higher epoch, or is never ordered to
+// serve. A state that the head reports can be changed by an order that is executed late,
+// and silence is no state at all.
+func (v HeadVerdict) IsFinal() bool {
+	switch v {
+	case HeadReplaced, HeadRestarted, HeadJoinedLater, HeadNeverOpened:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	// maxReportAge is the age up to which a report counts as the current state.
 	maxReportAge = time.Second
@@ -122,8 +148,8 @@
 	return before
 }
 
-// JudgeHead decides from all evidence of a head whether it has certainly stopped
-// serving. Only then may the members of its group join another one.
+// JudgeHead decides from all evidence of a head whether its group has ended, or may be
+// ended because nobody can use it. JudgeMember decides what follows for the members.
 func JudgeHead(q *HeadQuestion, evidence []Evidence) HeadVerdict {
 	var removedAt, closedAt time.Time
 	for _, e := range evidence {
@@ -153,9 +179,19 @@
 	if q.silent(evidence) {
 		return HeadSilent
 	}
+	if q.unrecorded(evidence) {
+		return HeadUnknown
+	}
 	return HeadMayServe
 }
 
+// unrecorded reports whether the head has been unknown for longer than the bound.
+func (q *HeadQuestion) unrecorded(evidence []Evidence) bool {
+	return slices.ContainsFunc(evidence, func(e Evidence) bool {
+		return e.Kind == Unrecorded && q.Now.Sub(e.Since) > q.UnwitnessedBound
+	})
+}
+
 // judgeAnnouncement judges an entry of the store. It may be older than the order that
 // made the engine the head, so only a later start or a later group counts.
 func (q *HeadQuestion) judgeAnnouncement(e *Evidence) HeadVerdict {
--- a/internal/placement/head_test.go
+++ b/internal/placement/head_test.go
@@ -101,6 +101,8 @@
 		// The engine started again between its announcement and the join.
 		{"a later start than recorded leads the group", []Evidence{removed(s(1)), reportOf(start+1, in(group, catalog.Open), 0)}, false, HeadMayServe},
 		{"another engine answers at its address", []Evidence{removed(s(1)), {Kind: Replaced}}, false, HeadReplaced},
+		{"nobody has known its head for less than the bound", []Evidence{{Kind: Unrecorded, Since: ago(s(19)), At: now}}, false, HeadMayServe},
+		{"nobody has known its head for longer than the bound", []Evidence{{Kind: Unrecorded, Since: ago(s(21)), At: now}}, false, HeadUnknown},
 		{"was never ordered to open", []Evidence{listed(start, in(earlier, catalog.Open)), {Kind: NeverOpened}}, false, HeadNeverOpened},
 	} {
 		q := HeadQuestion{Group: group, StartUnixMS: start, HasPeers: !c.alone, StallBound: bound, UnwitnessedBound: unwitnessed, Now: now}
@@ -108,6 +110,15 @@
 	}
 }
 
+// TestFinalVerdicts lists the verdicts after which no late order and no path that returns can
+// make the head serve the group.
+func TestFinalVerdicts(t *testing.T) {
+	final := map[HeadVerdict]bool{HeadReplaced: true, HeadRestarted: true, HeadJoinedLater: true, HeadNeverOpened: true}
+	for v := range headVerdictNames {
+		must.Eq(t, final[HeadVerdict(v)], HeadVerdict(v).IsFinal(), must.Sprint(HeadVerdict(v)))
+	}
+}
+
 // TestExtendSilence checks that a silence does not span a time without queries.
 func TestExtendSilence(t *testing.T) {
 	begun := time.Now()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,8 +2,8 @@
 // each model gets, and which engines each group consists of. All members of a group
 // are in one fabric domain, which is called a domain in this package. Plan is a
 // pure function from a snapshot to steps; it does no I/O. The steps keep two
-// invariants: no engine is taken from a group whose head may still serve, and no
-// group is opened before all its members have joined it.
+// invariants: no engine is taken from a group that may still be open, unless it has left
+// the group, and no group is opened before all its members have joined it.
 package placement
 
 import (
@@ -30,6 +30,10 @@
 	// Opening holds the names of the groups whose head was recently ordered to open
 	// them.
 	Opening map[string]bool
+	// LastModels is the model of an engine's last group, by engine id. An engine that has
+	// left the group announces no model, but joins another group of that model as fast as
+	// if it had it loaded.
+	LastModels map[string]string
 	// Staging is the model that is being staged on an engine's host, by engine id.
 	Staging map[string]string
 	// JoinDeadlines holds the groups formed by this planner, and the time by which
@@ -38,9 +42,12 @@
 	// CloseAcked holds the groups whose head has answered this planner's order to
 	// close. Such a head refuses orders to open that an earlier planner sent.
 	CloseAcked map[catalog.GroupID]bool
-	// HeadStopped holds the groups whose head is absent and is known not to serve
-	// any more.
-	HeadStopped map[catalog.GroupID]bool
+	// HeadVerdicts holds the verdicts on heads that are not listed. A head without one
+	// may serve.
+	HeadVerdicts map[catalog.GroupID]HeadVerdict
+	// MemberVerdicts holds, by engine id, the verdicts on members that have left the group
+	// they announce, or whose head has a verdict.
+	MemberVerdicts map[string]MemberVerdict
 	// ZoneOutOfService reports whether operators have taken a zone out of service.
 	ZoneOutOfService func(zone string) bool
 	// Demand is the relative demand for each model.
@@ -57,6 +64,7 @@
 	Form  *Form
 	Open  *catalog.Group
 	Close *Close
+	Leave *Leave
 	Stage *Stage
 	// Preload loads the model on the host into the memory of a spare.
 	Preload *Preload
@@ -78,6 +86,15 @@
 	Abort bool
 }
 
+// Leave orders members of groups that nobody can use to leave them, so that they can form
+// a group with other engines.
+type Leave struct {
+	Members []*catalog.Engine
+	// Partners are the engines that are free for the group already. They get no other
+	// order until the members have answered.
+	Partners []*catalog.Engine
+}
+
 // Stage loads a model onto an engine's host, so that the engine can join a group of
 // the model sooner.
 type Stage struct {
@@ -114,6 +131,9 @@
 	// Ending groups are closing, or their head does not answer and is not known to
 	// have stopped.
 	Ending
+	// Abandoned groups have a head that nobody can use, but may be open. Their members can
+	// be reused once they have left.
+	Abandoned
 	// Unfenced groups do not serve, but an order to open may still reach the head.
 	Unfenced
 	// Ended groups do not serve any more, and their members can be reused.
@@ -130,14 +150,18 @@
 		return Forming
 	}
 	if head == nil || s.Unresponsive[head.ID] {
-		if s.HeadStopped[g.ID] {
+		switch v := s.HeadVerdicts[g.ID]; {
+		case v.IsFinal():
 			return Ended
+		case v != HeadMayServe:
+			return Abandoned
+		default:
+			return Ending
 		}
-		return Ending
 	}
 	missing, leaving := false, false
 	for _, e := range g.Members {
-		missing = missing || e == nil || s.Unresponsive[e.ID]
+		missing = missing || e == nil || s.Unresponsive[e.ID] || s.MemberVerdicts[e.ID] == MemberLeft
 		leaving = leaving || (e != nil && s.Unresponsive[e.ID] && head.Membership.State != catalog.Open)
 		leaving = leaving || (e != nil && e.Draining)
 	}
@@ -188,7 +212,7 @@
 func (s *Snapshot) groupSteps() ([]Step, *allocation) {
 	var steps []Step
 	alloc := &allocation{
-		counts: map[string]int{}, free: map[string][]*catalog.Engine{},
+		counts: map[string]int{}, free: map[string][]*catalog.Engine{}, leavable: map[string][]*catalog.Engine{},
 		closing: map[string]int{}, healthy: map[string][]*catalog.Group{}, ending: map[string]int{},
 	}
 	for _, e := range s.Engines {
@@ -199,6 +223,9 @@
 	for i := range s.Groups {
 		g := &s.Groups[i]
 		condition := Classify(s, g)
+		if condition != Ended {
+			s.addLeaving(alloc, g, condition)
+		}
 		if condition <= Openable && g.AnyMemberInZone(s.ZoneOutOfService) {
 			// The group receives no requests, so it does not count. Its engines
 			// return to service together with their zone.
@@ -229,6 +256,7 @@
 			for _, e := range g.PresentMembers() {
 				s.addFree(alloc.free, e)
 			}
+		case Abandoned: // addLeaving has added its members
 		case Ending:
 			alloc.ending[g.Model]++
 			if h := g.Head(); h != nil && h.Membership.State == catalog.Closing && !s.Unresponsive[h.ID] {
@@ -239,13 +267,26 @@
 	return steps, alloc
 }
 
+// addLeaving adds the members that have left the group to the free engines, and those that
+// may be ordered to leave it to the leavable ones.
+func (s *Snapshot) addLeaving(alloc *allocation, g *catalog.Group, condition Condition) {
+	for _, e := range g.PresentMembers() {
+		switch v := s.MemberVerdicts[e.ID]; {
+		case v == MemberLeft:
+			s.addFree(alloc.free, e)
+		case v == MemberMustLeave && condition == Abandoned:
+			s.addFree(alloc.leavable, e)
+		}
+	}
+}
+
 // hasUnansweredMember reports whether a member has not answered its last order,
 // which may still make it join another group.
 func (s *Snapshot) hasUnansweredMember(g *catalog.Group) bool {
 	return slices.ContainsFunc(g.PresentMembers(), func(e *catalog.Engine) bool { return s.Unanswered[e.ID] })
 }
 
-// addFree adds the engine to the free engines of its domain, unless it drains, does
+// addFree adds the engine to those of its domain that can be used, unless it drains, does
 // not answer, is reserved, or is in a zone out of service.
 func (s *Snapshot) addFree(free map[string][]*catalog.Engine, e *catalog.Engine) {
 	if e.Draining || s.Unresponsive[e.ID] || s.Reserved[e.ID] || s.ZoneOutOfService(e.Zone) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -39,7 +39,7 @@
 	return &Snapshot{
 		Service: s, Engines: engines, Groups: catalog.BuildGroups(s, engines), Now: time.Unix(1000, 0),
 		Unresponsive: map[string]bool{}, Reserved: map[string]bool{}, Staging: map[string]string{},
-		JoinDeadlines: map[catalog.GroupID]time.Time{}, CloseAcked: map[catalog.GroupID]bool{}, HeadStopped: map[catalog.GroupID]bool{},
+		JoinDeadlines: map[catalog.GroupID]time.Time{}, CloseAcked: map[catalog.GroupID]bool{}, HeadVerdicts: map[catalog.GroupID]HeadVerdict{}, MemberVerdicts: map[string]MemberVerdict{},
 		ZoneOutOfService: func(string) bool { return false }, Demand: map[string]float64{"large": 1, "small": 1}, LoadBudget: 6,
 	}
 }
@@ -71,14 +71,17 @@
 		{"ready, close acknowledged", groupOfThree(catalog.Ready), func(s *Snapshot) { s.CloseAcked[id] = true }, Ended},
 		{"open, a member absent, close acknowledged but not announced yet", groupOfThree(catalog.Open)[:2], func(s *Snapshot) { s.CloseAcked[id] = true }, Failed},
 		{"head absent", groupOfThree(catalog.Open)[1:], nil, Ending},
-		{"head absent and known to have stopped", groupOfThree(catalog.Open)[1:], func(s *Snapshot) { s.HeadStopped[id] = true }, Ended},
+		{"head absent and known to have ended", groupOfThree(catalog.Open)[1:], func(s *Snapshot) { s.HeadVerdicts[id] = HeadReplaced }, Ended},
+		{"head absent and silent to everybody", groupOfThree(catalog.Open)[1:], func(s *Snapshot) { s.HeadVerdicts[id] = HeadSilent }, Abandoned},
+		{"head absent, it reported lately that it is broken", groupOfThree(catalog.Open)[1:], func(s *Snapshot) { s.HeadVerdicts[id] = HeadBroken }, Abandoned},
+		{"open, a member has left but announces the group", groupOfThree(catalog.Open), func(s *Snapshot) { s.MemberVerdicts["i-2"] = MemberLeft }, Failed},
 		{"head not joined yet, formed by this planner", groupOfThree(catalog.Ready)[1:], func(s *Snapshot) {
 			// Until it joins, the head announces its previous group, as a head that has
 			// left this group would.
-			s.HeadStopped[id], s.JoinDeadlines[id] = true, s.Now.Add(time.Second)
+			s.HeadVerdicts[id], s.JoinDeadlines[id] = HeadLeft, s.Now.Add(time.Second)
 		}, Forming},
 		{"head not joined, formed by this planner, past the join deadline", groupOfThree(catalog.Ready)[1:], func(s *Snapshot) {
-			s.HeadStopped[id], s.JoinDeadlines[id] = true, s.Now.Add(-time.Second)
+			s.HeadVerdicts[id], s.JoinDeadlines[id] = HeadNeverOpened, s.Now.Add(-time.Second)
 		}, Ended},
 		{"head unresponsive", groupOfThree(catalog.Open), func(s *Snapshot) { s.Unresponsive["i-0"] = true }, Ending},
 		{"a preloaded spare", []*catalog.Engine{engine("i-0", "p1", 0, catalog.Ready)}, nil, Ended},
@@ -246,7 +249,8 @@
 }
 
 // TestNoMemberIsTakenFromAGroupThatMayServe checks for arbitrary states that steps
-// take engines only from ended groups, and open only complete groups.
+// take engines only from ended groups or after they have left, order only members of
+// abandoned groups to leave, and open only complete groups.
 func TestNoMemberIsTakenFromAGroupThatMayServe(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		states := []catalog.GroupState{catalog.NoGroup, catalog.Joining, catalog.Ready, catalog.Open, catalog.Closing, catalog.Broken}
@@ -273,6 +277,12 @@
 			if rapid.Bool().Draw(t, "closed") {
 				s.CloseAcked[id] = true
 			}
+			if rapid.Bool().Draw(t, "judged") {
+				s.HeadVerdicts[id] = HeadVerdict(rapid.IntRange(0, int(HeadUnknown)).Draw(t, "head"))
+			}
+			if e.Membership.State != catalog.NoGroup {
+				s.MemberVerdicts[e.ID] = MemberVerdict(rapid.IntRange(0, int(MemberFree)).Draw(t, "member"))
+			}
 		}
 		condition := map[catalog.GroupID]Condition{}
 		for i := range s.Groups {
@@ -283,11 +293,25 @@
 			if step.Open != nil && !step.Open.Complete() {
 				t.Fatalf("the plan opens the incomplete group %v", step.Open.ID)
 			}
+			if step.Leave != nil {
+				for _, e := range step.Leave.Members {
+					if s.MemberVerdicts[e.ID] != MemberMustLeave || condition[e.Membership.Group] != Abandoned || taken[e.ID] {
+						t.Fatalf("the plan orders engine %s to leave a group in condition %s", e.ID, condition[e.Membership.Group])
+					}
+					taken[e.ID] = true
+				}
+				for _, e := range step.Leave.Partners {
+					if taken[e.ID] {
+						t.Fatalf("the plan uses engine %s twice", e.ID)
+					}
+					taken[e.ID] = true
+				}
+			}
 			if step.Form == nil {
 				continue
 			}
 			for _, e := range step.Form.Members {
-				if e.Membership.State != catalog.NoGroup && condition[e.Membership.Group] != Ended {
+				if e.Membership.State != catalog.NoGroup && condition[e.Membership.Group] != Ended && s.MemberVerdicts[e.ID] != MemberLeft {
 					t.Fatalf("the plan takes engine %s from a group in condition %s", e.ID, condition[e.Membership.Group])
 				}
 				if taken[e.ID] || s.Unresponsive[e.ID] || e.Draining {
--- a/internal/placement/reallocate.go
+++ b/internal/placement/reallocate.go
@@ -20,6 +20,9 @@
 	counts map[string]int
 	// free holds the engines that can be used for new groups, by domain.
 	free map[string][]*catalog.Engine
+	// leavable holds the engines that can be used once they have left their group, by
+	// domain.
+	leavable map[string][]*catalog.Engine
 	// closing is the number of engines, by domain, in groups that are closing or may
 	// have been ordered to close.
 	closing map[string]int
@@ -70,15 +73,15 @@
 	return alloc.counts[model] + alloc.ending[model]
 }
 
-// canForm reports whether some domain has enough free engines for a group of the
-// model.
+// canForm reports whether some domain has enough engines for a group of the model that
+// are free or can leave their groups.
 func (alloc *allocation) canForm(m catalog.Model) bool {
-	for _, engines := range alloc.free {
-		if len(engines) >= m.GroupSize {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(alloc.domains(), func(domain string) bool { return alloc.usable(domain) >= m.GroupSize })
+}
+
+// usable returns the number of engines of a domain that are free or can leave their groups.
+func (alloc *allocation) usable(domain string) int {
+	return len(alloc.free[domain]) + len(alloc.leavable[domain])
 }
 
 // cheapestClaim returns the claim on the domain in which the models that lose groups
@@ -88,7 +91,7 @@
 	var best *domainClaim
 	bestWork, leastLoserWork := 0.0, 0.0
 	for _, domain := range alloc.domains() {
-		have := len(alloc.free[domain]) + alloc.closing[domain]
+		have := alloc.usable(domain) + alloc.closing[domain]
 		toClose, loserWork, ok := s.groupsToClose(m, m.GroupSize-have, alloc.healthy[domain], alloc.counts)
 		if !ok || (best != nil && loserWork >= leastLoserWork) {
 			continue
@@ -111,10 +114,11 @@
 	return max(s.Demand[model], minDemand) / float64(max(1, n))
 }
 
-// domains returns the names of the domains with free engines, closing groups or
+// domains returns the names of the domains with usable engines, closing groups or
 // healthy groups, sorted.
 func (alloc *allocation) domains() []string {
 	names := slices.Collect(maps.Keys(alloc.free))
+	names = slices.AppendSeq(names, maps.Keys(alloc.leavable))
 	names = slices.AppendSeq(names, maps.Keys(alloc.closing))
 	names = slices.AppendSeq(names, maps.Keys(alloc.healthy))
 	slices.Sort(names)
--- a/internal/placement/stage.go
+++ b/internal/placement/stage.go
@@ -80,7 +80,7 @@
 		if unavailable || s.Staging[e.ID] != "" || len(e.StagedModels) == 0 {
 			continue
 		}
-		if e.Model == "" && e.Membership.State == catalog.NoGroup {
+		if s.lastModel(e) == "" && e.Membership.State == catalog.NoGroup {
 			if m, ok := s.Service.Engine.Model(e.StagedModels[0]); ok {
 				steps = append(steps, Step{Preload: &Preload{Engine: e, Model: m}})
 			}
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -8,7 +8,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 )
 
-var conditionNames = [...]string{"healthy", "forming", "openable", "draining", "failed", "ending", "unfenced", "over"}
+var conditionNames = [...]string{"healthy", "forming", "openable", "draining", "failed", "ending", "abandoned", "unfenced", "over"}
 
 func (c Condition) String() string { return conditionNames[c] }
 
@@ -59,7 +59,7 @@
 			counts["serving"]++
 		case Forming, Openable:
 			counts["forming"]++
-		case Draining, Failed, Ending, Unfenced:
+		case Draining, Failed, Ending, Abandoned, Unfenced:
 			counts["ending"]++
 		case Ended: // its members are free
 		}
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -134,11 +134,13 @@
 		Unresponsive:     map[string]bool{},
 		Reserved:         map[string]bool{},
 		JoinDeadlines:    map[catalog.GroupID]time.Time{},
-		HeadStopped:      map[catalog.GroupID]bool{},
+		HeadVerdicts:     map[catalog.GroupID]placement.HeadVerdict{},
+		MemberVerdicts:   map[string]placement.MemberVerdict{},
 		CloseAcked:       map[catalog.GroupID]bool{},
 		Opening:          map[string]bool{},
 		Unanswered:       map[string]bool{},
 		ZoneOutOfService: p.opts.Directory.ZoneOutOfService,
+		LastModels:       map[string]string{},
 		Staging:          map[string]string{},
 		LoadBudget:       p.availableLoads(view.Service.Engine, now),
 		Starting:         p.startingUp(),
@@ -150,6 +152,11 @@
 		}
 		return true
 	})
+	for _, e := range view.Engines {
+		if model := p.modelOfLastGroup(e); model != "" {
+			s.LastModels[e.ID] = model
+		}
+	}
 	p.stagedLoads.Range(func(id string, st stagedLoad) bool {
 		if now.Before(st.until) {
 			s.Staging[id] = st.model
@@ -169,13 +176,23 @@
 	p.addFormations(s, view)
 	for i := range view.Groups {
 		g := &view.Groups[i]
-		if p.headStopped(g, now) {
-			s.HeadStopped[g.ID] = true
+		if v := p.judgeHead(g, now); v != placement.HeadMayServe {
+			s.HeadVerdicts[g.ID] = v
 		}
+		p.judgeMembers(g, s)
 	}
 	return s
 }
 
+// modelOfLastGroup returns the model of an engine's group, or of its last group if it is in
+// none.
+func (p *Planner) modelOfLastGroup(e *catalog.Engine) string {
+	if es, ok := p.engines.Get(e.ID); ok && e.Model == "" {
+		return es.modelOfLastGroup(e.StartUnixMS)
+	}
+	return e.Model
+}
+
 // addFormations adds the groups that this planner is forming to the snapshot, and
 // reserves the members that do not announce them yet. It gives up the groups that can
 // no longer be completed.
@@ -228,6 +245,8 @@
 		p.open(step.Open)
 	case step.Close != nil:
 		p.close(step.Close)
+	case step.Leave != nil:
+		p.leave(step.Leave)
 	case step.Stage != nil:
 		p.stage(step.Stage)
 	case step.Preload != nil:
@@ -302,7 +321,7 @@
 	p.reserve(s.Engine, time.Now().Add(orderInterval+s.Model.WarmLoadTime))
 	go func() {
 		o := Order{Op: Join, Group: id, Model: s.Model.Name, Members: []string{s.Engine.ID}}
-		if err := p.sendOrder(s.Engine, o); err != nil {
+		if err := p.sendJoin(s.Engine, o); err != nil {
 			p.reservedUntil.Delete(s.Engine.ID)
 		}
 	}()
@@ -338,7 +357,7 @@
 	for i, e := range f.Members {
 		members[i], starts[e.ID] = e.ID, e.StartUnixMS
 		switch {
-		case e.Model == f.Model.Name:
+		case p.modelOfLastGroup(e) == f.Model.Name:
 		case e.HasStaged(f.Model.Name):
 			joinTime = max(joinTime, f.Model.WarmLoadTime)
 		default:
@@ -356,13 +375,33 @@
 		p.reserve(e, time.Now().Add(orderInterval))
 		go func() {
 			o := Order{Op: Join, Group: id, Model: f.Model.Name, Members: members}
-			if err := p.sendOrder(e, o); err != nil {
+			if err := p.sendJoin(e, o); err != nil {
 				p.formations.Delete(id.Name)
 			}
 		}()
 	}
 }
 
+// sendJoin sends an order to join a group. It depends on the state in which the engine was
+// chosen, except for the first groups of a system, before which there are no orders.
+func (p *Planner) sendJoin(e *catalog.Engine, o Order) error {
+	if p.startingUp() {
+		return p.sendOrder(e, o)
+	}
+	guard := &orderGuard{
+		judge:    placement.JudgeJoin,
+		question: placement.OrderQuestion{Target: o.Group, From: e.Membership.Group, StartUnixMS: e.StartUnixMS},
+	}
+	if l, ok := p.acceptedLeaves.Get(e.ID); ok && l.startUnixMS == e.StartUnixMS {
+		if l.group == guard.question.From {
+			guard.question.From = catalog.GroupID{}
+		}
+		guard.knownSeq = l.seqAfter
+		p.acceptedLeaves.Set(e.ID, acceptedLeave{group: l.group, startUnixMS: l.startUnixMS, at: l.at})
+	}
+	return p.sendGuarded(e, o, guard)
+}
+
 // saveHead stores the head of a group for the next planner. Without the record, the
 // next planner waits for unknownHeadWait before it reuses the members of a group
 // whose head does not announce itself.
@@ -379,34 +418,46 @@
 // fences do not protect against that, since the late order need not be the one
 // with the lower fence.
 func (p *Planner) sendOrder(e *catalog.Engine, o Order) error {
+	return p.sendGuarded(e, o, nil)
+}
+
+// sendGuarded is sendOrder for an order that depends on the engine's state; guard is asked
+// before each attempt. It may be nil.
+func (p *Planner) sendGuarded(e *catalog.Engine, o Order, guard *orderGuard) error {
 	p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
 	var err error
 	unanswered := false
 	for deadline := time.Now().Add(orderExpiry); time.Now().Before(deadline); {
 		var sent bool
-		if sent, err = p.attemptOrder(e, o, deadline); !sent {
+		sent, err = p.attemptOrder(e, o, guard, deadline)
+		switch {
+		case !sent && !fault.Is(err, fault.Timeout):
 			if !unanswered {
 				p.unansweredUntil.Delete(e.ID)
 			}
 			return err
-		}
-		unanswered = true
-		if err == nil || fault.As(err).Outcome == fault.NotRun {
+		case sent && (err == nil || fault.As(err).Outcome == fault.NotRun && !guard.retries(err)):
 			p.unansweredUntil.Delete(e.ID)
 			return err
+		case sent && fault.As(err).Outcome != fault.NotRun:
+			unanswered = true
+			p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
 		}
-		p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
 		if es, ok := p.engines.Get(e.ID); ok && es.unresponsive() {
-			return err
+			break
 		}
 		time.Sleep(orderRetryDelay)
 	}
+	if !unanswered {
+		p.unansweredUntil.Delete(e.ID)
+	}
 	return err
 }
 
 // attemptOrder sends an order once, when a slot is free. It reports false if the
-// order was not sent, because the lease or the time to send it has ended.
-func (p *Planner) attemptOrder(e *catalog.Engine, o Order, deadline time.Time) (sent bool, err error) {
+// order was not sent, because the lease or the time to send it has ended or the guard did
+// not allow it. It reports true without an error if the guard finds the order done.
+func (p *Planner) attemptOrder(e *catalog.Engine, o Order, guard *orderGuard, deadline time.Time) (sent bool, err error) {
 	slot := p.orderSlots.of(o.Op)
 	if !slot.acquire(deadline) {
 		return false, fault.Refuse(fault.Overload, "plan again", "no slot for an order to engine %s before its expiry", e.ID)
@@ -414,7 +465,16 @@
 	defer slot.release()
 	if !p.HoldsLease() {
 		klog.InfoS("order not sent: this daemon no longer holds the planners' lease", "engine", e.ID, "op", o.Op.String(), "group", o.Group.Name)
-		return false, fault.Refuse(fault.Unavailable, "leave the order to the current planner", "this daemon does not hold the planners' lease")
+		return false, errLeaseLost
+	}
+	if guard != nil {
+		done, err := guard.check(p.opts.Engines, e, &o)
+		if done || err != nil {
+			return done, err
+		}
+		if !p.HoldsLease() {
+			return false, errLeaseLost
+		}
 	}
 	o.Fence = p.nextFence()
 	err = p.opts.Engines.Order(e, o)
@@ -422,6 +482,9 @@
 	return true, err
 }
 
+// errLeaseLost is the reason for which an order is not sent.
+var errLeaseLost = fault.Refuse(fault.Unavailable, "leave the order to the current planner", "this daemon does not hold the planners' lease")
+
 // errText returns the text of an error, or an empty text for nil.
 func errText(err error) string {
 	if err == nil {
--- a/internal/planner/close.go
+++ b/internal/planner/close.go
@@ -50,7 +50,7 @@
 func (p *Planner) closeConfirmed(c *closedGroup) bool {
 	es, ok := p.engines.Get(c.head)
 	if !ok {
-		return true // it is not listed, and headStopped judges it
+		return true // it is not listed, and judgeHead judges it
 	}
 	es.mu.Lock()
 	defer es.mu.Unlock()
--- a/internal/planner/formation_test.go
+++ b/internal/planner/formation_test.go
@@ -16,7 +16,6 @@
 // acceptingEngines is an EngineClient that accepts all orders and counts them.
 type acceptingEngines struct{ orders *atomic.Int64 }
 
-func (acceptingEngines) Report(*catalog.Engine) (Report, error)          { return Report{}, nil }
 func (acceptingEngines) Answers(*catalog.Engine, string) bool            { return true }
 func (acceptingEngines) SaveHead(catalog.GroupID, *catalog.Engine) error { return nil }
 func (acceptingEngines) DeleteHead(string) error                         { return nil }
@@ -25,6 +24,10 @@
 	return nil
 }
 
+func (acceptingEngines) Report(e *catalog.Engine) (Report, error) {
+	return Report{StartUnixMS: e.StartUnixMS, Membership: e.Membership}, nil
+}
+
 // TestMembersStayReservedUntilTheyAnnounceTheirGroup guards against a member that is
 // assigned to a second group because its announcement of the first, whose join it has
 // accepted, is late. In a large fleet that takes seconds; eleven groups of a first
--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// stallMargin is added to StallBound before a silent head counts as stopped. It
-	// covers the lag of reading announcements.
+	// stallMargin is added to StallBound before the group of a silent head counts as
+	// abandoned. It covers the lag of reading announcements.
 	stallMargin = 400 * time.Millisecond
-	// unknownHeadWait is the time after which the head of a group counts as stopped if
-	// it is unknown, or is silent and no other daemon has stated so. By then a group
-	// that stands still has been broken for a long time.
+	// unknownHeadWait is the time after which a group counts as abandoned if its head is
+	// unknown, or is silent and no other daemon has stated so. By then a group that stands
+	// still has been broken for a long time.
 	unknownHeadWait = 20 * time.Second
 )
 
@@ -80,22 +80,22 @@
 // caller holds the lock.
 func (es *engineStatus) leadsUnannounced() bool { return es.leads != catalog.GroupID{} }
 
-// headStopped reports whether the head of a group, which does not announce the group,
-// has certainly stopped serving.
-func (p *Planner) headStopped(g *catalog.Group, now time.Time) bool {
+// judgeHead returns the verdict on the head of a group. One that announces the group may
+// serve: it reaches the store, and may serve daemons that it can reach.
+func (p *Planner) judgeHead(g *catalog.Group, now time.Time) placement.HeadVerdict {
 	if g.Head() != nil {
-		// It reaches the store, and may serve daemons that it can reach.
-		return false
+		return placement.HeadMayServe
 	}
 	id, startMS, ok := p.absentHead(g.ID)
 	es, tracked := p.engines.Get(id)
-	if !ok || !tracked {
-		return p.headlessFor(g.ID, now) > unknownHeadWait
-	}
 	q := placement.HeadQuestion{
 		Group: g.ID, StartUnixMS: startMS, HasPeers: p.opts.Directory.DaemonCount() > 1,
 		StallBound: p.opts.StallBound + stallMargin, UnwitnessedBound: max(unknownHeadWait, p.opts.StallBound+stallMargin), Now: now,
 	}
+	if !ok || !tracked {
+		since := p.headlessSinceAt(g.ID, now)
+		return placement.JudgeHead(&q, []placement.Evidence{{Kind: placement.Unrecorded, Since: since, At: now}})
+	}
 	evidence := es.evidence(p.opts.Peers.LastHeard(id))
 	if closed, ok := p.closedGroups.Get(g.ID.Name); ok {
 		evidence = append(evidence, placement.Evidence{Kind: placement.CloseAccepted, At: closed.at})
@@ -108,7 +108,7 @@
 		p.headVerdicts.Set(g.ID.Name, verdict)
 		es.logVerdict(g.ID, verdict, now)
 	}
-	return verdict != placement.HeadMayServe
+	return verdict
 }
 
 // evidence lists what is known of the engine as a head. lastHeard is when it last sent
@@ -152,9 +152,9 @@
 		"reported_ms_ago", ago(es.reportedAt), "reported_group", es.reported.Membership.Group.Name, "reported_state", es.reported.Membership.State.String())
 }
 
-// headlessFor returns for how long a group has had neither an announced nor a
-// stored head.
-func (p *Planner) headlessFor(group catalog.GroupID, now time.Time) time.Duration {
+// headlessSinceAt returns since when a group has had neither an announced nor a stored
+// head; now if it had one the last time.
+func (p *Planner) headlessSinceAt(group catalog.GroupID, now time.Time) time.Time {
 	first := now
 	p.headlessSince.Update(group.Name, func(since time.Time, ok bool) (time.Time, bool) {
 		if ok {
@@ -162,5 +162,5 @@
 		}
 		return first, true
 	})
-	return now.Sub(first)
+	return first
 }
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -236,7 +236,7 @@
 					view := &directory.ServiceView{Service: service, Engines: engines, Groups: catalog.BuildGroups(service, engines)}
 					scene.p.trackEngines(view)
 					scene.p.querySuspects()
-					if scene.p.HoldsLease() && scene.p.headStopped(&view.Groups[0], time.Now()) {
+					if scene.p.HoldsLease() && scene.p.judgeHead(&view.Groups[0], time.Now()) != placement.HeadMayServe {
 						usable = now
 					}
 					must.Less(t, time.Minute, now, must.Sprint("the members are never used"))
@@ -261,7 +261,7 @@
 			time.Sleep(queryInterval + 100*time.Millisecond)
 			scene.p.querySuspects()
 			synctest.Wait()
-			return scene.p.headStopped(&group, time.Now())
+			return scene.p.judgeHead(&group, time.Now()) != placement.HeadMayServe
 		}
 		must.False(t, step())
 		must.False(t, step())
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -37,6 +37,8 @@
 	mu sync.Mutex
 	// engine is the last announcement, or the stored head.
 	engine catalog.Engine
+	// lastModel is the last model that the incarnation announced.
+	lastModel string
 	// present is set while the engine announces itself. absentSince is when it
 	// stopped.
 	present     bool
@@ -71,6 +73,16 @@
 	return es.replaced || es.misses >= maxMisses
 }
 
+// modelOfLastGroup returns the last model that the incarnation announced, or an empty name.
+func (es *engineStatus) modelOfLastGroup(startUnixMS int64) string {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	if es.engine.StartUnixMS != startUnixMS {
+		return ""
+	}
+	return es.lastModel
+}
+
 // observe tracks the engines of all services and queries suspected ones while this
 // daemon is a candidate for the lease, until ctx ends.
 func (p *Planner) observe(ctx context.Context) error {
@@ -252,5 +264,11 @@
 		es.suspect, es.misses, es.replaced = false, 0, false
 		es.silence, es.peerSilence = placement.Evidence{}, placement.Evidence{}
 	}
+	if e.StartUnixMS != es.engine.StartUnixMS {
+		es.lastModel = ""
+	}
+	if e.Model != "" {
+		es.lastModel = e.Model
+	}
 	es.engine, es.present = *e, true
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -76,6 +76,8 @@
 type Report struct {
 	StartUnixMS int64
 	Membership  catalog.Membership
+	// OrderSeq is the number of orders that the incarnation has begun to execute.
+	OrderSeq int64
 }
 
 // Order is an instruction to an engine.
@@ -90,6 +92,8 @@
 	Members []string
 	// Abort makes a Close order cancel running requests instead of finishing them.
 	Abort bool
+	// IfSeq, unless nil, makes the engine refuse the order if its OrderSeq differs.
+	IfSeq *int64
 }
 
 // Op is the operation of an Order.
@@ -103,11 +107,13 @@
 	Open
 	// Close makes the head of a group stop serving.
 	Close
+	// Leave makes a member leave a group at once. The group breaks when it notices.
+	Leave
 	// Stage loads a model's weights onto the engine's host.
 	Stage
 )
 
-var opNames = [...]string{"join", "open", "close", "stage"}
+var opNames = [...]string{"join", "open", "close", "leave", "stage"}
 
 // String returns the name of the operation as it appears in logs and orders.
 func (o Op) String() string { return opNames[o] }
@@ -202,6 +208,9 @@
 	unopenedGroups *shard.Map[catalog.GroupID]
 	// closedGroups holds, by name, the groups whose head has answered a close order.
 	closedGroups *shard.Map[closedGroup]
+	// acceptedLeaves holds the last order to leave a group that each engine has answered,
+	// by engine id.
+	acceptedLeaves *shard.Map[acceptedLeave]
 	// stagedLoads holds the running loads by engine id.
 	stagedLoads *shard.Map[stagedLoad]
 	// ungrouped holds the engines of each service that has no groups.
@@ -217,6 +226,8 @@
 	loggedState *shard.Map[loggedState]
 	// suspects is the queue of engine ids reported to Suspect.
 	suspects chan string
+	// replan starts a planning round before maxPlanInterval has passed.
+	replan chan struct{}
 	// orderSlots and querySlots bound the concurrent exchanges with engines.
 	orderSlots orderSlots
 	querySlots slots
@@ -281,6 +292,7 @@
 		openingUntil:    shard.NewMap[time.Time](),
 		unopenedGroups:  shard.NewMap[catalog.GroupID](),
 		closedGroups:    shard.NewMap[closedGroup](),
+		acceptedLeaves:  shard.NewMap[acceptedLeave](),
 		stagedLoads:     shard.NewMap[stagedLoad](),
 		ungrouped:       shard.NewMap[ungroupedEngines](),
 		headlessSince:   shard.NewMap[time.Time](),
@@ -288,6 +300,7 @@
 		headVerdicts:    shard.NewMap[placement.HeadVerdict](),
 		loggedState:     shard.NewMap[loggedState](),
 		suspects:        make(chan string, 256),
+		replan:          make(chan struct{}, 1),
 		orderSlots:      newOrderSlots(),
 		querySlots:      make(slots, maxQueriesInFlight),
 		examinations:    make(slots, maxExaminations),
@@ -403,12 +416,13 @@
 	p.leaseEnd.Store(int64(begun + p.ttl - leaseMargin))
 }
 
-// clearLeaseState discards the formations, unopened and closed groups of an earlier lease,
-// since another planner may have sent orders in between.
+// clearLeaseState discards the formations, the unopened and closed groups and the accepted
+// leaves of an earlier lease, since another planner may have sent orders in between.
 func (p *Planner) clearLeaseState() {
 	p.formations.Clear()
 	p.closedGroups.Clear()
 	p.unopenedGroups.Clear()
+	p.acceptedLeaves.Clear()
 }
 
 // nextFence returns a fence above all fences that this and earlier planners used. It
@@ -433,6 +447,7 @@
 		t := time.NewTimer(maxPlanInterval)
 		select {
 		case <-changed:
+		case <-p.replan:
 		case <-t.C:
 		case <-ctx.Done():
 		}
--- a/internal/planner/prune.go
+++ b/internal/planner/prune.go
@@ -22,6 +22,7 @@
 	p.formations.DeleteFunc(func(_ string, f formation) bool { return now.After(f.until) })
 	p.stagedLoads.DeleteFunc(func(_ string, s stagedLoad) bool { return now.After(s.until) })
 	p.closedGroups.DeleteFunc(func(name string, _ closedGroup) bool { return !groups[name] })
+	p.acceptedLeaves.DeleteFunc(func(_ string, l acceptedLeave) bool { return !groups[l.group.Name] })
 	p.unopenedGroups.DeleteFunc(func(name string, id catalog.GroupID) bool {
 		_, forming := p.formations.Get(name)
 		return !groups[name] && !forming
--- a/internal/planner/slots.go
+++ b/internal/planner/slots.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// maxJoinsInFlight, maxSwitchesInFlight (open and close), maxStagesInFlight and
+	// maxJoinsInFlight, maxSwitchesInFlight (open, close and leave), maxStagesInFlight and
 	// maxQueriesInFlight bound the concurrent exchanges with engines. An exchange
 	// times out after some hundred milliseconds. On a small machine a thousand of
 	// them at once would all time out, and be repeated.
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -51,6 +51,8 @@
 
 	mu           sync.Mutex
 	heartbeatSeq int64
+	// begunOrders is the number of orders that this incarnation has begun to execute.
+	begunOrders  int64
 	fencingToken int64
 	epoch        int64
 	model        string
@@ -346,7 +348,9 @@
 func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, e.announcement())
+	report := e.announcement()
+	report["seq"] = e.begunOrders
+	writeJSON(w, report)
 }
 
 // healthPath is the path of health checks.
@@ -369,6 +373,7 @@
 	Epoch        int64
 	Model        string
 	Members      []string
+	Precondition *int64
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -395,8 +400,20 @@
 	if o.FencingToken < e.fencingToken {
 		return http.StatusPreconditionFailed
 	}
+	if o.Precondition != nil && *o.Precondition != e.begunOrders {
+		return http.StatusConflict
+	}
 	e.fencingToken = o.FencingToken
 	e.orders = append(e.orders, Order{o.Operation + " " + o.Group, lastOrderSeq.Add(1)})
+	status := e.begin(o)
+	if status == http.StatusAccepted {
+		e.begunOrders++
+	}
+	return status
+}
+
+// begin begins to execute an order whose conditions hold. e.mu must be held.
+func (e *Engine) begin(o orderRequest) int {
 	switch o.Operation {
 	case "stage":
 		e.stagedModels = []string{o.Model}
@@ -412,6 +429,11 @@
 			return http.StatusConflict
 		}
 		e.group.State = "ready"
+	case "leave":
+		if e.group.Name != o.Group || e.group.Epoch != o.Epoch {
+			return http.StatusOK
+		}
+		e.group = groupMembership{}
 	default:
 		return http.StatusBadRequest
 	}
