Preload no engine that the same plan uses for a group

The engine got two joins; the preload's epoch is the higher one, so the group was refused and given up.

Change: engines of Form and Leave steps are not preloaded. TestEnginesOfANewGroupAreNotPreloaded failed before: 4 engines preloaded, 3 of them in the new group.

The tests of the planner's state cover the accepted leaves too.

--- a/internal/placement/form.go
+++ b/internal/placement/form.go
@@ -29,8 +29,29 @@
 	}
 	steps = append(steps, s.leaveAbandoned(left, alloc, claim)...)
 	loads := s.LoadBudget
+	used := usedEngines(steps)
 	steps = append(steps, s.stageFree(left, alloc.counts, &loads)...)
-	return append(steps, s.stageSecondModels(&loads)...)
+	return append(steps, s.stageSecondModels(used, &loads)...)
+}
+
+// usedEngines returns the ids of the engines that the steps assign to a group.
+func usedEngines(steps []Step) map[string]bool {
+	used := map[string]bool{}
+	add := func(engines []*catalog.Engine) {
+		for _, e := range engines {
+			used[e.ID] = true
+		}
+	}
+	for _, step := range steps {
+		if step.Form != nil {
+			add(step.Form.Members)
+		}
+		if step.Leave != nil {
+			add(step.Leave.Members)
+			add(step.Leave.Partners)
+		}
+	}
+	return used
 }
 
 // leaveAbandoned returns the orders to leave by which more groups can be formed. It adds
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -462,3 +462,30 @@
 	}
 	must.Eq(t, []string{"d1"}, closed, must.Sprint("no large group is in service; one needs the engines of one of two small groups and one more engine"))
 }
+
+// TestEnginesOfANewGroupAreNotPreloaded guards against two joins of one engine in one plan: a
+// group was given up because a member was preloaded at the same time.
+func TestEnginesOfANewGroupAreNotPreloaded(t *testing.T) {
+	var engines []*catalog.Engine
+	for i := range 4 {
+		e := engine(fmt.Sprint("i-", i), "", 0, catalog.NoGroup)
+		e.StagedModels = []string{small.Name}
+		engines = append(engines, e)
+	}
+	formed, preloaded := map[string]bool{}, map[string]bool{}
+	for _, step := range Plan(snapshot(engines...)) {
+		if step.Form != nil {
+			for _, e := range step.Form.Members {
+				formed[e.ID] = true
+			}
+		}
+		if step.Preload != nil {
+			preloaded[step.Preload.Engine.ID] = true
+		}
+	}
+	must.MapLen(t, small.GroupSize, formed)
+	must.MapLen(t, 1, preloaded)
+	for id := range preloaded {
+		must.False(t, formed[id], must.Sprint(id))
+	}
+}
--- a/internal/placement/stage.go
+++ b/internal/placement/stage.go
@@ -72,8 +72,9 @@
 // host, so that the remaining members of a broken group can at once form a group of
 // another size, and a spare can join any group. Spares without a loaded model are
 // preloaded at any time. Second models are staged only before the first request,
-// because later each load slows down the loads that repairs need.
-func (s *Snapshot) stageSecondModels(loads *int) []Step {
+// because later each load slows down the loads that repairs need. Engines that this plan
+// uses for a group are not preloaded: the later join would make them leave the group.
+func (s *Snapshot) stageSecondModels(used map[string]bool, loads *int) []Step {
 	var steps []Step
 	for _, e := range s.Engines {
 		unavailable := e.Membership.State == catalog.Joining || s.Reserved[e.ID] || s.Unresponsive[e.ID] || e.Draining
@@ -81,7 +82,7 @@
 			continue
 		}
 		if s.lastModel(e) == "" && e.Membership.State == catalog.NoGroup {
-			if m, ok := s.Service.Engine.Model(e.StagedModels[0]); ok {
+			if m, ok := s.Service.Engine.Model(e.StagedModels[0]); ok && !used[e.ID] {
 				steps = append(steps, Step{Preload: &Preload{Engine: e, Model: m}})
 			}
 			continue
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -109,12 +109,14 @@
 	p.closedGroups.Set("g1", closedGroup{})
 	p.unopenedGroups.Set("g3", catalog.GroupID{Name: "g3"})
 	p.formations.Set("g2", formation{})
+	p.acceptedLeaves.Set("i-1", acceptedLeave{})
 	p.applyRenewal(false, 4, 0)
 	must.False(t, p.HoldsLease())
 	p.applyRenewal(true, 5, 1<<62-1<<40)
 	must.Zero(t, p.closedGroups.Len())
 	must.Zero(t, p.formations.Len())
 	must.Zero(t, p.unopenedGroups.Len())
+	must.Zero(t, p.acceptedLeaves.Len())
 }
 
 // TestPruneDeletesExpiredState guards against state that grows with every group
@@ -131,6 +133,7 @@
 		p.stagedLoads.Set(name, stagedLoad{until: until})
 		p.closedGroups.Set(name, closedGroup{})
 		p.unopenedGroups.Set(name, catalog.GroupID{Name: name})
+		p.acceptedLeaves.Set(name, acceptedLeave{group: catalog.GroupID{Name: name}})
 		p.headVerdicts.Set(name, placement.HeadSilent)
 		p.headlessSince.Set(name, past)
 		p.memberlessSince.Set(name, past)
@@ -139,9 +142,9 @@
 	sizes := []int{
 		p.reservedUntil.Len(), p.unansweredUntil.Len(), p.openingUntil.Len(), p.formations.Len(),
 		p.stagedLoads.Len(), p.closedGroups.Len(), p.headlessSince.Len(), p.memberlessSince.Len(),
-		p.unopenedGroups.Len(), p.headVerdicts.Len(),
+		p.unopenedGroups.Len(), p.headVerdicts.Len(), p.acceptedLeaves.Len(),
 	}
-	must.Eq(t, []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, sizes)
+	must.Eq(t, []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, sizes)
 	_, ok := p.closedGroups.Get("new")
 	must.True(t, ok)
 }
