--- a/internal/edge/stats.go
+++ b/internal/edge/stats.go
@@ -55,6 +55,7 @@
 	metricStoreEra      = "store_era"
 	metricDaemons       = "daemons"
 	metricPlanning      = "planning"
+	metricMembersLeft   = "members_left"
 	metricGroupsServing = "groups_serving"
 	metricTraffic       = "traffic_bytes"
 	metricBodyBytes     = "body_bytes"
@@ -330,6 +331,7 @@
 		planning = 1
 	}
 	scope.Gauge(metricPlanning).Update(planning)
+	scope.Gauge(metricMembersLeft).Update(float64(d.planner.MembersLeft()))
 	late := d.meshAdapter.tracker.LateSums(time.Now())
 	for name := range cfg.Services {
 		view, ok := d.directory.Service(name)
--- a/internal/edge/witness_test.go
+++ b/internal/edge/witness_test.go
@@ -176,4 +176,7 @@
 		left += int(min(site.FirstOrderSeq(e, "leave "+group), 1))
 	}
 	must.Positive(t, left)
+	eventually(t, "the planner counts the members that left", func() bool {
+		return slices.Contains(slices.Concat(f.metricLines(0), f.metricLines(1)), fmt.Sprintf("ragwortquay_members_left %d", left))
+	})
 }
--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -59,8 +59,13 @@
 		left.seqAfter = &next
 	}
 	p.acceptedLeaves.Set(e.ID, left)
+	p.membersLeft.Add(1)
 }
 
+// MembersLeft returns the number of engines that have left a group by this planner's order,
+// since the start of the process.
+func (p *Planner) MembersLeft() int64 { return p.membersLeft.Load() }
+
 // judgeMembers adds the verdicts on the members of a group to the snapshot, which has the
 // verdict on its head.
 func (p *Planner) judgeMembers(g *catalog.Group, s *placement.Snapshot) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -191,6 +191,8 @@
 	// lease.
 	lastHeldGeneration atomic.Int64
 	orderCounter       atomic.Int64
+	// membersLeft is the number of orders to leave a group that engines have answered.
+	membersLeft atomic.Int64
 
 	// engines holds the status of engines by id.
 	engines *shard.Map[*engineStatus]
