--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -426,7 +426,7 @@
 func (p *Planner) sendGuarded(e *catalog.Engine, o Order, guard *orderGuard) error {
 	p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
 	var err error
-	unanswered := false
+	unanswered, delay := false, orderRetryDelay
 	for deadline := time.Now().Add(orderExpiry); time.Now().Before(deadline); {
 		var sent bool
 		sent, err = p.attemptOrder(e, o, guard, deadline)
@@ -442,11 +442,13 @@
 		case sent && fault.As(err).Outcome != fault.NotRun:
 			unanswered = true
 			p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
+		case sent:
+			delay = seqConflictDelay
 		}
 		if es, ok := p.engines.Get(e.ID); ok && es.unresponsive() {
 			break
 		}
-		time.Sleep(orderRetryDelay)
+		time.Sleep(delay)
 	}
 	if !unanswered {
 		p.unansweredUntil.Delete(e.ID)
--- a/internal/planner/guard.go
+++ b/internal/planner/guard.go
@@ -1,15 +1,21 @@
 package planner
 
 import (
+	"time"
+
 	"github.com/ragwortquay/ragwortquay/internal/catalog"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/placement"
 )
 
-// maxSeqConflicts is the number of attempts of an order that the engine may refuse because
-// it has begun another order since its report. A report may be some hundred milliseconds
-// old.
-const maxSeqConflicts = 10
+const (
+	// maxSeqConflicts is the number of attempts of an order that the engine may refuse
+	// because it has begun another order since its report.
+	maxSeqConflicts = 4
+	// seqConflictDelay is the delay before such an order is sent again. The order count of
+	// a report is some hundred milliseconds old.
+	seqConflictDelay = 250 * time.Millisecond
+)
 
 // orderGuard makes an order depend on the state in which the engine was chosen for it. An
 // earlier order that is executed late, after that state was observed, makes the engine
--- a/internal/planner/membership_test.go
+++ b/internal/planner/membership_test.go
@@ -59,6 +59,8 @@
 	listed  map[string]catalog.Engine
 	cuts    map[cut]time.Time
 	records []directory.Record
+	// reliable is set if all orders are executed and answered at once.
+	reliable bool
 	// joinedTwo describes the joins that took an engine from a group which may be open, with
 	// the orders that the two engines executed before.
 	joinedTwo []string
@@ -286,7 +288,11 @@
 		return fault.Refuse(fault.Forbidden, "", "fenced")
 	}
 	engine.fence = o.Fence
-	switch d.rng.IntN(12) {
+	mishap := -1
+	if !d.reliable {
+		mishap = d.rng.IntN(12)
+	}
+	switch mishap {
 	case 0:
 		start, delay := engine.StartUnixMS, time.Duration(2000+d.rng.IntN(10000))*time.Millisecond
 		d.late.Go(func() {
