--- a/internal/placement/head.go
+++ b/internal/placement/head.go
@@ -86,7 +86,7 @@
 // The verdicts. Those that are final prove that the head serves the group no more; see
 // IsFinal. The others only permit to end the group by its members; see JudgeMember.
 const (
-	// HeadMayServe means that nothing indicates the contrary.
+	// HeadMayServe means that nothing tells the contrary.
 	HeadMayServe HeadVerdict = iota
 	// HeadReplaced means that another engine has the head's address.
 	HeadReplaced
