--- a/internal/placement/member.go
+++ b/internal/placement/member.go
@@ -79,14 +79,14 @@
 
 // OrderQuestion asks whether an engine is still in the state in which an order was planned
 // for it. It addresses orders of this and earlier planners that are executed late, after the
-// announcement on which the engine was chosen.
+// announcement on which the plan rests.
 type OrderQuestion struct {
 	// Target is the group that the order names.
 	Target catalog.GroupID
 	// From is the group that a joining engine may be a member of, since that has ended. It
 	// is zero if the engine must not be in any group.
 	From catalog.GroupID
-	// StartUnixMS is the start of the incarnation that was chosen, in Unix milliseconds.
+	// StartUnixMS is the start of the incarnation that the plan uses, in Unix milliseconds.
 	StartUnixMS int64
 }
 
--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -382,8 +382,8 @@
 	}
 }
 
-// sendJoin sends an order to join a group. It depends on the state in which the engine was
-// chosen, except for the first groups of a system, before which there are no orders.
+// sendJoin sends an order to join a group. It depends on the state on which the plan rests,
+// except for the first groups of a system, before which there are no orders.
 func (p *Planner) sendJoin(e *catalog.Engine, o Order) error {
 	if p.startingUp() {
 		return p.sendOrder(e, o)
--- a/internal/planner/guard.go
+++ b/internal/planner/guard.go
@@ -17,9 +17,8 @@
 	seqConflictDelay = 250 * time.Millisecond
 )
 
-// orderGuard makes an order depend on the state in which the engine was chosen for it. An
-// earlier order that is executed late, after that state was observed, makes the engine
-// refuse the order.
+// orderGuard makes an order depend on the engine's state. An earlier order that is executed
+// late, after that state was observed, makes the engine refuse the order.
 type orderGuard struct {
 	judge    func(q *placement.OrderQuestion, startUnixMS int64, m catalog.Membership) placement.OrderVerdict
 	question placement.OrderQuestion
@@ -32,7 +31,7 @@
 	conflicts int
 }
 
-// check makes the order depend on the engine's state. It reports done if the engine is in
+// check queries the engine's state, unless it is known, and makes the order depend on it. It reports done if the engine is in
 // the ordered state already. It fails with kind Timeout if the engine does not report its
 // state, and with Conflict if that does not allow the order.
 func (g *orderGuard) check(engines EngineClient, e *catalog.Engine, o *Order) (done bool, err error) {
