--- a/internal/planner/act.go
+++ b/internal/planner/act.go
@@ -397,7 +397,8 @@
 			guard.question.From = catalog.GroupID{}
 		}
 		guard.knownSeq = l.seqAfter
-		p.acceptedLeaves.Set(e.ID, acceptedLeave{group: l.group, startUnixMS: l.startUnixMS, at: l.at})
+		l.seqAfter = nil // the join changes it
+		p.acceptedLeaves.Set(e.ID, l)
 	}
 	return p.sendGuarded(e, o, guard)
 }
@@ -431,18 +432,18 @@
 		var sent bool
 		sent, err = p.attemptOrder(e, o, guard, deadline)
 		switch {
-		case !sent && !fault.Is(err, fault.Timeout):
+		case !sent && !fault.Is(err, fault.Timeout): // the order must not be sent
 			if !unanswered {
 				p.unansweredUntil.Delete(e.ID)
 			}
 			return err
-		case sent && (err == nil || fault.As(err).Outcome == fault.NotRun && !guard.retries(err)):
+		case sent && (err == nil || fault.As(err).Outcome == fault.NotRun && !guard.retries(err)): // answered
 			p.unansweredUntil.Delete(e.ID)
 			return err
-		case sent && fault.As(err).Outcome != fault.NotRun:
+		case sent && fault.As(err).Outcome != fault.NotRun: // may be executed late
 			unanswered = true
 			p.unansweredUntil.Set(e.ID, time.Now().Add(orderExpiry))
-		case sent:
+		case sent: // refused for the order count
 			delay = seqConflictDelay
 		}
 		if es, ok := p.engines.Get(e.ID); ok && es.unresponsive() {
--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -93,7 +93,7 @@
 		StallBound: p.opts.StallBound + stallMargin, UnwitnessedBound: max(unknownHeadWait, p.opts.StallBound+stallMargin), Now: now,
 	}
 	if !ok || !tracked {
-		since := p.headlessSinceAt(g.ID, now)
+		since := p.unrecordedSince(g.ID, now)
 		return placement.JudgeHead(&q, []placement.Evidence{{Kind: placement.Unrecorded, Since: since, At: now}})
 	}
 	evidence := es.evidence(p.opts.Peers.LastHeard(id))
@@ -152,9 +152,9 @@
 		"reported_ms_ago", ago(es.reportedAt), "reported_group", es.reported.Membership.Group.Name, "reported_state", es.reported.Membership.State.String())
 }
 
-// headlessSinceAt returns since when a group has had neither an announced nor a stored
+// unrecordedSince returns since when a group has had neither an announced nor a stored
 // head; now if it had one the last time.
-func (p *Planner) headlessSinceAt(group catalog.GroupID, now time.Time) time.Time {
+func (p *Planner) unrecordedSince(group catalog.GroupID, now time.Time) time.Time {
 	first := now
 	p.headlessSince.Update(group.Name, func(since time.Time, ok bool) (time.Time, bool) {
 		if ok {
--- a/internal/planner/leave.go
+++ b/internal/planner/leave.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +26,7 @@
 // are reserved until the members have answered, so that no smaller group takes some.
 func (p *Planner) leave(l *placement.Leave) {
 	until := time.Now().Add(orderInterval)
-	reserved := append(append([]*catalog.Engine(nil), l.Members...), l.Partners...)
+	reserved := slices.Concat(l.Members, l.Partners)
 	for _, e := range reserved {
 		p.reserve(e, until)
 	}
