Log the verdict on a head that nobody knows

'head judged' was logged for heads that the planner tracks only, so that operators saw members leave a group without the verdict behind it. The line has unrecorded_ms there.

--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -94,7 +94,11 @@
 	}
 	if !ok || !tracked {
 		since := p.unrecordedSince(g.ID, now)
-		return placement.JudgeHead(&q, []placement.Evidence{{Kind: placement.Unrecorded, Since: since, At: now}})
+		verdict := placement.JudgeHead(&q, []placement.Evidence{{Kind: placement.Unrecorded, Since: since, At: now}})
+		if p.verdictChanges(g.ID, verdict) {
+			klog.InfoS("head judged", "group", g.ID.Name, "verdict", verdict.String(), "unrecorded_ms", now.Sub(since).Milliseconds())
+		}
+		return verdict
 	}
 	evidence := es.evidence(p.opts.Peers.LastHeard(id))
 	if closed, ok := p.closedGroups.Get(g.ID.Name); ok {
@@ -104,13 +108,20 @@
 		evidence = append(evidence, placement.Evidence{Kind: placement.NeverOpened})
 	}
 	verdict := placement.JudgeHead(&q, evidence)
-	if last, judged := p.headVerdicts.Get(g.ID.Name); !judged || last != verdict {
-		p.headVerdicts.Set(g.ID.Name, verdict)
+	if p.verdictChanges(g.ID, verdict) {
 		es.logVerdict(g.ID, verdict, now)
 	}
 	return verdict
 }
 
+// verdictChanges records the verdict on the head of a group, and reports whether it differs
+// from the last one.
+func (p *Planner) verdictChanges(group catalog.GroupID, v placement.HeadVerdict) bool {
+	last, judged := p.headVerdicts.Get(group.Name)
+	p.headVerdicts.Set(group.Name, v)
+	return !judged || last != v
+}
+
 // evidence lists what is known of the engine as a head. lastHeard is when it last sent
 // data of a request to this daemon.
 func (es *engineStatus) evidence(lastHeard time.Time) []placement.Evidence {
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// TestUnknownHeadIsGivenUpLate checks that the group of a head that neither the store nor the
+// planner knows is abandoned after unknownHeadWait, not ended: its head may be open.
+func TestUnknownHeadIsGivenUpLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{Lease: &fixedLease{}, Directory: directory.New(directory.Options{}), StallBound: headStall})
+		group := catalog.Group{ID: headGroup, Members: []*catalog.Engine{nil}}
+		for range int(unknownHeadWait / time.Second) {
+			must.Eq(t, placement.HeadMayServe, p.judgeHead(&group, time.Now()))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		must.Eq(t, placement.HeadUnknown, p.judgeHead(&group, time.Now()))
+	})
+}
+
 // TestAbsentHeadThatAnswersIsClosed checks that the group of a head that leaves without
 // notice is closed, and its members are used once the head has finished its requests.
 func TestAbsentHeadThatAnswersIsClosed(t *testing.T) {
