Date an unknown head by the last time that it was known

Callers would see: a group that may be open is given up at once, and its streams are broken.

Cause: headlessSince kept the first time at which a head was unknown until the group had no members left. A head that was unknown for a moment, then known, and unknown again later counted as unknown all the while.

Change: the time is forgotten when the head is listed or tracked. TestUnknownHeadIsDatedAnew gets 'unknown' for 'may serve' before. It works because the bound then runs from the last time at which the head was known to this planner.

--- a/internal/planner/heads.go
+++ b/internal/planner/heads.go
@@ -84,6 +84,7 @@
 // serve: it reaches the store, and may serve daemons that it can reach.
 func (p *Planner) judgeHead(g *catalog.Group, now time.Time) placement.HeadVerdict {
 	if g.Head() != nil {
+		p.headlessSince.Delete(g.ID.Name)
 		return placement.HeadMayServe
 	}
 	id, startMS, ok := p.absentHead(g.ID)
@@ -100,6 +101,7 @@
 		}
 		return verdict
 	}
+	p.headlessSince.Delete(g.ID.Name)
 	evidence := es.evidence(p.opts.Peers.LastHeard(id))
 	if closed, ok := p.closedGroups.Get(g.ID.Name); ok {
 		evidence = append(evidence, placement.Evidence{Kind: placement.CloseAccepted, At: closed.at})
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -263,6 +263,20 @@
 	})
 }
 
+// TestUnknownHeadIsDatedAnew guards against a group that is abandoned at once when its head is
+// unknown for the second time, since the time counted from the first.
+func TestUnknownHeadIsDatedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{Lease: &fixedLease{}, Directory: directory.New(directory.Options{}), StallBound: headStall})
+		unknown := catalog.Group{ID: headGroup, Members: []*catalog.Engine{nil}}
+		listed := catalog.Group{ID: headGroup, Members: []*catalog.Engine{openHead()}}
+		must.Eq(t, placement.HeadMayServe, p.judgeHead(&unknown, time.Now()))
+		must.Eq(t, placement.HeadMayServe, p.judgeHead(&listed, time.Now()))
+		time.Sleep(2 * unknownHeadWait)
+		must.Eq(t, placement.HeadMayServe, p.judgeHead(&unknown, time.Now()))
+	})
+}
+
 // TestAbsentHeadThatAnswersIsClosed checks that the group of a head that leaves without
 // notice is closed, and its members are used once the head has finished its requests.
 func TestAbsentHeadThatAnswersIsClosed(t *testing.T) {
