Review: a client that ends its sending side gets an empty success

Cause: when the context of a request ends, the relay returns without an answer and without Abort, so net/http sends an empty 200, or the last chunk of a stream.

Nothing was fixed.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,6 +16,7 @@
 // cases are the scripts by name. Each returns its exit status.
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"descriptors": runDescriptors,
+	"half-close":  runHalfClose,
 }
 
 func main() {
