--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,6 +17,8 @@
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"descriptors": runDescriptors,
 	"half-close":  runHalfClose,
+	"late-orders": runLate,
+	"event-ids":   runEventIDs,
 }
 
 func main() {
