--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 	"half-close":  runHalfClose,
 	"late-orders": runLate,
 	"event-ids":   runEventIDs,
+	"signature":   runSeal,
 }
 
 func main() {
