Review: without descriptors, a fetch of the metrics ends the process

Cause: the metrics server returns its error of accept, and the daemon ends when one of its parts returns an error.

--- a/review/standin-3/bed.go
+++ b/review/standin-3/bed.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	frontPort, readyPort, meshPort = 8227, 8220, 7340
+	frontPort, readyPort, meshPort, metricsPort = 8227, 8220, 7340, 9464
 	// maxFDs is max_fds of the pages' example of the settings.
 	maxFDs = 2870
 	// apiKey is the key of the only tenant.
@@ -102,7 +102,7 @@
 }
 
 func (d *daemon) start() error {
-	d.cmd = exec.Command("bash", "-c", "ulimit -n "+strconv.Itoa(maxFDs)+" && exec target/ragwortquay front --metrics-port 9464")
+	d.cmd = exec.Command("bash", "-c", "ulimit -n "+strconv.Itoa(maxFDs)+" && exec target/ragwortquay front --metrics-port "+strconv.Itoa(metricsPort))
 	d.cmd.Env = append(os.Environ(), "RAGWORTQUAY_NODE_FILE="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	if err := d.cmd.Start(); err != nil {
--- a/review/standin-3/descriptors.go
+++ b/review/standin-3/descriptors.go
@@ -100,6 +100,7 @@
 		if b.tryNewConnections(i, d, probers[i], answers) {
 			status = broken
 		}
+		b.fetchMetrics(i, d, answers)
 	}
 	cancel()
 	clients.Wait()
@@ -154,6 +155,23 @@
 	return never.Load() > late.Load()
 }
 
+// fetchMetrics fetches the daemon's metrics, as the platform does each 5 s while an incident
+// is examined, and notes whether the process ends by that.
+func (b *bed) fetchMetrics(n int, d *daemon, steady *counts) {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	resp, err := c.Get("http://" + net.JoinHostPort(d.ip, strconv.Itoa(metricsPort)) + "/metrics")
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	b.note("daemon %d: its metrics are fetched: error %v", n+1, err)
+	select {
+	case <-d.done:
+		b.note("daemon %d: the process has ended by itself; answers so far %s", n+1, steady)
+	case <-time.After(2 * time.Second):
+		b.note("daemon %d: the process goes on", n+1)
+	}
+}
+
 // tryOnce sends one request on a new connection and returns the status of the answer, or
 // 0 if there is none by lateAfter.
 func (b *bed) tryOnce(d *daemon, id string) (int, error) {
