Review: streams that pause are cut during a planned stop

Cause: the watchdog cancels an attempt as soon as another engine is known, before that has taken the request; one that is full refuses, and the first engine is never gone back to.

--- a/review/standin-3/eventids.go
+++ b/review/standin-3/eventids.go
@@ -62,7 +62,7 @@
 			clients.Go(func() {
 				c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 10 * time.Second}
 				for k := 0; ctx.Err() == nil; k++ {
-					s := askForStream(c, d, fmt.Sprintf("stream-%d-%d-%d", n+1, i+1, k))
+					s := askForStream(c, d, fmt.Sprintf("stream-%d-%d-%d", n+1, i+1, k), idEvents)
 					mu.Lock()
 					sent[n] = append(sent[n], s)
 					mu.Unlock()
@@ -115,11 +115,11 @@
 }
 
 // askForStream sends a request for a stream and reads the answer.
-func askForStream(c *http.Client, d *daemon, id string) sentStream {
+func askForStream(c *http.Client, d *daemon, id string, events int) sentStream {
 	s := sentStream{id: id, sentAt: time.Now()}
 	resp, err := site.Send(context.Background(), c, d.frontAddr(), site.Request{ID: id, Method: http.MethodPost, Path: site.StreamPath, Model: site.LargeModel, APIKey: apiKey})
 	s.doneAt, s.status, s.err = time.Now(), resp.Status, err
 	s.events = strings.Count(resp.Body, "data: ")
-	s.whole = err == nil && resp.Status == http.StatusOK && resp.BodyComplete && s.events == idEvents
+	s.whole = err == nil && resp.Status == http.StatusOK && resp.BodyComplete && s.events == events
 	return s
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,10 +16,10 @@
 // cases are the scripts by name. Each returns its exit status.
 var cases = map[string]func(b *bed, trouble bool) (int, error){
 	"descriptors": runDescriptors,
-	"half-close":  runHalfClose,
 	"late-orders": runLate,
 	"event-ids":   runEventIDs,
 	"signature":   runSeal,
+	"silence":     runSilence,
 }
 
 func main() {
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -57,7 +57,15 @@
 	// many events, one each eventGap. runs counts the runs by request.
 	idStep, events int
 	eventGap       time.Duration
-	runs           map[string]int
+	// slots is the number of requests that a group runs at once; it refuses others. 0 stands
+	// for no bound. The share preempted of the streams pauses for preemptedFor after half
+	// of its events.
+	slots        int
+	preempted    float64
+	preemptedFor time.Duration
+	runs         map[string]int
+	// paused holds the requests whose streams have paused.
+	paused map[string]bool
 	// broken describes the joins that broke TWO.
 	broken []string
 	joins  int
@@ -85,13 +93,15 @@
 	// changed numbers the joins, closes and leaves, so that what was begun before one of
 	// them isn't ended after it.
 	changed int
+	// running is the number of requests that run.
+	running int
 	// missingSince is since when an open head has missed a member.
 	missingSince time.Time
 }
 
 func newFleet(b *bed) *fleet {
 	return &fleet{
-		b: b, members: map[string]*member{}, runs: map[string]int{}, rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3)),
+		b: b, members: map[string]*member{}, runs: map[string]int{}, paused: map[string]bool{}, rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3)),
 		idStep: 1, events: memberEvents,
 	}
 }
@@ -194,6 +204,15 @@
 func (m *member) serveRequest(w http.ResponseWriter, r *http.Request) {
 	m.f.mu.Lock()
 	serves := m.alive && m.group != "" && m.rank == 0 && m.state == "open" && m.missingSince.IsZero()
+	serves = serves && (m.f.slots == 0 || m.running < m.f.slots)
+	if serves {
+		m.running++
+		defer func() {
+			m.f.mu.Lock()
+			m.running--
+			m.f.mu.Unlock()
+		}()
+	}
 	m.f.mu.Unlock()
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if !serves {
@@ -205,14 +224,26 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	m.f.mu.Lock()
 	m.f.runs[r.Header.Get("Request-Id")]++
-	step, events, gap := m.f.idStep, m.f.events, m.f.eventGap
+	step, events, gap, pauseAt := m.f.idStep, m.f.events, m.f.eventGap, 0
+	if m.f.rng.Float64() < m.f.preempted {
+		pauseAt = events / 2
+		m.f.paused[r.Header.Get("Request-Id")] = true
+	}
 	m.f.mu.Unlock()
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		next = last/step + 1
 	}
 	for ; next <= events; next++ {
-		time.Sleep(gap)
+		wait := gap
+		if next == pauseAt {
+			wait = m.f.preemptedFor
+		}
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			return
+		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", next*step, next)
 		if http.NewResponseController(w).Flush() != nil {
 			return
