--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -76,43 +76,6 @@
 	delay time.Duration
 }
 
-// Spoil is a way in which an engine spoils the answer to a request that it has run.
-type Spoil uint8
-
-// The ways to spoil an answer.
-const (
-	// LoseAnswer closes the connection without an answer.
-	LoseAnswer Spoil = iota
-	// CutLength ends the connection within a body with a length.
-	CutLength
-	// CutChunks ends the connection within a chunked body.
-	CutChunks
-	// ResetUnframed resets the connection within a body without a length.
-	ResetUnframed
-	// UnprovenRefusal answers with 503, but not that the request has not run.
-	UnprovenRefusal
-	// ErrorText answers with status 500 and a text, ErrorPage with a text and status
-	// 200.
-	ErrorText
-	ErrorPage
-	// ClientErrorText answers with status 404 and a text.
-	ClientErrorText
-	// CutHead closes the connection within the head of the answer.
-	CutHead
-	// UnframedStream answers with a stream of one event, without a length or chunks.
-	// CutUnframedEvent ends one within the event.
-	UnframedStream
-	CutUnframedEvent
-	// EndlessHead, EndlessBody and EndlessEvent send header lines, a body without a
-	// length, or one event, until the caller closes the connection.
-	EndlessHead
-	EndlessBody
-	EndlessEvent
-)
-
-// endlessParts holds, for each answer without end, what is repeated after its start.
-var endlessParts = map[Spoil]string{EndlessHead: "X-A: 0\r\n", EndlessBody: "0123456789", EndlessEvent: "d"}
-
 // groupMembership is the engine's membership in a group, as announced.
 type groupMembership struct {
 	Name    string `json:"name"`
@@ -501,7 +464,7 @@
 	}
 	e.mu.Unlock()
 	if spoilt {
-		spoilAnswer(w, id, spoil)
+		spoilAnswer(w, r, spoil, e.stallCh)
 		return
 	}
 	w.Header().Set("Request-Id", id)
@@ -538,49 +501,6 @@
 	return err == nil && e.config.Deadly(string(body), strings.Split(r.Header.Get("Prompt-Prefix"), ","))
 }
 
-// spoilAnswer takes over the connection of a request and spoils the answer.
-func spoilAnswer(w http.ResponseWriter, id string, how Spoil) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err) // can't happen: the server speaks HTTP/1.1
-	}
-	defer func() { _ = conn.Close() }()
-	ok := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\n"
-	answers := map[Spoil]string{
-		CutLength:        ok + "Content-Length: 100\r\n\r\nhalf of it",
-		CutChunks:        ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-		ResetUnframed:    ok + "Connection: close\r\n\r\nhalf of it",
-		ErrorText:        "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id + "\r\nContent-Length: 16\r\n\r\nerror: out of it",
-		ClientErrorText:  "HTTP/1.1 404 Not Found\r\nRequest-Id: " + id + "\r\nContent-Length: 9\r\n\r\nnot here\n",
-		ErrorPage:        ok + "Content-Type: text/plain\r\nContent-Length: 18\r\n\r\nerror: out of it\n\n",
-		CutHead:          "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Ty",
-		UnframedStream:   ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: token\n\n",
-		CutUnframedEvent: ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: tok",
-		EndlessHead:      ok,
-		EndlessBody:      ok + "Connection: close\r\n\r\n",
-		EndlessEvent:     ok + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\n",
-		UnprovenRefusal:  "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
-	}
-	// A write fails only if the caller has closed the connection.
-	_, err = conn.Write([]byte(answers[how]))
-	block := []byte(strings.Repeat(endlessParts[how], endlessBlockBytes/max(1, len(endlessParts[how]))))
-	for len(block) > 0 && err == nil {
-		_, err = conn.Write(block)
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok && how == ResetUnframed {
-		// The caller reads the half before the reset discards it.
-		time.Sleep(resetDelay)
-		_ = tcp.SetLinger(0)
-	}
-}
-
-// endlessBlockBytes is the size of one write of an answer without end.
-const endlessBlockBytes = 4 << 10
-
-// resetDelay is the time between the bytes of an answer and the reset of its
-// connection.
-const resetDelay = 50 * time.Millisecond
-
 func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request) {
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
