A response without a length is incomplete if the connection ends amid the request

Callers saw: an engine answered an upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The client got the part as a complete answer, on routes with retries and without, and a part of a stream as its end.

Cause: a large body is written by a goroutine beside the one that reads. Linux reports a reset once, to whichever of the two meets it first. If that is the writer, the reader sees a plain end, which ends a body without a length. The writer's error was only asked for when the connection was to be used again.

An engine that closes with unread bytes resets, too; one that only ends its sending direction shows the same end while the writer is still blocked.

Change: respcheck.BodyEnd decides on the end of a body: one that only the end of the connection marks is complete only if the whole request was written. The reader waits for the writer's result, since either may learn first, for up to 2 s if the writer is still blocked.

Why it works: the verdict needs no order of the two events, as it is taken when both goroutines have ended.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -145,7 +145,7 @@
 // roundTrip writes the request and reads the header of the response that carries
 // the request's id.
 func (c *Client) roundTrip(cn *conn, r *Request) (*Response, error) {
-	sendResult, err := writeRequest(cn, r)
+	upload, err := writeRequest(cn, r)
 	if err != nil {
 		return nil, err
 	}
@@ -174,8 +174,8 @@
 		cn.limit.left, cn.limit.inHead = math.MaxInt64, false
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header,
-			conn: cn, body: resp.Body, client: c, addr: r.Addr,
-			reusable: !resp.Close && !r.NewConn, sendResult: sendResult,
+			conn: cn, body: resp.Body, endsByClose: endsByClose(resp), upload: upload, client: c, addr: r.Addr,
+			reusable: !resp.Close && !r.NewConn,
 		}, nil
 	}
 	return nil, fault.New(fault.Interrupted, "check the engine: it sends responses to other requests", "no response of %s carries the id of request %s", r.Addr, r.ID)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -3,14 +3,48 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/respcheck"
 )
 
-// writeRequest writes the request. A large body is written by another goroutine,
-// which sends its result on the returned channel; the channel is nil for a small
-// body.
-func writeRequest(cn *conn, r *Request) (chan error, error) {
+// upload is the writing of a large body by a goroutine of its own. A nil upload stands
+// for a request that was written whole before its response was read.
+type upload struct {
+	ended chan struct{}
+	err   error // valid once ended is closed
+}
+
+// state returns what is known of the upload now.
+func (u *upload) state() respcheck.Sending {
+	if u == nil {
+		return respcheck.Sent
+	}
+	select {
+	case <-u.ended:
+	default:
+		return respcheck.StillSending
+	}
+	if u.err != nil {
+		return respcheck.SendFailed
+	}
+	return respcheck.Sent
+}
+
+// wait waits until the upload has ended, for up to the given time.
+func (u *upload) wait(limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-u.ended:
+	case <-t.C:
+	}
+}
+
+// writeRequest writes the request. A large body is written by another goroutine, which
+// the returned upload describes.
+func writeRequest(cn *conn, r *Request) (*upload, error) {
 	head := make([]byte, 0, 1024)
 	head = append(head, r.Method...)
 	head = append(head, ' ')
@@ -31,23 +65,23 @@
 	}
 	head = append(head, "\r\n"...)
 	if len(r.Body) < concurrentSendBytes {
-		return nil, writeAll(cn, append(head, r.Body...), r)
+		return nil, writeStart(cn, append(head, r.Body...), r)
 	}
-	if err := writeAll(cn, head, r); err != nil {
+	if err := writeStart(cn, head, r); err != nil {
 		return nil, err
 	}
-	sendResult := make(chan error, 1)
-	go func() { sendResult <- writeAll(cn, r.Body, r) }()
-	return sendResult, nil
+	u := &upload{ended: make(chan struct{})}
+	go func() {
+		defer close(u.ended)
+		_, u.err = writeAll(cn, r.Body, r)
+	}()
+	return u, nil
 }
 
-// writeAll writes b, a part of the request. The error has outcome NotRun if no byte was
-// written.
-func writeAll(cn *conn, b []byte, r *Request) error {
-	n, err := cn.Write(b)
-	if r.OnTransfer != nil && n > 0 {
-		r.OnTransfer(n, 0)
-	}
+// writeStart writes b, with which the request begins. The error has outcome NotRun if no
+// byte was written.
+func writeStart(cn *conn, b []byte, r *Request) error {
+	n, err := writeAll(cn, b, r)
 	if err == nil {
 		return nil
 	}
@@ -57,3 +91,12 @@
 	}
 	return e
 }
+
+// writeAll writes b, a part of the request.
+func writeAll(cn *conn, b []byte, r *Request) (int, error) {
+	n, err := cn.Write(b)
+	if r.OnTransfer != nil && n > 0 {
+		r.OnTransfer(n, 0)
+	}
+	return n, err
+}
