A response is invalid if the name of one of its fields is not a token

Callers saw: an engine sent a head with a blank in the name of a field, or between the name and the colon. The client got the answer, with that line passed on ("X Odd: 1"), with more than the stated length ("Content-Length : 15"), or with the framing of the chunks in the body ("Transfer-Encoding : chunked").

Cause: net/http's reader keeps a blank in a name and matches the fields of the framing by their exact names, so a length or coding under such a name is ignored and the body runs to the end of the connection.

Change: respcheck.FieldName is the check of a name, and part of the check of each head that upstream reads, before it is told what kind of head it is. The caller gets another engine's answer where the request may be repeated, otherwise 502 without a promise; the engine is charged with a failed exchange and the connection is closed. Trailers are not passed on, so theirs are left.

Why it works: the check sees every name that the library accepts, as received, and the library's other interpretations of a head need a valid name. Nothing that the grammar allows is rejected: TestFieldNames tries each byte, TestValidNamesAndValuesArrive names of all token bytes, and values with blanks, tabs, bytes above 0x7f and folded lines, on kept connections.

--- a/internal/edge/broken_answers_test.go
+++ b/internal/edge/broken_answers_test.go
@@ -55,12 +55,20 @@
 // answers. A request that may be repeated gets the other engine's answer; one that may
 // run once, or that all engines answer so, gets a failure that promises nothing.
 func TestBrokenAnswersToUploadsReachNobody(t *testing.T) {
+	const framed = "Content-Length: 9\r\n\r\nall of it"
 	cases := map[string]site.Spoil{
 		"reset amid the upload":                     {Text: rawOK + "\r\nhalf of it", End: rawhttp.Reset},
 		"reset amid the upload, Connection: close":  site.ResetUnframed,
 		"reset amid the upload, HTTP/1.0":           {Text: strings.Replace(rawOK, "1.1", "1.0", 1) + "\r\nhalf of it", End: rawhttp.Reset},
 		"reset amid the upload, empty body":         {Text: rawOK + "\r\n", End: rawhttp.Reset},
 		"end of sending amid the upload, no reader": {Text: rawOK + "\r\nhalf of it", End: rawhttp.StopReading},
+		"name with a blank":                         {Text: rawOK + "X Odd: 1\r\n" + framed, WholeRequest: true},
+		"blank after the name of the length":        {Text: rawOK + "Content-Length : 15\r\n\r\nall of it, and more", WholeRequest: true},
+		"blank after the name of the coding":        {Text: rawOK + "Transfer-Encoding : chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n", WholeRequest: true},
+		"blank in a name of an interim head":        {Text: "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + rawOK + framed, WholeRequest: true},
+		"control byte in a name":                    {Text: rawOK + "X-\x01: 1\r\n" + framed, WholeRequest: true},
+		"tab in a name":                             {Text: rawOK + "X\tOdd: 1\r\n" + framed, WholeRequest: true},
+		"status 000":                                {Text: strings.Replace(rawOK, "200 OK", "000 ?", 1) + framed, WholeRequest: true},
 	}
 	for name, how := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -109,6 +117,7 @@
 		{"HTTP/1.0", site.Spoil{Text: strings.Replace(rawOK, "1.1", "1.0", 1) + "\r\n" + whole, WholeRequest: true}, http.StatusOK},
 		{"chunks", site.Spoil{Text: rawOK + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + whole + "\r\n0\r\n\r\n", End: rawhttp.Reset}, http.StatusOK},
 		{"refused early", site.Spoil{Text: strings.Replace(rawOK, "200 OK", "413 Content Too Large", 1) + "Content-Length: 9\r\n\r\n" + whole, End: rawhttp.Reset}, http.StatusRequestEntityTooLarge},
+		{"odd names and values", site.Spoil{Text: rawOK + "!#$%&'*+-.^_`|~: 1\r\nX-Odd:\ta b\tcaf\xe9 \r\nContent-Length: 9\r\n\r\n" + whole, WholeRequest: true}, http.StatusOK},
 		{"no body", site.Spoil{Text: strings.Replace(rawOK, "200 OK", "204 No Content", 1) + "\r\n", End: rawhttp.Reset}, http.StatusNoContent},
 	}
 	f := newFixture(t)
@@ -125,6 +134,9 @@
 			if c.status != http.StatusNoContent {
 				must.Eq(t, whole, got.body, must.Sprint(c.name, path))
 			}
+			if c.name == "odd names and values" {
+				must.Eq(t, "a b\tcaf\xe9", got.header.Get("X-Odd"))
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/respcheck/name_test.go
@@ -0,0 +1,21 @@
+package respcheck
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestFieldNames checks each byte within a name against the grammar's list.
+func TestFieldNames(t *testing.T) {
+	const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for c := range 256 {
+		name := "X" + string([]byte{byte(c)}) + "y"
+		valid := strings.IndexByte(tokenBytes, byte(c)) >= 0
+		must.Eq(t, valid, FieldName(name) == nil, must.Sprintf("%q", name))
+		must.Eq(t, valid, FieldName(name[1:2]) == nil, must.Sprintf("%q", name[1:2]))
+	}
+	must.Error(t, FieldName(""))
+	must.Less(t, 200, len(FieldName(strings.Repeat("x y", 10_000)).Error()))
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -186,5 +187,6 @@
 	return respcheck.Head{
 		Status:        resp.StatusCode,
 		AnnouncesBody: resp.Header.Get("Content-Length") != "" || len(resp.TransferEncoding) > 0,
+		FieldNames:    maps.Keys(resp.Header),
 	}
 }
