Answers of the log, the lists and operators' servers with invalid heads are errors

Callers would see: an answer with status 000, an interim one, or one with a blank in the name of a field, was taken for a 200 by the clients of the log, the VM list and the weight store of serve, and by the operators' commands: an append counted as written, an edit as answered.

Cause: these two clients dialed without respconn, which was added to those of engines, targets and the store only. fasthttp reports status 000 as 200.

Cut and reset answers were errors.

Change: both dial through respconn; the error has no outcome, as for any answer that cannot be read.

Why it works: all HTTP clients of the product that use fasthttp now read from checked connections, and upstream, the only other one, checks each head.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/ragwortquay/ragwortquay/internal/audit"
 	"github.com/ragwortquay/ragwortquay/internal/fault"
 	"github.com/ragwortquay/ragwortquay/internal/operate"
+	"github.com/ragwortquay/ragwortquay/internal/respconn"
 )
 
 // maxResponseBytes bounds the body of a response; an audit trail may be long.
@@ -38,11 +40,21 @@
 		baseURL: strings.TrimSuffix(base, "/"), token: token,
 		http: &fasthttp.Client{
 			Name: "ragwortquay", MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponseBytes,
-			ReadBufferSize: maxHeaderBytes,
+			ReadBufferSize: maxHeaderBytes, Dial: dial,
 		},
 	}, nil
 }
 
+// dial connects to a server. On the connection, a response with an invalid head is an
+// error.
+func dial(addr string) (net.Conn, error) {
+	c, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return respconn.New(c), nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ragwortquay/ragwortquay/internal/fault"
+	"github.com/ragwortquay/ragwortquay/internal/respconn"
 )
 
 const (
@@ -86,7 +87,7 @@
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
-			return c, nil
+			return respconn.New(c), nil
 		},
 	}
 }
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -108,9 +108,8 @@
 	}
 }
 
-// do makes one attempt, bounded by limit and by the deadline of ctx.
-// dialChecked connects to a target. On the connection, a response with an invalid status
-// is an error.
+// dialChecked connects to a target. On the connection, a response with an invalid head is
+// an error.
 func dialChecked(addr string, timeout time.Duration) (net.Conn, error) {
 	c, err := fasthttp.DialTimeout(addr, timeout)
 	if err != nil {
@@ -119,6 +118,7 @@
 	return respconn.New(c), nil
 }
 
+// do makes one attempt, bounded by limit and by the deadline of ctx.
 func (c *ControlClient) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, limit time.Duration) error {
 	if err := ctx.Err(); err != nil {
 		return fault.Wrap(fault.Timeout, err, "try again", "the caller's context ended before the call to the target").WithOutcome(fault.NotRun)
