One scan of the received bytes checks heads for upstream and for fasthttp's clients

Cause: the names of fields were checked twice over: by upstream in the parsed head, by respconn in the bytes. A parsed head no longer shows all that was received: net/http takes out the fields that it has interpreted.

Change: upstream's reader runs the same respcheck.HeadScanner, which also counts the lines of a head in place of a counter of its own. A head that was read together with the one before it is scanned from the buffer, so that lines of a second head count, too. The scanner holds 64 bytes of a head at the most.

--- a/internal/respcheck/head_test.go
+++ b/internal/respcheck/head_test.go
@@ -1,16 +1,11 @@
 package respcheck
 
 import (
-	"iter"
-	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
 )
 
-// names returns the names of fields.
-func names(list ...string) iter.Seq[string] { return slices.Values(list) }
-
 func TestHead(t *testing.T) {
 	cases := []struct {
 		head  Head
@@ -29,12 +24,6 @@
 		{Head{Status: 599}, true},
 		{Head{Status: 600}, false},
 		{Head{Status: 999}, false},
-		{Head{Status: 200, FieldNames: names("Content-Length", "X-Odd")}, true},
-		{Head{Status: 200, FieldNames: names("Content-Length", "X Odd")}, false},
-		{Head{Status: 200, FieldNames: names("Transfer-Encoding ")}, false},
-		{Head{Status: 103, FieldNames: names("Link")}, true},
-		{Head{Status: 103, FieldNames: names("Li nk")}, false},
-		{Head{Status: 0, FieldNames: names("Link")}, false},
 	}
 	for n, c := range cases {
 		must.Eq(t, c.valid, c.head.Check() == nil, must.Sprintf("case %d: status %d", n, c.head.Status))
--- a/internal/respcheck/name.go
+++ b/internal/respcheck/name.go
@@ -1,6 +1,7 @@
 package respcheck
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -9,17 +10,17 @@
 // letters nor digits.
 const tokenSymbols = "!#$%&'*+-.^_`|~"
 
-// FieldName returns an error unless the name of a field, as received, is a token. HTTP
+// checkFieldName returns an error unless the name of a field, as received, is a token. HTTP
 // libraries accept blanks in it and before the colon. Such a line would be passed on, or
 // a length that it states would be ignored.
-func FieldName(name string) error {
-	for _, c := range []byte(name) {
+func checkFieldName(name []byte) error {
+	for _, c := range name {
 		if !isTokenByte(c) {
 			return fmt.Errorf("%.40q is not the name of a header field", name)
 		}
 	}
-	if name == "" {
-		return fmt.Errorf("the name of a header field is empty")
+	if len(name) == 0 {
+		return errors.New("the name of a header field is empty")
 	}
 	return nil
 }
--- a/internal/respcheck/name_test.go
+++ b/internal/respcheck/name_test.go
@@ -11,11 +11,11 @@
 func TestFieldNames(t *testing.T) {
 	const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 	for c := range 256 {
-		name := "X" + string([]byte{byte(c)}) + "y"
+		name := []byte{'X', byte(c), 'y'}
 		valid := strings.IndexByte(tokenBytes, byte(c)) >= 0
-		must.Eq(t, valid, FieldName(name) == nil, must.Sprintf("%q", name))
-		must.Eq(t, valid, FieldName(name[1:2]) == nil, must.Sprintf("%q", name[1:2]))
+		must.Eq(t, valid, checkFieldName(name) == nil, must.Sprintf("%q", name))
+		must.Eq(t, valid, checkFieldName(name[1:2]) == nil, must.Sprintf("%q", name[1:2]))
 	}
-	must.Error(t, FieldName(""))
-	must.Less(t, 200, len(FieldName(strings.Repeat("x y", 10_000)).Error()))
+	must.Error(t, checkFieldName(nil))
+	must.Less(t, 200, len(checkFieldName([]byte(strings.Repeat("x y", 10_000))).Error()))
 }
--- a/internal/respcheck/scan.go
+++ b/internal/respcheck/scan.go
@@ -1,6 +1,7 @@
 package respcheck
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -9,14 +10,22 @@
 	// statusStart and statusEnd delimit the status in a status line: "HTTP/1.1 200".
 	statusStart = 9
 	statusEnd   = 12
+	// maxTextBytes bounds what a HeadScanner holds of a head.
+	maxTextBytes = 64
 )
 
-// HeadScanner checks the head of a final response while its bytes arrive, for a client
-// whose library parses it without these checks. The zero value awaits a response.
+// HeadScanner checks the head of a response while its bytes arrive: the names of its
+// fields as they were received. HTTP libraries accept more, and differ in what they take
+// it for. The zero value awaits a response.
 type HeadScanner struct {
+	// FinalOnly is set to reject a status that is not that of a final response, for a
+	// client that cannot check it by Head.
+	FinalOnly bool
+
 	at headPart
-	// text is the status line up to its status, or the name of the current field.
-	text []byte
+	// text is the status line up to its status, or the last part of the name of a field.
+	text  []byte
+	lines int
 }
 
 // headPart is a part of a head.
@@ -25,13 +34,20 @@
 const (
 	inStatusLine headPart = iota
 	atLineStart
+	inEmptyLine // after its carriage return
 	inName
 	inValue // and what follows the status in its line
 	inBody
 )
 
 // Reset awaits the next response.
-func (s *HeadScanner) Reset() { s.at, s.text = inStatusLine, s.text[:0] }
+func (s *HeadScanner) Reset() { s.at, s.text, s.lines = inStatusLine, s.text[:0], 0 }
+
+// Lines returns the number of lines of the head that have ended.
+func (s *HeadScanner) Lines() int { return s.lines }
+
+// Ended reports whether the empty line after the head was scanned.
+func (s *HeadScanner) Ended() bool { return s.at == inBody }
 
 // Scan checks what was received next. It returns an error once the head is known to be
 // invalid, and ignores the body.
@@ -40,6 +56,9 @@
 		if s.at == inBody {
 			return nil
 		}
+		if c == '\n' {
+			s.lines++
+		}
 		if err := s.scanByte(c); err != nil {
 			return err
 		}
@@ -50,10 +69,7 @@
 func (s *HeadScanner) scanByte(c byte) error {
 	switch s.at {
 	case inStatusLine:
-		if s.text = append(s.text, c); len(s.text) == statusEnd {
-			s.at = inValue
-			return checkFinalStatus(s.text[statusStart:])
-		}
+		return s.scanStatus(c)
 	case inValue:
 		if c == '\n' {
 			s.at, s.text = atLineStart, s.text[:0]
@@ -62,23 +78,57 @@
 		switch c {
 		case ' ', '\t': // continues the value of the line before
 			s.at = inValue
+		case '\r':
+			s.at = inEmptyLine
 		case '\n':
 			s.at = inBody
 		default:
-			s.at, s.text = inName, append(s.text, c)
+			s.at = inName
+			return s.scanName(c)
+		}
+	case inEmptyLine:
+		if c != '\n' {
+			return errors.New("a line of the head begins with a carriage return")
 		}
+		s.at = inBody
 	case inName:
-		switch {
-		case c == '\n' && string(s.text) == "\r":
-			s.at = inBody
-		case c == '\n':
-			return fmt.Errorf("%.40q is not a header field", s.text)
-		case c == ':':
-			s.at = inValue
-			return FieldName(string(s.text))
-		default:
-			s.text = append(s.text, c)
+		return s.scanName(c)
+	}
+	return nil
+}
+
+// scanStatus scans the status line up to its status.
+func (s *HeadScanner) scanStatus(c byte) error {
+	if c == '\n' {
+		return errors.New("the first line of the response has no status")
+	}
+	if s.text = append(s.text, c); len(s.text) < statusEnd {
+		return nil
+	}
+	s.at = inValue
+	if s.FinalOnly {
+		return checkFinalStatus(s.text[statusStart:])
+	}
+	return nil
+}
+
+// scanName scans a line up to its colon.
+func (s *HeadScanner) scanName(c byte) error {
+	switch c {
+	case '\n':
+		return fmt.Errorf("%.40q is not a header field", s.text)
+	case ':':
+		s.at = inValue
+		return checkFieldName(s.text)
+	default:
+		if len(s.text) == maxTextBytes {
+			// Each part of a token is one.
+			if err := checkFieldName(s.text); err != nil {
+				return err
+			}
+			s.text = s.text[:0]
 		}
+		s.text = append(s.text, c)
 	}
 	return nil
 }
--- a/internal/respconn/respconn.go
+++ b/internal/respconn/respconn.go
@@ -19,7 +19,7 @@
 }
 
 // New returns c with the check.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+func New(c net.Conn) *Conn { return &Conn{Conn: c, head: respcheck.HeadScanner{FinalOnly: true}} }
 
 // Write sends a part of a request.
 func (c *Conn) Write(b []byte) (int, error) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -152,27 +151,22 @@
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxMismatchedResponses + 1 {
-		cn.limit.beginHead()
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, head, err := readHead(cn, req)
 		if err != nil {
 			return nil, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of %s", r.Addr)
 		}
-		head := headOf(resp)
-		if err := head.Check(); err != nil {
-			return nil, fault.Wrap(fault.Interrupted, err, "check the engine", "read the response of %s", r.Addr)
-		}
 		if head.Interim() {
 			continue
 		}
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != r.ID {
 			// A response to another request; the expected one may follow.
-			cn.limit.left, cn.limit.inHead = maxSkippedBytes, false
+			cn.limit.left = maxSkippedBytes
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 				break
 			}
 			continue
 		}
-		cn.limit.left, cn.limit.inHead = math.MaxInt64, false
+		cn.limit.left = math.MaxInt64
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header,
 			conn: cn, body: resp.Body, endsByClose: endsByClose(resp), upload: upload, client: c, addr: r.Addr,
@@ -182,11 +176,18 @@
 	return nil, fault.New(fault.Interrupted, "check the engine: it sends responses to other requests", "no response of %s carries the id of request %s", r.Addr, r.ID)
 }
 
-// headOf returns what respcheck decides on.
-func headOf(resp *http.Response) respcheck.Head {
-	return respcheck.Head{
+// readHead reads the head of a response and checks it.
+func readHead(cn *conn, req *http.Request) (*http.Response, respcheck.Head, error) {
+	if err := cn.beginHead(); err != nil {
+		return nil, respcheck.Head{}, err
+	}
+	resp, err := http.ReadResponse(cn.br, req)
+	if err != nil {
+		return nil, respcheck.Head{}, err
+	}
+	head := respcheck.Head{
 		Status:        resp.StatusCode,
 		AnnouncesBody: resp.Header.Get("Content-Length") != "" || len(resp.TransferEncoding) > 0,
-		FieldNames:    maps.Keys(resp.Header),
 	}
+	return resp, head, head.Check()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/ragwortquay/ragwortquay/internal/respcheck"
 )
 
 // conn is a connection to an engine with its read buffer.
@@ -21,44 +23,27 @@
 	maxIdle  time.Duration
 }
 
-// limitedReader fails with errTooLong after left bytes, or linesLeft lines of a head.
-// Unlike io.LimitedReader it does not report the limit as the end of the input, which
-// would end a body without a length.
+// limitedReader fails with errTooLong after left bytes, or maxHeadLines lines of a head,
+// and as soon as a head proves invalid. Unlike io.LimitedReader it does not report the
+// limit as the end of the input, which would end a body without a length.
 type limitedReader struct {
 	r    io.Reader
 	left int64
-	// inHead is set until the empty line after the head has been read.
-	inHead    bool
-	linesLeft int
-	// lineIsEmpty is set while nothing of the current line has been read.
-	lineIsEmpty bool
+	head respcheck.HeadScanner
 	// onTransfer is that of the request that uses the connection.
 	onTransfer func(sent, received int)
 }
 
-// beginHead sets the limits for the head of a response.
-func (l *limitedReader) beginHead() {
-	l.left, l.inHead, l.linesLeft, l.lineIsEmpty = maxHeadBytes, true, maxHeadLines, true
-}
-
-// countLines counts the lines of a head in p, which follows what was read before.
-func (l *limitedReader) countLines(p []byte) {
-	for _, c := range p {
-		switch {
-		case c == '\n' && l.lineIsEmpty:
-			l.inHead = false
-			return
-		case c == '\n':
-			l.linesLeft--
-			l.lineIsEmpty = true
-		case c != '\r':
-			l.lineIsEmpty = false
-		}
-	}
+// beginHead sets the limits for the head of a response and scans the part of it that has
+// been read already.
+func (l *limitedReader) beginHead(read []byte) error {
+	l.left = maxHeadBytes
+	l.head.Reset()
+	return l.head.Scan(read)
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 || l.inHead && l.linesLeft <= 0 {
+	if l.left <= 0 || !l.head.Ended() && l.head.Lines() >= maxHeadLines {
 		return 0, errTooLong
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
@@ -66,12 +51,22 @@
 	if l.onTransfer != nil && n > 0 {
 		l.onTransfer(0, n)
 	}
-	if l.inHead {
-		l.countLines(p[:n])
+	if invalid := l.head.Scan(p[:n]); invalid != nil {
+		// Without its bytes, the parser cannot take the head for a valid one.
+		return 0, invalid
 	}
 	return n, err
 }
 
+// beginHead prepares the connection for the head of a response.
+func (c *conn) beginHead() error {
+	read, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.limit.beginHead(read)
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a connection that is being dialed.
 func setUserTimeout(_, _ string, rc syscall.RawConn) error {
 	var setErr error
