A response of HTTP/1.0 with a transfer coding is invalid

Callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" as a 200 whose body held the framing of the chunks, or as many bytes as a length beside it stated. Nobody has reported it; it was found while the names were traced.

Cause: the same as for a coding under an invalid name. net/http and fasthttp ignore the coding of such a response, so its body runs to the end of the connection. The standard (RFC 9112, section 6.1) has its framing treated as faulty, since it was written by a sender that does not know the coding.

Change: respcheck.HeadScanner keeps the version of the status line and rejects the field of transfer codings with 1.0. It is a condition on the bytes, as net/http takes the field out of the parsed head.

Why it works: every client scans each head. Answers of HTTP/1.0 with a length or up to the end of the connection arrive as before (rawhttp.Sound).

--- a/internal/respcheck/scan.go
+++ b/internal/respcheck/scan.go
@@ -1,6 +1,7 @@
 package respcheck
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -10,24 +11,37 @@
 	// statusStart and statusEnd delimit the status in a status line: "HTTP/1.1 200".
 	statusStart = 9
 	statusEnd   = 12
+	// versionEnd is the end of the version that the status line begins with.
+	versionEnd = 8
 	// maxTextBytes bounds what a HeadScanner holds of a head.
 	maxTextBytes = 64
 )
 
 // HeadScanner checks the head of a response while its bytes arrive: the names of its
-// fields as they were received. HTTP libraries accept more, and differ in what they take
-// it for. The zero value awaits a response.
+// fields as they were received, and that its version goes with a transfer coding. HTTP
+// libraries accept more, and differ in what they take it for. The zero value awaits a
+// response.
 type HeadScanner struct {
 	// FinalOnly is set to reject a status that is not that of a final response, for a
 	// client that cannot check it by Head.
 	FinalOnly bool
 
 	at headPart
-	// text is the status line up to its status, or the last part of the name of a field.
+	// text is the status line up to its status, or the name of a field; of a long one the
+	// last part, and cut is set.
 	text  []byte
+	cut   bool
 	lines int
+	// noCodings is set if the version of the response has no transfer codings.
+	noCodings bool
 }
 
+// versionWithoutCodings is the version whose recipients do not decode a transfer coding.
+const versionWithoutCodings = "HTTP/1.0"
+
+// codingField is the name of the field of transfer codings.
+var codingField = []byte("transfer-encoding")
+
 // headPart is a part of a head.
 type headPart uint8
 
@@ -72,7 +86,7 @@
 		return s.scanStatus(c)
 	case inValue:
 		if c == '\n' {
-			s.at, s.text = atLineStart, s.text[:0]
+			s.at, s.text, s.cut = atLineStart, s.text[:0], false
 		}
 	case atLineStart:
 		switch c {
@@ -106,6 +120,7 @@
 		return nil
 	}
 	s.at = inValue
+	s.noCodings = string(s.text[:versionEnd]) == versionWithoutCodings
 	if s.FinalOnly {
 		return checkFinalStatus(s.text[statusStart:])
 	}
@@ -119,6 +134,9 @@
 		return fmt.Errorf("%.40q is not a header field", s.text)
 	case ':':
 		s.at = inValue
+		if s.noCodings && !s.cut && bytes.EqualFold(s.text, codingField) {
+			return errors.New("the response has version 1.0 and a transfer coding, so the end of its body is not known")
+		}
 		return checkFieldName(s.text)
 	default:
 		if len(s.text) == maxTextBytes {
@@ -126,7 +144,7 @@
 			if err := checkFieldName(s.text); err != nil {
 				return err
 			}
-			s.text = s.text[:0]
+			s.text, s.cut = s.text[:0], true
 		}
 		s.text = append(s.text, c)
 	}
--- a/internal/standin/rawhttp/answers.go
+++ b/internal/standin/rawhttp/answers.go
@@ -22,6 +22,8 @@
 		"blank after a name":                 {Text: head + "X-Odd : 1\r\n" + length + "\r\n" + body, WholeRequest: true},
 		"blank after the name of the length": {Text: head + strings.Replace(length, ":", " :", 1) + "\r\n" + body, WholeRequest: true},
 		"blank after the name of the coding": {Text: head + "Transfer-Encoding : chunked\r\n\r\n" + chunks, WholeRequest: true},
+		"coding of HTTP/1.0":                 {Text: strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunks, WholeRequest: true},
+		"coding of HTTP/1.0, kept":           {Text: strings.Replace(head, "1.1", "1.0", 1) + "Connection: keep-alive\r\ntransfer-encoding: chunked\r\n" + length + "\r\n" + body, WholeRequest: true, End: Keep},
 		"blank in a name, kept connection":   {Text: head + "X Odd: 1\r\n" + length + "\r\n" + body, WholeRequest: true, End: Keep},
 		"name of an interim head":            {Text: "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sound, WholeRequest: true},
 		"tab in a name":                      {Text: head + "X\tOdd: 1\r\n" + length + "\r\n" + body, WholeRequest: true},
