A small group closes and is formed again beside an abandoned one: a red test

A small group closed for the large model, which had none. The next plan saw three free engines and two that may leave, took the large model to be formable (canForm counts both), dropped its claim, and formed the small group again from the free ones, as those are tried first; then the same again, about once a second.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -386,6 +387,41 @@
 	})
 }
 
+// TestClosedGroupIsNotFormedAgainBesideAnAbandonedOne guards against a large model that gets
+// no group while members of an abandoned group could complete one: a small group closes for
+// it and is formed again from the same engines.
+func TestClosedGroupIsNotFormedAgainBesideAnAbandonedOne(t *testing.T) {
+	plan := func(engines []*catalog.Engine) []Step {
+		abandoned := catalog.GroupID{Name: "g9", Epoch: 7}
+		members := []*catalog.Engine{engine("i-91", "g9", 1, catalog.Ready), engine("i-92", "g9", 2, catalog.Ready)}
+		s := snapshot(append(slices.Clone(engines), members...)...)
+		s.HeadVerdicts[abandoned] = HeadSilent
+		for _, e := range members {
+			s.MemberVerdicts[e.ID] = MemberMustLeave
+		}
+		return Plan(s)
+	}
+	var engines []*catalog.Engine
+	for i := range 2 {
+		engines = append(engines, openGroup(small, "d0", fmt.Sprint("g", i), 10*i)...)
+	}
+	var closed *catalog.Group
+	for _, step := range plan(engines) {
+		if step.Close != nil {
+			closed = &step.Close.Group
+		}
+	}
+	must.NotNil(t, closed, must.Sprint("the engines of a small group and two of the abandoned one suffice for a large group"))
+	for _, e := range closed.Members {
+		e.Membership = catalog.Membership{}
+	}
+	for _, step := range plan(engines) {
+		if step.Form != nil {
+			must.Eq(t, large.Name, step.Form.Model.Name, must.Sprint("the closed group is formed again"))
+		}
+	}
+}
+
 func TestNoGroupClosesWithoutSufficientGain(t *testing.T) {
 	cases := []struct {
 		name    string
