A transfer coding is valid in HTTP/1.1 only; clearer reasons of broken answers

Cause: fasthttp ignores a coding in a response of any version but 1.1, net/http in one below 1.1. The check named 1.0 alone, so that a response of HTTP/0.9 or 1.2 was still read in two ways.

Change: the condition is the version of the scan, 1.1; two rows of TestHeadScanner, which failed before.

--- a/internal/respcheck/scan.go
+++ b/internal/respcheck/scan.go
@@ -27,17 +27,17 @@
 	FinalOnly bool
 
 	at headPart
-	// text is the status line up to its status, or the name of a field; of a long one the
-	// last part, and cut is set.
+	// text is the status line up to its status, or the name of a field. cut is set if it is
+	// only the end of a long name.
 	text  []byte
 	cut   bool
 	lines int
-	// noCodings is set if the version of the response has no transfer codings.
+	// noCodings is set unless the response has versionWithCodings.
 	noCodings bool
 }
 
-// versionWithoutCodings is the version whose recipients do not decode a transfer coding.
-const versionWithoutCodings = "HTTP/1.0"
+// versionWithCodings is the version in which all recipients decode a transfer coding.
+const versionWithCodings = "HTTP/1.1"
 
 // codingField is the name of the field of transfer codings.
 var codingField = []byte("transfer-encoding")
@@ -120,7 +120,7 @@
 		return nil
 	}
 	s.at = inValue
-	s.noCodings = string(s.text[:versionEnd]) == versionWithoutCodings
+	s.noCodings = string(s.text[:versionEnd]) != versionWithCodings
 	if s.FinalOnly {
 		return checkFinalStatus(s.text[statusStart:])
 	}
@@ -135,7 +135,7 @@
 	case ':':
 		s.at = inValue
 		if s.noCodings && !s.cut && bytes.EqualFold(s.text, codingField) {
-			return errors.New("the response has version 1.0 and a transfer coding, so the end of its body is not known")
+			return errors.New("the response has a transfer coding and a version other than 1.1, so the end of its body is not known")
 		}
 		return checkFieldName(s.text)
 	default:
--- a/internal/respcheck/scan_test.go
+++ b/internal/respcheck/scan_test.go
@@ -28,6 +28,8 @@
 		{"\r\nHTTP/1.1 200 OK\r\n\r\n", false},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
 		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		{"HTTP/1.0 200 OK\r\nX: 1\r\ntransfer-ENCODING:chunked\r\n\r\n", false},
 		{"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n transfer-encoding: chunked\r\n\r\n", true},
 		{"HTTP/1.0 200 OK\r\n" + strings.Repeat("x", maxTextBytes) + "Transfer-Encoding: chunked\r\n\r\n", true},
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -60,7 +60,7 @@
 	if verdict == respcheck.Complete {
 		return nil
 	}
-	return fault.New(fault.Interrupted, "check the engine", "engine %s ended the connection while the request was %s; its response without a length may be cut", r.addr, r.upload.state())
+	return fault.New(fault.Interrupted, "check the engine", "the request to engine %s was %s when its response without a length ended; a part of it may be missing", r.addr, r.upload.state())
 }
 
 func (r *Response) verdict() respcheck.Verdict {
